--- /dev/null
+++ b/Makefile
@@ -0,0 +1,17 @@
+# Thin front: each target is one line that calls CMake, ctest or a script.
+BUILD ?= build
+SEED ?= 1
+
+all: ; tools/build.sh $(BUILD)
+demo: ; tools/build.sh $(BUILD) && tools/demo.sh $(BUILD)
+test: ; tools/build.sh $(BUILD) && tools/test.sh $(BUILD)
+check: ; tools/build.sh $(BUILD) && tools/check.sh $(BUILD)
+asan: ; tools/build.sh build-asan -DDB_SANITIZE=ON && tools/test.sh build-asan
+model: ; tools/install-deps.sh && tools/model.sh
+bench: ; tools/build.sh $(BUILD) && tools/bench.sh $(BUILD) $(SEED)
+bench-path: ; tools/build.sh $(BUILD) && tools/bench-path.sh $(BUILD)
+capacity: ; tools/build.sh $(BUILD) && tools/capacity.sh $(BUILD)
+format: ; tools/check.sh --format
+clean: ; rm -rf build build-asan
+
+.PHONY: all demo test check asan model bench bench-path capacity format clean
