--- /dev/null
+++ b/packages/server/fe_account.c
@@ -0,0 +1,118 @@
+#include "fe_internal.h"
+#include "ow.h"
+
+#include "lg.h"
+
+/* Adds one to a counter.  */
+void
+fe_count (fe_front *fe, const char *name, const char *label, st_str value)
+{
+  mt_registry *m = fe->sv->metrics;
+  mt_add (m, mt_counter (m, name, label, value, NULL, (st_str){ 0 }), 1);
+}
+
+/* Gives the slot of R back to the cell's owner, with what was observed.  */
+void
+fe_release_place (fe_request *r, cs_outcome end)
+{
+  if (!r->placed)
+    return;
+  uint64_t itl_us = 0;
+  r->placed = false;
+  if (r->events > 1 && r->first_token_us > 0)
+    itl_us = (r->last_event_us - r->dispatched_us - r->first_token_us)
+             / (r->events - 1);
+  ow_done (r->fe->sv->owner, r->self,
+           &(cs_done_info){ .outcome = end,
+                            .first_token_us = r->first_token_us,
+                            .itl_us = itl_us,
+                            .tokens = r->events });
+  if (end == CS_ANSWERED || end == CS_FAILED)
+    sv_report_evidence (r->fe->sv,
+                        &(sv_evidence){ .service = st_name_str (&r->model),
+                                        .version = st_name_str (&r->version),
+                                        .route = st_name_str (&r->route),
+                                        .failed = end == CS_FAILED,
+                                        .first_token_us = r->first_token_us,
+                                        .itl_us = itl_us });
+}
+
+static void
+_fe_record_metrics (const fe_request *r)
+{
+  mt_registry *m = r->fe->sv->metrics;
+  st_str team = st_name_str (&r->team);
+  st_str tier = sv_tier_name (r->tier);
+  uint64_t total_us = sv_now_us (r->fe->sv) - r->accepted_us;
+  mt_add (m,
+          mt_counter (m, "dotterelbend_requests_total", "outcome",
+                      st_from_cstr (rq_outcome_name (r->outcome)), "tier",
+                      tier),
+          1);
+  mt_record (m,
+             mt_histogram (m, "dotterelbend_request_us", "team", team, "tier",
+                           tier),
+             total_us);
+  if (r->first_token_us > 0)
+    mt_record (m,
+               mt_histogram (m, "dotterelbend_first_token_us", "team", team,
+                             "tier", tier),
+               r->dispatched_us + r->first_token_us - r->accepted_us);
+}
+
+static void
+_fe_forget_answer (fe_request *r)
+{
+  fe_front *fe = r->fe;
+  rq_set_user (fe->sv->requests, r->record, 0);
+  g_queue_delete_link (&fe->kept, r->kept);
+  r->kept = NULL;
+  fe_request_free (r);
+}
+
+static void
+_fe_keep_answer (fe_request *r)
+{
+  fe_front *fe = r->fe;
+  g_queue_push_tail (&fe->kept, r);
+  r->kept = fe->kept.tail;
+  g_free (r->body);
+  r->body = NULL;
+  while (fe->kept.length > 0
+         && (fe->buffered_bytes > fe->desc.max_buffered_bytes
+             || fe->kept.length > fe->desc.max_requests / 2))
+    {
+      fe_request *oldest = fe->kept.head->data;
+      if (oldest->readers != NULL)
+        break;
+      _fe_forget_answer (oldest);
+    }
+}
+
+/* Gives R its outcome and completes its readers.  KIND and MESSAGE are for
+   the error answer, "" for an answered request.  R may be freed.  */
+void
+fe_end (fe_request *r, rq_outcome outcome, const char *kind,
+        const char *message)
+{
+  if (!rq_finish (r->fe->sv->requests, r->record, outcome))
+    {
+      /* The table refuses a promise that does not hold.  */
+      lg_log (LG_ERROR, r->id, "outcome %s was refused; unknown is told",
+              rq_outcome_name (outcome));
+      outcome = RQ_UNKNOWN;
+      rq_finish (r->fe->sv->requests, r->record, outcome);
+    }
+  r->state = FE_ENDED;
+  r->outcome = outcome;
+  r->fe->open--;
+  g_strlcpy (r->error_kind, kind, sizeof r->error_kind);
+  g_strlcpy (r->error, message, sizeof r->error);
+  _fe_record_metrics (r);
+  lg_log (outcome == RQ_ANSWERED ? LG_DEBUG : LG_INFO, r->id,
+          "outcome %s tier %u team %s engine %s%s%s",
+          rq_outcome_name (outcome), r->tier, r->team.text, r->engine,
+          kind[0] != 0 ? " because " : "", kind);
+  fe_end_readers (r);
+  _fe_keep_answer (r);
+}
--- /dev/null
+++ b/packages/server/fe_internal.h
@@ -0,0 +1,166 @@
+/* fe_internal.h -- state shared by the stages of the front end.  */
+#ifndef FE_INTERNAL_H
+#define FE_INTERNAL_H
+
+#include "fe.h"
+#include "sv.h"
+#include "up.h"
+
+#include <glib.h>
+#include <jansson.h>
+
+/* Unsent bytes above which the upstream of a stream is held back.  */
+#define FE_HIGH_WATER_BYTES (128 * 1024)
+#define FE_LOW_WATER_BYTES (32 * 1024)
+/* Largest piece that is handed to one caller's connection at a time.  */
+#define FE_CHUNK_BYTES (64 * 1024)
+#define FE_MAX_PLACEMENTS 4
+#define FE_MAX_RESUMES 5
+
+typedef enum
+{
+  FE_WAITING,  /* for a place */
+  FE_RUNNING,  /* a call to the engine is in progress */
+  FE_STOPPING, /* the engine is told to keep the state */
+  FE_RESUMING, /* the rest of the stream is fetched again */
+  FE_ENDED     /* has an outcome; the answer is kept */
+} fe_state;
+
+typedef struct fe_request fe_request;
+typedef struct fe_reader fe_reader;
+
+/* A caller that waits for the answer of a request.  */
+struct fe_reader
+{
+  fe_front *fe;
+  id_handle request;
+  struct evhttp_request *http;
+  size_t sent; /* bytes of the answer */
+  bool started;
+  bool writing;
+  fe_reader *next;
+};
+
+struct fe_request
+{
+  fe_front *fe;
+  id_handle self;
+  rq_handle record;
+  char id[RQ_ID_MAX];
+  const char *path; /* of the engine's interface */
+  st_name team;
+  st_name model;
+  st_name version;
+  st_name route;
+  uint8_t tier;
+  bool stream;
+  bool own_id; /* the caller chose the id, so it can come back for it */
+  bool head_seen;
+  bool resumed;
+  bool placed; /* holds a slot */
+  bool paused;
+  bool on_new_version;
+  fe_state state;
+  uint8_t placements;
+  uint8_t resumes;
+  uint32_t prompt_tokens;
+  uint32_t expected_tokens;
+  uint64_t accepted_us;
+  uint64_t deadline_us;
+  uint64_t dispatched_us;
+  uint64_t first_token_us; /* time from dispatch */
+  uint64_t last_event_us;
+  uint32_t events;
+  char *body;
+  size_t body_len;
+  char engine[ST_NAME_MAX + 1];
+  char address[80];
+  char import_from[80];
+  up_id call;
+  int status;
+  char content_type[64];
+  GString *answer;
+  GArray *event_ends; /* uint32_t offset behind each event */
+  rq_outcome outcome;
+  char error_kind[24];
+  char error[200];
+  uint32_t retry_after_ms;
+  fe_reader *readers;
+  GList *kept; /* link in the list of kept answers */
+};
+
+struct fe_front
+{
+  sv_server *sv;
+  fe_desc desc;
+  struct evhttp *http;
+  uint16_t port;
+  id_pool ids;
+  fe_request **requests;
+  uint32_t open;
+  uint32_t service_calls;
+  size_t buffered_bytes;
+  GQueue kept; /* ended requests with an answer, oldest first */
+  uint64_t next_expire_us;
+};
+
+fe_request *fe_request_of (fe_front *fe, id_handle id);
+fe_request *fe_request_make (fe_front *fe);
+void fe_request_free (fe_request *r);
+
+/* fe_identify.c */
+bool fe_identify (fe_front *fe, struct evhttp_request *req, fe_request *r,
+                  er_error *err);
+st_str fe_header (struct evhttp_request *req, const char *name);
+bool fe_parse_tier (st_str text, uint8_t *tier, er_error *err);
+
+/* fe_admit.c */
+void fe_admit (fe_front *fe, struct evhttp_request *req, fe_request *r);
+void fe_ask_place (fe_request *r);
+bool fe_answer_foreign (fe_front *fe, struct evhttp_request *req, st_str id,
+                        bool may_redirect);
+
+/* fe_dispatch.c */
+void fe_dispatch_abort (fe_request *r);
+
+/* fe_stream.c */
+void fe_attach (fe_request *r, struct evhttp_request *req, uint32_t from);
+void fe_append (fe_request *r, struct evbuffer *data);
+void fe_flush_readers (fe_request *r);
+void fe_end_readers (fe_request *r);
+bool fe_assemble_whole (fe_request *r);
+size_t fe_event_offset (const fe_request *r, uint32_t event);
+
+/* fe_account.c */
+void fe_end (fe_request *r, rq_outcome outcome, const char *kind,
+             const char *message);
+void fe_release_place (fe_request *r, cs_outcome end);
+void fe_count (fe_front *fe, const char *name, const char *label,
+               st_str value);
+
+/* fe_query.c */
+void fe_query (fe_front *fe, struct evhttp_request *req, st_str rest);
+json_t *fe_record_json (fe_front *fe, const rq_record *record);
+
+/* fe_service.c */
+void fe_service (fe_front *fe, struct evhttp_request *req, st_str rest);
+
+/* fe_reply.c */
+typedef struct
+{
+  int status; /* HTTP status; 0 takes the one of KIND */
+  er_kind kind;
+  const char *name; /* kind in the answer; NULL takes the name of KIND */
+  const char *message;
+  rq_outcome outcome; /* RQ_NONE leaves it out */
+  const char *request_id;
+  uint32_t retry_after_ms; /* 0 leaves it out */
+} fe_error;
+
+void fe_reply_error (fe_front *fe, struct evhttp_request *req,
+                     const fe_error *error);
+void fe_reply_json (struct evhttp_request *req, int status, json_t *body);
+char *fe_error_text (const fe_error *error);
+const char *fe_status_text (int status);
+
+#endif
--- /dev/null
+++ b/packages/server/fe_reply.c
@@ -0,0 +1,145 @@
+#include "fe_internal.h"
+
+#include <event2/buffer.h>
+#include <string.h>
+
+static int
+_fe_status_of (er_kind kind)
+{
+  switch (kind)
+    {
+    case ER_OK:
+      return 200;
+    case ER_INVALID:
+    case ER_UNSUPPORTED:
+      return 400;
+    case ER_DENIED:
+      return 403;
+    case ER_NOT_FOUND:
+      return 404;
+    case ER_CONFLICT:
+      return 409;
+    case ER_TOO_LARGE:
+      return 413;
+    case ER_LIMIT:
+      return 429;
+    case ER_UNAVAILABLE:
+      return 503;
+    case ER_TIMEOUT:
+      return 504;
+    case ER_INTERNAL:
+      break;
+    }
+  return 500;
+}
+
+/* Reason phrase of an HTTP status.  */
+const char *
+fe_status_text (int status)
+{
+  switch (status)
+    {
+    case 200:
+      return "OK";
+    case 202:
+      return "Accepted";
+    case 307:
+      return "Temporary Redirect";
+    case 400:
+      return "Bad Request";
+    case 403:
+      return "Forbidden";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 409:
+      return "Conflict";
+    case 410:
+      return "Gone";
+    case 413:
+      return "Payload Too Large";
+    case 429:
+      return "Too Many Requests";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return status < 400 ? "OK" : "Error";
+    }
+}
+
+/* JSON text of an error answer; the caller frees it with g_free.  */
+char *
+fe_error_text (const fe_error *error)
+{
+  json_t *fields = json_object ();
+  json_t *body = json_object ();
+  json_object_set_new (fields, "kind",
+                       json_string (error->name != NULL
+                                        ? error->name
+                                        : er_kind_name (error->kind)));
+  json_object_set_new (fields, "message", json_string (error->message));
+  if (error->outcome != RQ_NONE)
+    json_object_set_new (fields, "outcome",
+                         json_string (rq_outcome_name (error->outcome)));
+  if (error->request_id != NULL && error->request_id[0] != 0)
+    json_object_set_new (fields, "request_id",
+                         json_string (error->request_id));
+  json_object_set_new (body, "error", fields);
+  char *dumped = json_dumps (body, JSON_COMPACT);
+  char *text = g_strdup (dumped);
+  free (dumped);
+  json_decref (body);
+  return text;
+}
+
+/* Sends BODY, which is released, as the whole answer.  */
+void
+fe_reply_json (struct evhttp_request *req, int status, json_t *body)
+{
+  struct evbuffer *out = evbuffer_new ();
+  char *text = json_dumps (body, JSON_COMPACT);
+  evbuffer_add (out, text, strlen (text));
+  evhttp_add_header (evhttp_request_get_output_headers (req), "Content-Type",
+                     "application/json");
+  evhttp_send_reply (req, status, fe_status_text (status), out);
+  evbuffer_free (out);
+  free (text);
+  json_decref (body);
+}
+
+/* Answers REQ with a typed error, and counts it.  */
+void
+fe_reply_error (fe_front *fe, struct evhttp_request *req,
+                const fe_error *error)
+{
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (req);
+  int status
+      = error->status != 0 ? error->status : _fe_status_of (error->kind);
+  char *text = fe_error_text (error);
+  struct evbuffer *out = evbuffer_new ();
+  evbuffer_add (out, text, strlen (text));
+  evhttp_add_header (headers, "Content-Type", "application/json");
+  if (error->outcome != RQ_NONE)
+    evhttp_add_header (headers, "Dotterelbend-Outcome",
+                       rq_outcome_name (error->outcome));
+  if (error->request_id != NULL && error->request_id[0] != 0)
+    evhttp_add_header (headers, "Dotterelbend-Request-Id", error->request_id);
+  if (error->retry_after_ms > 0)
+    {
+      char seconds[16];
+      g_snprintf (seconds, sizeof seconds, "%u",
+                  (error->retry_after_ms + 999) / 1000);
+      evhttp_add_header (headers, "Retry-After", seconds);
+    }
+  fe_count (fe, "dotterelbend_errors_total", "kind",
+            st_from_cstr (error->name != NULL ? error->name
+                                              : er_kind_name (error->kind)));
+  evhttp_send_reply (req, status, fe_status_text (status), out);
+  evbuffer_free (out);
+  g_free (text);
+}
--- /dev/null
+++ b/packages/server/ow.h
@@ -0,0 +1,54 @@
+/* ow.h -- places requests: the cells this VM owns and the way to the others.
+
+   A request is placed by the owner of a cell that serves its model.  The
+   task picks the cell (own data centre first, then own region, then others),
+   runs the scheduler of the cells that this VM owns, and talks to the owners
+   of the others by SLOT messages.  Answers go to the front end:
+   fe_on_grant, fe_on_refuse, fe_on_stop.
+
+     ow_task *ow = ow_make (&(ow_desc){ .server = sv });
+     ow_ask (ow, &(ow_ask_desc){ .request = id, .model = model });
+     ow_done (ow, id, &info);           // ends a grant
+     ow_cancel (ow, id);                // ends a wait  */
+#ifndef OW_H
+#define OW_H
+
+#include "cs.h"
+#include "id.h"
+#include "st.h"
+
+typedef struct ow_task ow_task;
+typedef struct sv_server sv_server;
+
+typedef struct
+{
+  sv_server *server;
+} ow_desc;
+
+typedef struct
+{
+  id_handle request;
+  const char *request_id;
+  st_str model;
+  st_str version;
+  st_str team;
+  st_str route;
+  uint8_t tier;
+  uint32_t prompt_tokens;
+  uint32_t expected_tokens;
+  st_str body; /* prompt text, for the prefix hashes */
+  uint64_t deadline_us;
+  st_str resume_engine; /* engine that keeps a stopped stream; may be empty */
+} ow_ask_desc;
+
+ow_task *ow_make (const ow_desc *desc);
+void ow_destroy (ow_task *ow);
+void ow_ask (ow_task *ow, const ow_ask_desc *desc);
+void ow_cancel (ow_task *ow, id_handle request);
+void ow_first_token (ow_task *ow, id_handle request, uint64_t first_token_us);
+void ow_done (ow_task *ow, id_handle request, const cs_done_info *info);
+void ow_set_upstreams (ow_task *ow);
+void ow_members_changed (ow_task *ow);
+void ow_tick (ow_task *ow);
+
+#endif
--- /dev/null
+++ b/packages/server/up.h
@@ -0,0 +1,87 @@
+/* up.h -- HTTP client for upstreams with kept connections.
+
+   One call runs on one connection; finished connections are kept for the
+   next call to the same address.  The end of a call tells whether any byte
+   of it may have reached the upstream, which decides whether the request may
+   be placed again.
+
+     up_pool *up = up_make (&(up_desc){ .base = base });
+     up_id call = up_send (up, &(up_call_desc){
+       .address = ST_LIT ("127.0.0.1:9000"), .method = EVHTTP_REQ_POST,
+       .path = "/v1/completions", .body = body, .on_data = on_data,
+       .on_done = on_done, .user = request });
+     up_pause (up, call);     // stop reading: back-pressure
+     up_cancel (up, call);    // no further callbacks
+
+   A pool belongs to one event loop thread.  */
+#ifndef UP_H
+#define UP_H
+
+#include "id.h"
+#include "st.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+typedef struct up_pool up_pool;
+typedef id_handle up_id;
+
+typedef enum
+{
+  UP_COMPLETE, /* the whole answer arrived */
+  UP_NOT_SENT, /* failed before a byte was sent */
+  UP_BROKEN    /* failed after a byte may have been sent */
+} up_end;
+
+typedef struct
+{
+  const char *name;
+  const char *value;
+} up_header;
+
+typedef struct
+{
+  up_end end;
+  int status;       /* 0 when no head arrived */
+  const char *error; /* short text, "" for UP_COMPLETE */
+} up_result;
+
+typedef struct
+{
+  st_str address; /* IP:PORT */
+  enum evhttp_cmd_type method;
+  const char *path;
+  const up_header *headers;
+  size_t header_count;
+  st_str body; /* copied */
+  uint64_t idle_timeout_ms; /* without progress; 0 means the pool's */
+  /* The head of the answer arrived.  May be NULL.  */
+  void (*on_head) (void *user, int status, struct evkeyvalq *headers);
+  /* A part of the body arrived; the callee drains DATA.  */
+  void (*on_data) (void *user, struct evbuffer *data);
+  /* Called exactly once, unless the call was cancelled.  */
+  void (*on_done) (void *user, const up_result *result);
+  void *user;
+} up_call_desc;
+
+typedef struct
+{
+  struct event_base *base;
+  uint32_t max_calls;        /* 0 means 16384 */
+  uint32_t max_idle;         /* kept connections an address; 0 means 256 */
+  uint64_t idle_timeout_ms;  /* 0 means 60 s */
+  uint64_t connect_timeout_ms; /* 0 means 2 s */
+} up_desc;
+
+up_pool *up_make (const up_desc *desc);
+void up_destroy (up_pool *pool);
+up_id up_send (up_pool *pool, const up_call_desc *desc);
+bool up_pause (up_pool *pool, up_id id);
+bool up_resume (up_pool *pool, up_id id);
+bool up_cancel (up_pool *pool, up_id id);
+uint32_t up_query_calls (const up_pool *pool);
+bool up_parse_address (st_str text, char *host, size_t host_size,
+                       uint16_t *port);
+
+#endif
