Serve requests end to end on one VM

Cause: callers need the whole path before anything else grows. Change: HTTP front end in stages, upstream client with kept connections, placement through the cell scheduler, VM list, drain on SIGTERM. Conclusion: the thin path works; several VMs, calls and settings follow.

--- a/packages/server/fe_accept.c
+++ b/packages/server/fe_accept.c
@@ -49,6 +49,8 @@
   g_string_free (r->answer, TRUE);
   g_array_free (r->event_ends, TRUE);
   g_free (r->body);
+  if (r->prompt != NULL)
+    g_string_free (r->prompt, TRUE);
   g_free (r);
 }
 
@@ -98,12 +100,10 @@
   const char *text
       = evhttp_uri_get_query (evhttp_request_get_evhttp_uri (req));
   const char *region = NULL;
-  bool parsed
-      = text != NULL && evhttp_parse_query_str (text, &query) == 0;
+  bool parsed = text != NULL && evhttp_parse_query_str (text, &query) == 0;
   if (parsed)
     region = evhttp_find_header (&query, "region");
-  fe_reply_json (req, 200,
-                 sv_addresses_json (fe->sv, st_from_cstr (region)));
+  fe_reply_json (req, 200, sv_addresses_json (fe->sv, st_from_cstr (region)));
   if (parsed)
     evhttp_clear_headers (&query);
 }
--- a/packages/server/fe_account.c
+++ b/packages/server/fe_account.c
@@ -49,10 +49,10 @@
                       st_from_cstr (rq_outcome_name (r->outcome)), "tier",
                       tier),
           1);
-  mt_record (m,
-             mt_histogram (m, "dotterelbend_request_us", "team", team, "tier",
-                           tier),
-             total_us);
+  mt_record (
+      m,
+      mt_histogram (m, "dotterelbend_request_us", "team", team, "tier", tier),
+      total_us);
   if (r->first_token_us > 0)
     mt_record (m,
                mt_histogram (m, "dotterelbend_first_token_us", "team", team,
--- a/packages/server/fe_admit.c
+++ b/packages/server/fe_admit.c
@@ -58,8 +58,8 @@
     return false;
   char text[RQ_ID_MAX];
   g_snprintf (text, sizeof text, "%.*s", ST_FMT (id));
-  switch (sv_find_incarnation (fe->sv, parts.incarnation, address,
-                               sizeof address))
+  switch (
+      sv_find_incarnation (fe->sv, parts.incarnation, address, sizeof address))
     {
     case SV_PEER_ALIVE:
     case SV_PEER_LEAVING:
@@ -71,14 +71,14 @@
           evhttp_add_header (evhttp_request_get_output_headers (req),
                              "Location", location);
           fe_count (fe, "dotterelbend_redirects_total", NULL, ST_LIT (""));
-          fe_reply_error (
-              fe, req,
-              &(fe_error){ .status = 307,
-                           .kind = ER_CONFLICT,
-                           .name = "other_owner",
-                           .request_id = text,
-                           .message = "another VM owns this id: follow the "
-                                      "Location header" });
+          fe_reply_error (fe, req,
+                          &(fe_error){ .status = 307,
+                                       .kind = ER_CONFLICT,
+                                       .name = "other_owner",
+                                       .request_id = text,
+                                       .message
+                                       = "another VM owns this id: follow the "
+                                         "Location header" });
           return true;
         }
       break;
@@ -105,7 +105,6 @@
   r->state = FE_WAITING;
   ow_ask (r->fe->sv->owner,
           &(ow_ask_desc){ .request = r->self,
-                          .request_id = r->id,
                           .model = st_name_str (&r->model),
                           .version = st_name_str (&r->version),
                           .team = st_name_str (&r->team),
@@ -113,7 +112,7 @@
                           .tier = r->tier,
                           .prompt_tokens = r->prompt_tokens,
                           .expected_tokens = r->expected_tokens,
-                          .body = { r->body, r->body_len },
+                          .prompt = { r->prompt->str, r->prompt->len },
                           .deadline_us = r->deadline_us,
                           .resume_engine = st_from_cstr (
                               r->resumed || r->events > 0 ? r->engine : "") });
--- a/packages/server/fe_dispatch.c
+++ b/packages/server/fe_dispatch.c
@@ -80,19 +80,19 @@
     { "Dotterelbend-Route", r->route.text },
   };
   size_t count = r->version.len > 0 ? G_N_ELEMENTS (headers) : 2;
-  r->call = up_send (r->fe->sv->up,
-                     &(up_call_desc){
-                         .address = st_from_cstr (r->address),
-                         .method = method,
-                         .path = path,
-                         .headers = headers,
-                         .header_count = count,
-                         .body = body,
-                         .idle_timeout_ms = _FE_ENGINE_IDLE_MS,
-                         .on_head = with_callbacks ? _fe_on_head : NULL,
-                         .on_data = with_callbacks ? _fe_on_data : NULL,
-                         .on_done = _fe_on_stream_done,
-                         .user = r });
+  r->call = up_send (
+      r->fe->sv->up,
+      &(up_call_desc){ .address = st_from_cstr (r->address),
+                       .method = method,
+                       .path = path,
+                       .headers = headers,
+                       .header_count = count,
+                       .body = body,
+                       .idle_timeout_ms = _FE_ENGINE_IDLE_MS,
+                       .on_head = with_callbacks ? _fe_on_head : NULL,
+                       .on_data = with_callbacks ? _fe_on_data : NULL,
+                       .on_done = _fe_on_stream_done,
+                       .user = r });
   return r->call;
 }
 
@@ -107,10 +107,9 @@
   r->status = 0;
   fe_count (r->fe, "dotterelbend_placed_again_total", "reason",
             st_from_cstr (why));
-  lg_log (LG_INFO, r->id, "engine %s did not take the request (%s)",
-          r->engine, why);
-  if (r->placements >= FE_MAX_PLACEMENTS
-      || !sv_take_retry (r->fe->sv))
+  lg_log (LG_INFO, r->id, "engine %s did not take the request (%s)", r->engine,
+          why);
+  if (r->placements >= FE_MAX_PLACEMENTS || !sv_take_retry (r->fe->sv))
     fe_end (r, RQ_NOT_RUN, "no_engine",
             "no engine took the request: send it again later");
   else
@@ -212,8 +211,10 @@
       _fe_place_again (r, CS_NOT_ADMITTED, "unreachable");
       break;
     case UP_BROKEN:
-      lg_log (LG_WARNING, r->id, "connection to engine %s broke: %s; "
-              "resuming from event %u", r->engine, result->error, r->events);
+      lg_log (LG_WARNING, r->id,
+              "connection to engine %s broke: %s; "
+              "resuming from event %u",
+              r->engine, result->error, r->events);
       _fe_fetch_rest (r);
       break;
     }
@@ -261,8 +262,8 @@
   ref->server = r->fe->sv;
   ref->id = r->self;
   uint64_t delay_ms = sv_retry_delay_ms (r->fe->sv, r->resumes++);
-  struct timeval tv = { (time_t)(delay_ms / 1000),
-                        (suseconds_t)(delay_ms % 1000 * 1000) };
+  struct timeval tv
+      = { (time_t)(delay_ms / 1000), (suseconds_t)(delay_ms % 1000 * 1000) };
   event_base_once (r->fe->sv->base, -1, EV_TIMEOUT, _fe_on_retry_timer, ref,
                    &tv);
 }
@@ -284,35 +285,16 @@
     _fe_place_again (r, CS_NOT_ADMITTED, "unreachable");
 }
 
-static void
-_fe_on_resume_told (void *user, const up_result *result)
-{
-  fe_request *r = _fe_user_request (user);
-  r->call = 0;
-  if (result->end == UP_COMPLETE && result->status == 200)
-    _fe_fetch_rest (r);
-  else
-    _fe_lose (r, "the engine did not resume the stopped stream");
-}
-
 /* Continues a stopped stream on the engine that kept its state.  */
 static void
 _fe_dispatch_resume (fe_request *r)
 {
   char path[RQ_ID_MAX + 48];
-  g_snprintf (path, sizeof path, "/v1/streams/%s/resume", r->id);
-  r->state = FE_RUNNING;
+  g_snprintf (path, sizeof path, "/v1/streams/%s/resume?from=%u", r->id,
+              r->events);
+  r->state = FE_RESUMING;
   r->resumes = 0;
-  r->call = up_send (r->fe->sv->up,
-                     &(up_call_desc){ .address = st_from_cstr (r->address),
-                                      .method = EVHTTP_REQ_POST,
-                                      .path = path,
-                                      .body = ST_LIT ("{}"),
-                                      .idle_timeout_ms
-                                      = _FE_CONTROL_TIMEOUT_MS,
-                                      .on_done = _fe_on_resume_told,
-                                      .user = r });
-  if (r->call == 0)
+  if (_fe_call (r, EVHTTP_REQ_POST, path, ST_LIT ("{}"), true) == 0)
     _fe_lose (r, "no connection could be made");
 }
 
@@ -385,18 +367,16 @@
   r->state = FE_STOPPING;
   _fe_cut_to_events (r);
   r->resumed = true;
-  fe_count (fe, "dotterelbend_stopped_total", "tier",
-            sv_tier_name (r->tier));
+  fe_count (fe, "dotterelbend_stopped_total", "tier", sv_tier_name (r->tier));
   char path[RQ_ID_MAX + 48];
   g_snprintf (path, sizeof path, "/v1/streams/%s?keep=1", r->id);
-  r->call
-      = up_send (fe->sv->up,
-                 &(up_call_desc){ .address = st_from_cstr (r->address),
-                                  .method = EVHTTP_REQ_DELETE,
-                                  .path = path,
-                                  .idle_timeout_ms = _FE_CONTROL_TIMEOUT_MS,
-                                  .on_done = _fe_on_stop_told,
-                                  .user = r });
+  r->call = up_send (
+      fe->sv->up, &(up_call_desc){ .address = st_from_cstr (r->address),
+                                   .method = EVHTTP_REQ_DELETE,
+                                   .path = path,
+                                   .idle_timeout_ms = _FE_CONTROL_TIMEOUT_MS,
+                                   .on_done = _fe_on_stop_told,
+                                   .user = r });
   if (r->call == 0)
     _fe_lose (r, "no connection could be made");
 }
--- a/packages/server/fe_identify.c
+++ b/packages/server/fe_identify.c
@@ -87,26 +87,29 @@
   return true;
 }
 
-static size_t
-_fe_text_bytes (json_t *value)
+/* The text that the engine will see as prompt: the strings of PROMPT, or the
+   contents of its messages, joined by line feeds.  */
+static void
+_fe_append_text (GString *out, json_t *prompt)
 {
-  size_t total = 0;
   size_t index;
   json_t *item;
-  const char *key;
-  switch (json_typeof (value))
+  if (json_is_string (prompt))
     {
-    case JSON_STRING:
-      return json_string_length (value);
-    case JSON_ARRAY:
-      json_array_foreach (value, index, item) total += _fe_text_bytes (item);
-      return total;
-    case JSON_OBJECT:
-      json_object_foreach (value, key, item) total += _fe_text_bytes (item);
-      return total;
-    default:
-      return 1;
+      if (out->len > 0)
+        g_string_append_c (out, '\n');
+      g_string_append_len (out, json_string_value (prompt),
+                           (gssize)json_string_length (prompt));
+      return;
     }
+  if (json_is_object (prompt))
+    {
+      json_t *content = json_object_get (prompt, "content");
+      json_t *text = json_object_get (prompt, "text");
+      _fe_append_text (out, content != NULL ? content : text);
+      return;
+    }
+  json_array_foreach (prompt, index, item) _fe_append_text (out, item);
 }
 
 static bool
@@ -139,8 +142,9 @@
   r->expected_tokens = json_is_integer (max_tokens)
                            ? (uint32_t)json_integer_value (max_tokens)
                            : 0;
-  r->prompt_tokens
-      = (uint32_t)(_fe_text_bytes (prompt) / _FE_BYTES_PER_TOKEN) + 1;
+  r->prompt = g_string_new (NULL);
+  _fe_append_text (r->prompt, prompt);
+  r->prompt_tokens = (uint32_t)(r->prompt->len / _FE_BYTES_PER_TOKEN) + 1;
   return true;
 }
 
--- a/packages/server/fe_internal.h
+++ b/packages/server/fe_internal.h
@@ -73,6 +73,7 @@
   uint32_t events;
   char *body;
   size_t body_len;
+  GString *prompt; /* text, for the prefix hashes */
   char engine[ST_NAME_MAX + 1];
   char address[80];
   char import_from[80];
@@ -143,6 +144,8 @@
 json_t *fe_record_json (fe_front *fe, const rq_record *record);
 
 /* fe_service.c */
+void fe_service_call (fe_front *fe, struct evhttp_request *req, st_str service,
+                      st_str path);
 void fe_service (fe_front *fe, struct evhttp_request *req, st_str rest);
 
 /* fe_reply.c */
--- a/packages/server/fe_query.c
+++ b/packages/server/fe_query.c
@@ -139,14 +139,14 @@
 fe_query (fe_front *fe, struct evhttp_request *req, st_str rest)
 {
   static const st_str suffix = { "/answer", 7 };
-  bool answer = rest.len > suffix.len
-                && st_equal (st_slice (rest, rest.len - suffix.len, rest.len),
-                             suffix);
+  bool answer
+      = rest.len > suffix.len
+        && st_equal (st_slice (rest, rest.len - suffix.len, rest.len), suffix);
   st_str id = answer ? st_slice (rest, 0, rest.len - suffix.len) : rest;
   rq_record record;
   enum evhttp_cmd_type method = evhttp_request_get_command (req);
-  rq_verdict verdict = rq_lookup (fe->sv->requests, id, sv_wall_ms (fe->sv),
-                                  true, &record);
+  rq_verdict verdict
+      = rq_lookup (fe->sv->requests, id, sv_wall_ms (fe->sv), true, &record);
   if (verdict == RQ_OTHER_OWNER)
     {
       fe_answer_foreign (fe, req, id, true);
--- a/packages/server/fe_service.c
+++ b/packages/server/fe_service.c
@@ -29,8 +29,8 @@
 _fe_read_free (_fe_read *read)
 {
   if (read->http != NULL)
-    evhttp_connection_set_closecb (
-        evhttp_request_get_connection (read->http), NULL, NULL);
+    evhttp_connection_set_closecb (evhttp_request_get_connection (read->http),
+                                   NULL, NULL);
   evbuffer_free (read->answer);
   g_free (read->path);
   read->fe->service_calls--;
@@ -53,11 +53,11 @@
   struct evhttp_request *http = read->http;
   fe_front *fe = read->fe;
   _fe_read_free (read);
-  fe_reply_error (fe, http,
-                  &(fe_error){ .kind = kind,
-                               .message = message,
-                               .retry_after_ms
-                               = kind == ER_UNAVAILABLE ? 1000 : 0 });
+  fe_reply_error (
+      fe, http,
+      &(fe_error){ .kind = kind,
+                   .message = message,
+                   .retry_after_ms = kind == ER_UNAVAILABLE ? 1000 : 0 });
 }
 
 static void
@@ -78,8 +78,9 @@
       > read->fe->desc.max_answer_bytes)
     {
       up_cancel (read->fe->sv->up, read->call);
-      _fe_read_fail (read, ER_TOO_LARGE,
-                     "the service's answer is longer than limits.answer_bytes");
+      _fe_read_fail (
+          read, ER_TOO_LARGE,
+          "the service's answer is longer than limits.answer_bytes");
       return;
     }
   evbuffer_add_buffer (read->answer, data);
@@ -127,16 +128,16 @@
                      "no instance of the service is live: try again later");
       return;
     }
-  read->call = up_send (
-      read->fe->sv->up,
-      &(up_call_desc){ .address = st_name_str (&target->address),
-                       .method = EVHTTP_REQ_GET,
-                       .path = read->path,
-                       .idle_timeout_ms = _FE_READ_TIMEOUT_MS,
-                       .on_head = _fe_read_on_head,
-                       .on_data = _fe_read_on_data,
-                       .on_done = _fe_read_on_done,
-                       .user = read });
+  read->call
+      = up_send (read->fe->sv->up,
+                 &(up_call_desc){ .address = st_name_str (&target->address),
+                                  .method = EVHTTP_REQ_GET,
+                                  .path = read->path,
+                                  .idle_timeout_ms = _FE_READ_TIMEOUT_MS,
+                                  .on_head = _fe_read_on_head,
+                                  .on_data = _fe_read_on_data,
+                                  .on_done = _fe_read_on_done,
+                                  .user = read });
   if (read->call == 0)
     _fe_read_fail (read, ER_UNAVAILABLE,
                    "this VM has too many calls in progress: use another "
@@ -154,9 +155,9 @@
   read->http = req;
   read->answer = evbuffer_new ();
   st_name_set (&read->service, service);
-  read->path = g_strdup_printf ("/%.*s%s%s", ST_FMT (path),
-                                query != NULL ? "?" : "",
-                                query != NULL ? query : "");
+  read->path
+      = g_strdup_printf ("/%.*s%s%s", ST_FMT (path), query != NULL ? "?" : "",
+                         query != NULL ? query : "");
   fe->service_calls++;
   evhttp_connection_set_closecb (evhttp_request_get_connection (req),
                                  _fe_read_on_closed, read);
@@ -169,8 +170,7 @@
 fe_service (fe_front *fe, struct evhttp_request *req, st_str rest)
 {
   size_t slash;
-  if (!st_find_char (rest, '/', &slash) || slash == 0
-      || slash > ST_NAME_MAX)
+  if (!st_find_char (rest, '/', &slash) || slash == 0 || slash > ST_NAME_MAX)
     {
       fe_reply_error (fe, req,
                       &(fe_error){ .kind = ER_INVALID,
@@ -185,3 +185,17 @@
   else
     fe_service_call (fe, req, service, path);
 }
+
+/* A call that may not be repeated.  */
+void
+fe_service_call (fe_front *fe, struct evhttp_request *req, st_str service,
+                 st_str path)
+{
+  (void)service;
+  (void)path;
+  fe_reply_error (fe, req,
+                  &(fe_error){ .kind = ER_UNAVAILABLE,
+                               .outcome = RQ_NOT_RUN,
+                               .retry_after_ms = 1000,
+                               .message = "calls are not available yet" });
+}
--- a/packages/server/fe_stream.c
+++ b/packages/server/fe_stream.c
@@ -110,8 +110,7 @@
 static void
 _fe_start_stream (fe_request *r, fe_reader *reader)
 {
-  struct evkeyvalq *headers
-      = evhttp_request_get_output_headers (reader->http);
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (reader->http);
   reader->started = true;
   evhttp_add_header (headers, "Content-Type", "text/event-stream");
   evhttp_add_header (headers, "Cache-Control", "no-cache");
@@ -300,8 +299,7 @@
 static void
 _fe_take_event (json_t *event, GString *text, json_t **last)
 {
-  json_t *choice
-      = json_array_get (json_object_get (event, "choices"), 0);
+  json_t *choice = json_array_get (json_object_get (event, "choices"), 0);
   json_t *content
       = json_object_get (json_object_get (choice, "delta"), "content");
   if (content == NULL)
@@ -352,10 +350,9 @@
                  : json_pack ("{s:i,s:o,s:s}", "index", 0, "text", content,
                               "finish_reason", "stop");
       json_t *usage = json_object_get (last, "usage");
-      json_t *body = json_pack (
-          "{s:s,s:s,s:s,s:[o]}", "id", r->id, "object",
-          chat ? "chat.completion" : "text_completion", "model", r->model.text,
-          "choices", choice);
+      json_t *body = json_pack ("{s:s,s:s,s:s,s:[o]}", "id", r->id, "object",
+                                chat ? "chat.completion" : "text_completion",
+                                "model", r->model.text, "choices", choice);
       if (usage != NULL)
         json_object_set (body, "usage", usage);
       char *dumped = json_dumps (body, JSON_COMPACT);
--- a/packages/server/ow.h
+++ b/packages/server/ow.h
@@ -28,7 +28,6 @@
 typedef struct
 {
   id_handle request;
-  const char *request_id;
   st_str model;
   st_str version;
   st_str team;
@@ -36,7 +35,7 @@
   uint8_t tier;
   uint32_t prompt_tokens;
   uint32_t expected_tokens;
-  st_str body; /* prompt text, for the prefix hashes */
+  st_str prompt; /* text, for the prefix hashes */
   uint64_t deadline_us;
   st_str resume_engine; /* engine that keeps a stopped stream; may be empty */
 } ow_ask_desc;
--- /dev/null
+++ b/packages/server/sv.c
@@ -0,0 +1,524 @@
+#include "sv.h"
+
+#include "lg.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <netinet/in.h>
+#include <sodium.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define _SV_TICK_MS 20
+#define _SV_LIST_PERIOD_US (500 * CK_MS_US)
+#define _SV_LIST_TIMEOUT_MS 2000
+#define _SV_ADDRESSES_KEEP_S 5
+#define _SV_MAX_MEMBERS 64
+#define _SV_RETRY_BASE_MS 50
+#define _SV_RETRY_MAX_MS 2000
+
+struct sv_state
+{
+  struct event *tick;
+  struct event *sigterm;
+  struct event *sigint;
+  bool leaving;
+  bool list_seen;
+  bool list_asked;
+  uint64_t next_list_us;
+  struct evbuffer *list_body;
+  unsigned service_next;
+};
+
+/* Monotonic time in microseconds.  */
+uint64_t
+sv_now_us (const sv_server *sv)
+{
+  return ck_now_us (&sv->clock);
+}
+
+/* Wall clock in milliseconds.  */
+uint64_t
+sv_wall_ms (const sv_server *sv)
+{
+  return ck_wall_ms (&sv->clock);
+}
+
+/* 64 random bits.  */
+uint64_t
+sv_random (sv_server *sv)
+{
+  uint64_t value;
+  (void)sv;
+  randombytes_buf (&value, sizeof value);
+  return value;
+}
+
+/* Incarnation of this process.  */
+st_str
+sv_query_incarnation (const sv_server *sv)
+{
+  return st_from_cstr (sv->incarnation);
+}
+
+/* True after a drain was begun.  */
+bool
+sv_query_leaving (const sv_server *sv)
+{
+  return sv->state->leaving;
+}
+
+/* True when the VM can take work; WHY names what is missing.  */
+bool
+sv_query_ready (const sv_server *sv, const char **why)
+{
+  if (sv->state->leaving)
+    *why = "the VM is shutting down";
+  else if (!sv->state->list_seen)
+    *why = "the VM list was not read yet";
+  else
+    *why = "";
+  return (*why)[0] == 0;
+}
+
+/* Port of a bound socket, 0 when it has none.  */
+uint16_t
+sv_socket_port (evutil_socket_t fd)
+{
+  struct sockaddr_storage address = { 0 };
+  socklen_t size = sizeof address;
+  if (getsockname (fd, (struct sockaddr *)&address, &size) != 0)
+    return 0;
+  if (address.ss_family == AF_INET6)
+    return ntohs (((struct sockaddr_in6 *)&address)->sin6_port);
+  return ntohs (((struct sockaddr_in *)&address)->sin_port);
+}
+
+/* Name of a tier as a metric label.  */
+st_str
+sv_tier_name (uint8_t tier)
+{
+  static const char names[SV_TIERS][2] = { "0", "1", "2", "3", "4" };
+  return st_from_cstr (names[tier < SV_TIERS ? tier : SV_TIERS - 1]);
+}
+
+/* ---- members ---- */
+
+/* Fills OUT with the VMs that take part, this one first.  */
+size_t
+sv_query_members (sv_server *sv, sv_member *out, size_t max)
+{
+  if (max == 0)
+    return 0;
+  out[0] = (sv_member){
+    .name = st_name_str (&sv->config.vm_name),
+    .incarnation = st_from_cstr (sv->incarnation),
+    .region = st_name_str (&sv->config.region),
+    .data_center = st_name_str (&sv->config.data_center),
+    .callers_address = st_name_str (&sv->config.listen_callers),
+    .leaving = sv->state->leaving,
+  };
+  return 1;
+}
+
+/* State of the process INCARNATION; fills ADDRESS with its callers' address
+   when it is alive.  */
+sv_peer_state
+sv_find_incarnation (sv_server *sv, st_str incarnation, char *address,
+                     size_t size)
+{
+  sv_member members[_SV_MAX_MEMBERS];
+  size_t count = sv_query_members (sv, members, _SV_MAX_MEMBERS);
+  for (size_t i = 0; i < count; i++)
+    if (st_equal (members[i].incarnation, incarnation))
+      {
+        g_snprintf (address, size, "%.*s",
+                    ST_FMT (members[i].callers_address));
+        return members[i].leaving ? SV_PEER_LEAVING : SV_PEER_ALIVE;
+      }
+  return SV_PEER_UNKNOWN;
+}
+
+/* Body of the answer to GET /v1/addresses: the VMs that take work, those of
+   REGION (this VM's when empty) with a higher weight.  */
+json_t *
+sv_addresses_json (sv_server *sv, st_str region)
+{
+  sv_member members[_SV_MAX_MEMBERS];
+  size_t count = sv_query_members (sv, members, _SV_MAX_MEMBERS);
+  json_t *list = json_array ();
+  if (region.len == 0)
+    region = st_name_str (&sv->config.region);
+  for (int near = 1; near >= 0; near--)
+    for (size_t i = 0; i < count; i++)
+      {
+        const sv_member *m = &members[i];
+        if (m->leaving || st_equal (m->region, region) != (near == 1))
+          continue;
+        json_array_append_new (
+            list,
+            json_pack ("{s:s%,s:s%,s:s%,s:s%,s:i}", "address",
+                       m->callers_address.ptr, m->callers_address.len,
+                       "incarnation", m->incarnation.ptr, m->incarnation.len,
+                       "region", m->region.ptr, m->region.len, "data_center",
+                       m->data_center.ptr, m->data_center.len, "weight",
+                       near == 1 ? 100 : 10));
+      }
+  return json_pack ("{s:o,s:i}", "addresses", list, "keep_s",
+                    _SV_ADDRESSES_KEEP_S);
+}
+
+/* ---- policy ---- */
+
+/* What the settings say for TEAM and SERVICE.  False when no engine serves
+   SERVICE.  */
+bool
+sv_query_policy (sv_server *sv, st_str team, st_str service, sv_policy *out,
+                 er_error *err)
+{
+  (void)team;
+  if (!dr_has_model (sv->directory, service))
+    return er_set (err, ER_NOT_FOUND,
+                   "no engine serves model '%.*s': check the name in 'model'",
+                   ST_FMT (service));
+  *out = (sv_policy){ .default_tier = 2,
+                      .highest_tier = 0,
+                      .deadline_ms = 120000 };
+  return true;
+}
+
+/* Takes one request and TOKENS from the team's rate limit.  */
+bool
+sv_take_team_tokens (sv_server *sv, st_str team, uint32_t tokens)
+{
+  (void)sv;
+  (void)team;
+  (void)tokens;
+  return true;
+}
+
+/* True when the retry budget has room.  */
+bool
+sv_take_retry (sv_server *sv)
+{
+  (void)sv;
+  return true;
+}
+
+/* Delay before retry ATTEMPT (0 is the first): exponential, full jitter.  */
+uint64_t
+sv_retry_delay_ms (sv_server *sv, unsigned attempt)
+{
+  uint64_t limit = _SV_RETRY_BASE_MS;
+  while (attempt-- > 0 && limit < _SV_RETRY_MAX_MS)
+    limit *= 2;
+  return 1 + sv_random (sv) % limit;
+}
+
+/* Version of SERVICE that the next request of ROUTE uses; an empty one means
+   any.  */
+void
+sv_choose_version (sv_server *sv, st_str service, st_str route,
+                   st_name *version, bool *is_new)
+{
+  (void)sv;
+  (void)service;
+  (void)route;
+  *is_new = false;
+  st_name_set (version, ST_LIT (""));
+}
+
+/* Adds one finished request to the evidence.  */
+void
+sv_report_evidence (sv_server *sv, const sv_evidence *evidence)
+{
+  (void)sv;
+  (void)evidence;
+}
+
+/* The engine refused a connection.  */
+void
+sv_engine_unreachable (sv_server *sv, st_str engine)
+{
+  (void)sv;
+  lg_log (LG_WARNING, "", "engine %.*s cannot be reached", ST_FMT (engine));
+}
+
+/* An instance of SERVICE for try ATTEMPT: the instances of the own region
+   take turns, then those of other regions.  NULL when there is none.  */
+const dr_entry *
+sv_choose_service (sv_server *sv, st_str service, unsigned attempt)
+{
+  const dr_entry *near[_SV_MAX_MEMBERS];
+  const dr_entry *far[_SV_MAX_MEMBERS];
+  size_t near_count = 0;
+  size_t far_count = 0;
+  for (size_t i = 0; i < dr_query_count (sv->directory); i++)
+    {
+      const dr_entry *e = dr_query_at (sv->directory, i);
+      if (e->kind != DR_SERVICE || e->leaving
+          || !st_equal (st_name_str (&e->serves), service))
+        continue;
+      if (st_equal (st_name_str (&e->region),
+                    st_name_str (&sv->config.region)))
+        {
+          if (near_count < G_N_ELEMENTS (near))
+            near[near_count++] = e;
+        }
+      else if (far_count < G_N_ELEMENTS (far))
+        far[far_count++] = e;
+    }
+  if (attempt < near_count)
+    return near[(sv->state->service_next++ + attempt) % near_count];
+  if (far_count > 0)
+    return far[(attempt - near_count) % far_count];
+  return near_count > 0 ? near[attempt % near_count] : NULL;
+}
+
+/* ---- VM list ---- */
+
+static void
+_sv_get_name (json_t *object, const char *key, st_name *out)
+{
+  json_t *value = json_object_get (object, key);
+  if (json_is_string (value))
+    st_name_set (out, (st_str){ json_string_value (value),
+                                json_string_length (value) });
+}
+
+static bool
+_sv_parse_entry (json_t *item, dr_entry *out)
+{
+  size_t index;
+  json_t *version;
+  st_name kind = { 0 };
+  st_name state = { 0 };
+  memset (out, 0, sizeof *out);
+  _sv_get_name (item, "kind", &kind);
+  _sv_get_name (item, "state", &state);
+  _sv_get_name (item, "name", &out->name);
+  _sv_get_name (item, "address", &out->address);
+  _sv_get_name (item, "peer_address", &out->peer_address);
+  _sv_get_name (item, "region", &out->region);
+  _sv_get_name (item, "data_center", &out->data_center);
+  out->leaving = st_equal (st_name_str (&state), ST_LIT ("leaving"));
+  out->slots = (uint32_t)json_integer_value (json_object_get (item, "slots"));
+  json_array_foreach (json_object_get (item, "versions"), index, version)
+  {
+    if (out->version_count < DR_VERSIONS_MAX && json_is_string (version))
+      st_name_set (&out->versions[out->version_count++],
+                   st_from_cstr (json_string_value (version)));
+  }
+  if (st_equal (st_name_str (&kind), ST_LIT ("vm")))
+    out->kind = DR_VM;
+  else if (st_equal (st_name_str (&kind), ST_LIT ("engine")))
+    {
+      out->kind = DR_ENGINE;
+      _sv_get_name (item, "model", &out->serves);
+    }
+  else if (st_equal (st_name_str (&kind), ST_LIT ("service")))
+    {
+      out->kind = DR_SERVICE;
+      _sv_get_name (item, "service", &out->serves);
+    }
+  else
+    return false;
+  return out->name.len > 0 && out->address.len > 0;
+}
+
+static void
+_sv_apply_list (sv_server *sv, json_t *body)
+{
+  size_t index;
+  json_t *item;
+  json_t *list = json_object_get (body, "vms");
+  if (!json_is_array (list))
+    return;
+  GArray *entries = g_array_new (FALSE, TRUE, sizeof (dr_entry));
+  json_array_foreach (list, index, item)
+  {
+    dr_entry entry;
+    if (_sv_parse_entry (item, &entry))
+      g_array_append_val (entries, entry);
+    else
+      lg_log (LG_WARNING, "", "entry %zu of the VM list is malformed", index);
+  }
+  sv->state->list_seen = true;
+  if (dr_set (sv->directory, (dr_entry *)(void *)entries->data, entries->len))
+    ow_set_upstreams (sv->owner);
+  g_array_free (entries, TRUE);
+}
+
+static void
+_sv_on_list_data (void *user, struct evbuffer *data)
+{
+  sv_server *sv = user;
+  evbuffer_add_buffer (sv->state->list_body, data);
+}
+
+static void
+_sv_on_list_done (void *user, const up_result *result)
+{
+  sv_server *sv = user;
+  struct evbuffer *data = sv->state->list_body;
+  sv->state->list_asked = false;
+  if (result->end == UP_COMPLETE && result->status == 200)
+    {
+      json_t *body = json_loadb ((const char *)evbuffer_pullup (data, -1),
+                                 evbuffer_get_length (data), 0, NULL);
+      _sv_apply_list (sv, body);
+      json_decref (body);
+    }
+  evbuffer_drain (data, evbuffer_get_length (data));
+}
+
+static void
+_sv_poll_list (sv_server *sv, uint64_t now_us)
+{
+  if (sv->state->list_asked || now_us < sv->state->next_list_us)
+    return;
+  sv->state->next_list_us = now_us + _SV_LIST_PERIOD_US;
+  sv->state->list_asked
+      = up_send (sv->up,
+                 &(up_call_desc){ .address = st_name_str (&sv->config.vm_list),
+                                  .method = EVHTTP_REQ_GET,
+                                  .path = "/vms",
+                                  .idle_timeout_ms = _SV_LIST_TIMEOUT_MS,
+                                  .on_data = _sv_on_list_data,
+                                  .on_done = _sv_on_list_done,
+                                  .user = sv })
+        != 0;
+}
+
+/* ---- life ---- */
+
+static void
+_sv_on_tick (evutil_socket_t fd, short what, void *arg)
+{
+  sv_server *sv = arg;
+  (void)fd;
+  (void)what;
+  _sv_poll_list (sv, sv_now_us (sv));
+  ow_tick (sv->owner);
+  fe_tick (sv->front);
+  if (sv->state->leaving && fe_query_open (sv->front) == 0)
+    {
+      lg_log (LG_INFO, "", "drained; exiting");
+      event_base_loopbreak (sv->base);
+    }
+}
+
+/* Stops taking work.  The process ends when all requests have ended; a
+   second call changes nothing.  */
+void
+sv_begin_drain (sv_server *sv)
+{
+  if (sv->state->leaving)
+    return;
+  sv->state->leaving = true;
+  lg_log (LG_INFO, "", "draining: %u requests in progress",
+          fe_query_open (sv->front));
+}
+
+static void
+_sv_on_signal (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  sv_begin_drain (arg);
+}
+
+static bool
+_sv_start_tasks (sv_server *sv, er_error *err)
+{
+  char host[64];
+  uint16_t port;
+  st_str listen = st_name_str (&sv->config.listen_callers);
+  if (!up_parse_address (listen, host, sizeof host, &port))
+    return er_set (err, ER_INVALID, "listen.callers '%.*s' is not IP:PORT",
+                   ST_FMT (listen));
+  sv->up = up_make (&(up_desc){ .base = sv->base });
+  sv->directory = dr_make ();
+  sv->owner = ow_make (&(ow_desc){ .server = sv });
+  sv->requests = rq_make (
+      &(rq_desc){ .incarnation = st_from_cstr (sv->incarnation),
+                  .capacity = (uint32_t)sv->config.limits.open_requests });
+  sv->front = fe_make (
+      &(fe_desc){ .server = sv,
+                  .host = host,
+                  .port = port,
+                  .max_body_bytes = sv->config.limits.body_bytes,
+                  .max_header_bytes = sv->config.limits.header_bytes,
+                  .max_buffered_bytes = sv->config.limits.answer_store_bytes },
+      err);
+  return sv->front != NULL;
+}
+
+/* Starts the server of CONFIG, which it owns from then on.  NULL, with ERR
+   set, when a listener cannot be opened.  */
+sv_server *
+sv_make (sb_config *config, er_error *err)
+{
+  sv_server *sv = g_new0 (sv_server, 1);
+  sv->state = g_new0 (struct sv_state, 1);
+  sv->config = *config;
+  memset (config, 0, sizeof *config);
+  sv->base = event_base_new ();
+  sv->metrics = mt_make (&(mt_desc){ 0 });
+  sv->state->list_body = evbuffer_new ();
+  g_snprintf (sv->incarnation, sizeof sv->incarnation,
+              "%s-%016" G_GINT64_MODIFIER "x", sv->config.vm_name.text,
+              sv_random (sv));
+  if (!_sv_start_tasks (sv, err))
+    {
+      sv_destroy (sv);
+      return NULL;
+    }
+  struct timeval tick = { 0, _SV_TICK_MS * 1000 };
+  sv->state->tick = event_new (sv->base, -1, EV_PERSIST, _sv_on_tick, sv);
+  event_add (sv->state->tick, &tick);
+  sv->state->sigterm = evsignal_new (sv->base, SIGTERM, _sv_on_signal, sv);
+  sv->state->sigint = evsignal_new (sv->base, SIGINT, _sv_on_signal, sv);
+  event_add (sv->state->sigterm, NULL);
+  event_add (sv->state->sigint, NULL);
+  return sv;
+}
+
+/* Runs until drained.  Returns the exit status of the process.  */
+int
+sv_run (sv_server *sv)
+{
+  lg_log (LG_INFO, "", "incarnation %s takes requests on port %u",
+          sv->incarnation, fe_query_port (sv->front));
+  return event_base_dispatch (sv->base) < 0 ? 1 : 0;
+}
+
+static void
+_sv_free_event (struct event *ev)
+{
+  if (ev != NULL)
+    event_free (ev);
+}
+
+/* Closes all sockets and releases SV.  */
+void
+sv_destroy (sv_server *sv)
+{
+  if (sv == NULL)
+    return;
+  _sv_free_event (sv->state->tick);
+  _sv_free_event (sv->state->sigterm);
+  _sv_free_event (sv->state->sigint);
+  fe_destroy (sv->front);
+  up_destroy (sv->up);
+  ow_destroy (sv->owner);
+  rq_destroy (sv->requests);
+  dr_destroy (sv->directory);
+  mt_destroy (sv->metrics);
+  evbuffer_free (sv->state->list_body);
+  event_base_free (sv->base);
+  sb_free (&sv->config);
+  g_free (sv->state);
+  g_free (sv);
+}
--- /dev/null
+++ b/packages/server/sv.h
@@ -0,0 +1,120 @@
+/* sv.h -- the server of one VM: its tasks and what they share.
+
+   One event loop runs all tasks of a process.  Each task owns its sockets
+   and its state; this module starts them in order, passes events between
+   them and answers the questions that need more than one task.
+
+     sv_server *sv = sv_make (&config, &err);
+     sv_run (sv);          // until drained after SIGTERM
+     sv_destroy (sv);  */
+#ifndef SV_H
+#define SV_H
+
+#include "ck.h"
+#include "cs.h"
+#include "dr.h"
+#include "er.h"
+#include "fe.h"
+#include "mt.h"
+#include "ow.h"
+#include "rq.h"
+#include "sb.h"
+#include "up.h"
+
+#include <event2/event.h>
+#include <event2/util.h>
+#include <glib.h>
+#include <jansson.h>
+
+#define SV_TIERS 5
+
+struct sv_server
+{
+  sb_config config;
+  ck_clock clock;
+  struct event_base *base;
+  char incarnation[ST_NAME_MAX + 18];
+  mt_registry *metrics;
+  rq_table *requests;
+  up_pool *up;
+  dr_directory *directory;
+  ow_task *owner;
+  fe_front *front;
+  struct sv_state *state; /* private to sv.c */
+};
+
+/* Passed to one-shot timers of a request.  */
+typedef struct
+{
+  sv_server *server;
+  id_handle id;
+} sv_timer_ref;
+
+typedef enum
+{
+  SV_PEER_UNKNOWN,
+  SV_PEER_ALIVE,
+  SV_PEER_LEAVING,
+  SV_PEER_DEAD
+} sv_peer_state;
+
+/* A VM of ours that takes part.  */
+typedef struct
+{
+  st_str name;
+  st_str incarnation;
+  st_str region;
+  st_str data_center;
+  st_str callers_address;
+  bool leaving;
+} sv_member;
+
+/* What the settings say for a team and a model.  */
+typedef struct
+{
+  uint8_t default_tier;
+  uint8_t highest_tier; /* most urgent tier that the team may use */
+  uint64_t deadline_ms;
+} sv_policy;
+
+/* One finished request, for the rollout's evidence.  */
+typedef struct
+{
+  st_str service;
+  st_str version;
+  st_str route;
+  bool failed;
+  uint64_t first_token_us; /* 0: none seen */
+  uint64_t itl_us;         /* 0: unknown */
+} sv_evidence;
+
+sv_server *sv_make (sb_config *config, er_error *err);
+void sv_destroy (sv_server *sv);
+int sv_run (sv_server *sv);
+void sv_begin_drain (sv_server *sv);
+
+uint64_t sv_now_us (const sv_server *sv);
+uint64_t sv_wall_ms (const sv_server *sv);
+uint64_t sv_random (sv_server *sv);
+st_str sv_query_incarnation (const sv_server *sv);
+bool sv_query_leaving (const sv_server *sv);
+bool sv_query_ready (const sv_server *sv, const char **why);
+size_t sv_query_members (sv_server *sv, sv_member *out, size_t max);
+bool sv_query_policy (sv_server *sv, st_str team, st_str service,
+                      sv_policy *out, er_error *err);
+sv_peer_state sv_find_incarnation (sv_server *sv, st_str incarnation,
+                                   char *address, size_t size);
+json_t *sv_addresses_json (sv_server *sv, st_str region);
+bool sv_take_team_tokens (sv_server *sv, st_str team, uint32_t tokens);
+bool sv_take_retry (sv_server *sv);
+uint64_t sv_retry_delay_ms (sv_server *sv, unsigned attempt);
+void sv_choose_version (sv_server *sv, st_str service, st_str route,
+                        st_name *version, bool *is_new);
+const dr_entry *sv_choose_service (sv_server *sv, st_str service,
+                                   unsigned attempt);
+void sv_engine_unreachable (sv_server *sv, st_str engine);
+void sv_report_evidence (sv_server *sv, const sv_evidence *evidence);
+st_str sv_tier_name (uint8_t tier);
+uint16_t sv_socket_port (evutil_socket_t fd);
+
+#endif
--- a/packages/server/up.c
+++ b/packages/server/up.c
@@ -21,7 +21,7 @@
   _up_peer *peer;
   struct evhttp_connection *http;
   struct evbuffer_cb_entry *watch; /* sees bytes leave for the socket */
-  up_id call; /* 0 while idle and after a cancel */
+  up_id call;                      /* 0 while idle and after a cancel */
   uint64_t idle_timeout_ms;
   up_pool *pool;
 } _up_conn;
@@ -53,7 +53,7 @@
   up_desc desc;
   id_pool ids;
   _up_call *calls;
-  GHashTable *peers; /* "IP:PORT" -> _up_peer */
+  GHashTable *peers;  /* "IP:PORT" -> _up_peer */
   GPtrArray *closing; /* _up_conn to free outside of its callbacks */
   struct event *closer;
 };
@@ -203,14 +203,13 @@
   _up_conn *conn = g_new0 (_up_conn, 1);
   conn->peer = peer;
   conn->pool = pool;
-  conn->http = evhttp_connection_base_bufferevent_new (pool->desc.base, NULL,
-                                                       NULL, peer->host,
-                                                       peer->port);
+  conn->http = evhttp_connection_base_bufferevent_new (
+      pool->desc.base, NULL, NULL, peer->host, peer->port);
   /* In force until the first byte was sent.  */
   _up_set_timeout (conn, pool->desc.connect_timeout_ms);
   struct bufferevent *bev = evhttp_connection_get_bufferevent (conn->http);
-  conn->watch = evbuffer_add_cb (bufferevent_get_output (bev), _up_on_output,
-                                 conn);
+  conn->watch
+      = evbuffer_add_cb (bufferevent_get_output (bev), _up_on_output, conn);
   return conn;
 }
 
@@ -346,8 +345,7 @@
   evhttp_request_set_header_cb (req, _up_on_head);
   evhttp_add_header (headers, "Host", host);
   for (size_t i = 0; i < desc->header_count; i++)
-    evhttp_add_header (headers, desc->headers[i].name,
-                       desc->headers[i].value);
+    evhttp_add_header (headers, desc->headers[i].name, desc->headers[i].value);
   if (desc->body.len > 0)
     evbuffer_add (evhttp_request_get_output_buffer (req), desc->body.ptr,
                   desc->body.len);
@@ -396,7 +394,8 @@
   _up_call *call = _up_call_of (pool, id);
   if (call == NULL)
     return false;
-  struct bufferevent *bev = evhttp_connection_get_bufferevent (call->conn->http);
+  struct bufferevent *bev
+      = evhttp_connection_get_bufferevent (call->conn->http);
   call->paused = !reading;
   if (reading)
     bufferevent_enable (bev, EV_READ);
--- a/packages/server/up.h
+++ b/packages/server/up.h
@@ -43,7 +43,7 @@
 typedef struct
 {
   up_end end;
-  int status;       /* 0 when no head arrived */
+  int status;        /* 0 when no head arrived */
   const char *error; /* short text, "" for UP_COMPLETE */
 } up_result;
 
@@ -54,7 +54,7 @@
   const char *path;
   const up_header *headers;
   size_t header_count;
-  st_str body; /* copied */
+  st_str body;              /* copied */
   uint64_t idle_timeout_ms; /* without progress; 0 means the pool's */
   /* The head of the answer arrived.  May be NULL.  */
   void (*on_head) (void *user, int status, struct evkeyvalq *headers);
@@ -68,9 +68,9 @@
 typedef struct
 {
   struct event_base *base;
-  uint32_t max_calls;        /* 0 means 16384 */
-  uint32_t max_idle;         /* kept connections an address; 0 means 256 */
-  uint64_t idle_timeout_ms;  /* 0 means 60 s */
+  uint32_t max_calls;          /* 0 means 16384 */
+  uint32_t max_idle;           /* kept connections an address; 0 means 256 */
+  uint64_t idle_timeout_ms;    /* 0 means 60 s */
   uint64_t connect_timeout_ms; /* 0 means 2 s */
 } up_desc;
 
