--- a/packages/server/sv.c
+++ b/packages/server/sv.c
@@ -86,13 +86,18 @@
 uint16_t
 sv_socket_port (evutil_socket_t fd)
 {
-  struct sockaddr_storage address = { 0 };
+  union
+  {
+    struct sockaddr any;
+    struct sockaddr_in in;
+    struct sockaddr_in6 in6;
+  } address;
   socklen_t size = sizeof address;
-  if (getsockname (fd, (struct sockaddr *)&address, &size) != 0)
+  memset (&address, 0, sizeof address);
+  if (getsockname (fd, &address.any, &size) != 0)
     return 0;
-  if (address.ss_family == AF_INET6)
-    return ntohs (((struct sockaddr_in6 *)&address)->sin6_port);
-  return ntohs (((struct sockaddr_in *)&address)->sin_port);
+  return address.any.sa_family == AF_INET6 ? ntohs (address.in6.sin6_port)
+                                           : ntohs (address.in.sin_port);
 }
 
 /* Name of a tier as a metric label.  */
