Split placement into a holder side and an owner side

Cause: a cell has one owner among several VMs, and a stream that is stopped before the engine has read its request was reported as lost. Change: cm_ maps cells to owners, cl_ runs owned cells, ow_ asks owners by SLOT messages; a stop is repeated until the engine confirms it, and the call that carries the stream stays open until then.

--- a/packages/server/fe_account.c
+++ b/packages/server/fe_account.c
@@ -112,7 +112,7 @@
   lg_log (outcome == RQ_ANSWERED ? LG_DEBUG : LG_INFO, r->id,
           "outcome %s tier %u team %s engine %s%s%s",
           rq_outcome_name (outcome), r->tier, r->team.text, r->engine,
-          kind[0] != 0 ? " because " : "", kind);
+          message[0] != 0 ? ": " : "", message);
   fe_end_readers (r);
   _fe_keep_answer (r);
 }
--- a/packages/server/fe_dispatch.c
+++ b/packages/server/fe_dispatch.c
@@ -11,6 +11,8 @@
 #define _FE_MAX_ERROR_BYTES 4096
 #define _FE_ENGINE_IDLE_MS 30000
 #define _FE_CONTROL_TIMEOUT_MS 2000
+#define _FE_STOP_RETRY_MS 20
+#define _FE_MAX_STOP_TRIES 25
 
 static void _fe_fetch_rest (fe_request *r);
 static void _fe_on_stream_done (void *user, const up_result *result);
@@ -51,7 +53,9 @@
     {
       evbuffer_drain (data, evbuffer_get_length (data));
       up_cancel (r->fe->sv->up, r->call);
+      up_cancel (r->fe->sv->up, r->control);
       r->call = 0;
+      r->control = 0;
       fe_release_place (r, CS_FAILED);
       fe_end (r, RQ_UNKNOWN, "answer_too_long",
               "the answer is longer than limits.answer_bytes: ask for fewer "
@@ -196,6 +200,19 @@
   fe_request *r = _fe_user_request (user);
   r->call = 0;
   r->paused = false;
+  if (r->state == FE_STOPPING)
+    {
+      bool ended = result->end == UP_COMPLETE
+                   && (result->status != 200 || !r->stream
+                       || _fe_stream_is_whole (r));
+      /* Otherwise the engine cut the stream because of the stop, which it is
+         about to confirm.  */
+      if (!ended && result->end != UP_NOT_SENT)
+        return;
+      up_cancel (r->fe->sv->up, r->control);
+      r->control = 0;
+      r->state = r->resumed ? FE_RESUMING : FE_RUNNING;
+    }
   if (r->state == FE_RESUMING)
     {
       _fe_on_rest (r, result);
@@ -229,14 +246,32 @@
   g_string_truncate (r->answer, keep);
 }
 
-static void
-_fe_on_retry_timer (evutil_socket_t fd, short what, void *arg)
+static fe_request *
+_fe_take_timer (void *arg)
 {
   sv_timer_ref *ref = arg;
   fe_request *r = fe_request_of (ref->server->front, ref->id);
+  g_free (ref);
+  return r;
+}
+
+static void
+_fe_start_timer (fe_request *r, uint64_t delay_ms, event_callback_fn callback)
+{
+  sv_timer_ref *ref = g_new0 (sv_timer_ref, 1);
+  struct timeval tv
+      = { (time_t)(delay_ms / 1000), (suseconds_t)(delay_ms % 1000 * 1000) };
+  ref->server = r->fe->sv;
+  ref->id = r->self;
+  event_base_once (r->fe->sv->base, -1, EV_TIMEOUT, callback, ref, &tv);
+}
+
+static void
+_fe_on_retry_timer (evutil_socket_t fd, short what, void *arg)
+{
+  fe_request *r = _fe_take_timer (arg);
   (void)fd;
   (void)what;
-  g_free (ref);
   if (r == NULL || r->state != FE_RESUMING || r->call != 0)
     return;
   char path[RQ_ID_MAX + 48];
@@ -258,14 +293,8 @@
   r->resumed = true;
   r->state = FE_RESUMING;
   fe_count (r->fe, "dotterelbend_resumes_total", NULL, ST_LIT (""));
-  sv_timer_ref *ref = g_new0 (sv_timer_ref, 1);
-  ref->server = r->fe->sv;
-  ref->id = r->self;
-  uint64_t delay_ms = sv_retry_delay_ms (r->fe->sv, r->resumes++);
-  struct timeval tv
-      = { (time_t)(delay_ms / 1000), (suseconds_t)(delay_ms % 1000 * 1000) };
-  event_base_once (r->fe->sv->base, -1, EV_TIMEOUT, _fe_on_retry_timer, ref,
-                   &tv);
+  _fe_start_timer (r, sv_retry_delay_ms (r->fe->sv, r->resumes++),
+                   _fe_on_retry_timer);
 }
 
 static void
@@ -337,24 +366,75 @@
             "time in Retry-After");
 }
 
+static void _fe_send_stop (fe_request *r);
+
 static void
-_fe_on_stop_told (void *user, const up_result *result)
+_fe_on_stop_timer (evutil_socket_t fd, short what, void *arg)
 {
-  fe_request *r = _fe_user_request (user);
+  fe_request *r = _fe_take_timer (arg);
+  (void)fd;
+  (void)what;
+  if (r != NULL && r->state == FE_STOPPING && r->control == 0)
+    _fe_send_stop (r);
+}
+
+/* The engine keeps the state of the stream: frees the slot and waits for
+   another one.  */
+static void
+_fe_on_stopped (fe_request *r)
+{
+  up_cancel (r->fe->sv->up, r->call);
   r->call = 0;
+  r->paused = false;
+  r->resumed = true;
+  _fe_cut_to_events (r);
   fe_release_place (r, CS_STOPPED);
+  fe_ask_place (r);
+}
+
+static void
+_fe_on_stop_told (void *user, const up_result *result)
+{
+  fe_request *r = _fe_user_request (user);
+  r->control = 0;
   if (result->end == UP_COMPLETE && result->status == 200)
     {
-      fe_ask_place (r);
+      _fe_on_stopped (r);
       return;
     }
-  /* The stream may have ended before the stop: its rest can be fetched.  */
-  r->resumes = 0;
-  _fe_fetch_rest (r);
+  /* The engine may not have read the request yet, which was sent on another
+     connection.  */
+  if (r->stop_tries < _FE_MAX_STOP_TRIES)
+    {
+      _fe_start_timer (r, _FE_STOP_RETRY_MS, _fe_on_stop_timer);
+      return;
+    }
+  r->state = FE_RUNNING;
+  if (r->call == 0)
+    _fe_fetch_rest (r);
+}
+
+static void
+_fe_send_stop (fe_request *r)
+{
+  char path[RQ_ID_MAX + 48];
+  g_snprintf (path, sizeof path, "/v1/streams/%s?keep=1", r->id);
+  r->stop_tries++;
+  r->control
+      = up_send (r->fe->sv->up,
+                 &(up_call_desc){ .address = st_from_cstr (r->address),
+                                  .method = EVHTTP_REQ_DELETE,
+                                  .path = path,
+                                  .idle_timeout_ms = _FE_CONTROL_TIMEOUT_MS,
+                                  .on_done = _fe_on_stop_told,
+                                  .user = r });
+  if (r->control == 0)
+    r->state = FE_RUNNING;
 }
 
 /* The owner of the cell needs the slot of REQUEST for more urgent work.  The
-   engine keeps the state of the stream.  */
+   engine keeps the state of the stream.  The call that carries the stream
+   goes on until the engine has confirmed: the answer may end first.  */
 void
 fe_on_stop (fe_front *fe, id_handle request)
 {
@@ -362,23 +442,10 @@
   if (r == NULL || !r->placed
       || (r->state != FE_RUNNING && r->state != FE_RESUMING))
     return;
-  up_cancel (fe->sv->up, r->call);
-  r->paused = false;
   r->state = FE_STOPPING;
-  _fe_cut_to_events (r);
-  r->resumed = true;
+  r->stop_tries = 0;
   fe_count (fe, "dotterelbend_stopped_total", "tier", sv_tier_name (r->tier));
-  char path[RQ_ID_MAX + 48];
-  g_snprintf (path, sizeof path, "/v1/streams/%s?keep=1", r->id);
-  r->call = up_send (
-      fe->sv->up, &(up_call_desc){ .address = st_from_cstr (r->address),
-                                   .method = EVHTTP_REQ_DELETE,
-                                   .path = path,
-                                   .idle_timeout_ms = _FE_CONTROL_TIMEOUT_MS,
-                                   .on_done = _fe_on_stop_told,
-                                   .user = r });
-  if (r->call == 0)
-    _fe_lose (r, "no connection could be made");
+  _fe_send_stop (r);
 }
 
 static void
@@ -397,7 +464,9 @@
   rq_query (r->fe->sv->requests, r->record, &record);
   if (r->call != 0)
     up_cancel (r->fe->sv->up, r->call);
+  up_cancel (r->fe->sv->up, r->control);
   r->call = 0;
+  r->control = 0;
   if (record.state == RQ_QUEUED)
     {
       ow_cancel (r->fe->sv->owner, r->self);
--- a/packages/server/fe_internal.h
+++ b/packages/server/fe_internal.h
@@ -77,7 +77,9 @@
   char engine[ST_NAME_MAX + 1];
   char address[80];
   char import_from[80];
-  up_id call;
+  up_id call;    /* carries the answer */
+  up_id control; /* tells the engine to stop */
+  uint8_t stop_tries;
   int status;
   char content_type[64];
   GString *answer;
--- a/packages/server/ow.c
+++ b/packages/server/ow.c
@@ -1,64 +1,33 @@
-/* Cells and their owners.
-
-   A cell is named "<data centre>/<model>".  Each VM computes the owner of
-   every cell from the same member list; while views differ a cell may have
-   two owners, which over-commits engines for a moment and breaks no safety
-   rule.  A holder repeats its question until it is answered, and registers
-   its grants with the new owner after a change, so a lost message or a dead
-   owner only delays.  */
 #include "ow.h"
 
+#include "cm.h"
 #include "fe.h"
 #include "lg.h"
 #include "sv.h"
 
-#include <event2/buffer.h>
 #include <glib.h>
+#include <math.h>
 #include <string.h>
 
-#define _OW_COLLECT_US (500 * CK_MS_US)
-#define _OW_LOAD_PERIOD_US (500 * CK_MS_US)
-#define _OW_LOAD_TIMEOUT_MS 1000
+#define _OW_REPEAT_US CK_S_US
+#define _OW_HOLD_PERIOD_US (5 * CK_S_US)
+#define _OW_MAX_TRIED 32
 #define _OW_MAX_PREFIXES 64
+/* Block of the engines' prefix caches: 64 tokens of 4 bytes.  */
 #define _OW_BLOCK_BYTES 256
-#define _OW_HOLDER_SELF 0
-
-typedef struct
-{
-  ow_task *ow;
-  id_handle cs_engine;
-  st_name name;
-  char address[80];
-  uint64_t cache_next;
-  uint64_t next_load_us;
-  bool load_asked;
-  bool cache_asked;
-  bool seen; /* mark of ow_set_upstreams */
-  struct _ow_cell *cell;
-} _ow_engine;
-
-typedef struct _ow_cell
-{
-  ow_task *ow;
-  char name[2 * ST_NAME_MAX + 2];
-  cs_cell *cs;
-  st_name data_center;
-  st_name region;
-  st_name model;
-  GPtrArray *engines; /* _ow_engine */
-} _ow_cell;
-
-typedef enum
-{
-  _OW_ASKED,
-  _OW_GRANTED
-} _ow_state;
+#define _OW_BYTES_PER_TOKEN 4
+/* What it takes to leave the own data centre or the own region, in
+   microseconds of expected wait.  */
+#define _OW_OTHER_DC_US (5 * CK_MS_US)
+#define _OW_OTHER_REGION_US (2 * CK_S_US)
+/* An observed wait counts half after this time.  */
+#define _OW_WAIT_HALF_US ((double)CK_S_US)
 
 /* A request of this VM that waits for or has a place.  */
 typedef struct
 {
   id_handle request;
-  _ow_state state;
+  bool granted;
   st_name model;
   st_name version;
   st_name team;
@@ -68,437 +37,267 @@
   uint32_t expected_tokens;
   uint64_t deadline_us;
   st_name resume_engine;
-  unsigned tried; /* number of cells that refused */
-  _ow_cell *cell;
-  uint32_t prefix_count;
-  cs_prefix prefixes[CS_PREFIX_MAX];
+  st_name cell;
+  char owner[CM_INCARNATION_MAX]; /* that was asked */
+  st_name engine;
+  uint64_t grant_id;
+  uint64_t asked_us;  /* first question to this cell */
+  uint64_t repeat_us; /* next repetition of the question or the hold */
+  unsigned tried_count;
+  uint64_t tried[_OW_MAX_TRIED]; /* hashes of the cells that refused */
+  uint32_t retry_after_ms;
+  ms_refuse_reason reason;
+  size_t prefix_count;
+  ms_prefix prefixes[CS_PREFIX_MAX];
 } _ow_ticket;
 
+/* Wait that was seen at a cell.  */
+typedef struct
+{
+  double wait_us;
+  uint64_t seen_us;
+} _ow_wait;
+
 struct ow_task
 {
   sv_server *sv;
-  GHashTable *cells;   /* name -> _ow_cell */
   GHashTable *tickets; /* id_handle -> _ow_ticket */
-  GHashTable *teams;   /* name -> index + 1 */
-  GHashTable *routes;  /* name -> index + 1 */
-  bool draining_decisions;
+  GHashTable *waits;   /* cell name -> _ow_wait */
 };
 
-static void
-_ow_engine_free (gpointer data)
-{
-  g_free (data);
-}
-
-static void
-_ow_cell_free (gpointer data)
-{
-  _ow_cell *cell = data;
-  cs_destroy (cell->cs);
-  g_ptr_array_free (cell->engines, TRUE);
-  g_free (cell);
-}
-
-/* Makes a task without cells.  */
+/* Makes a task without tickets.  */
 ow_task *
 ow_make (const ow_desc *desc)
 {
   ow_task *ow = g_new0 (ow_task, 1);
   ow->sv = desc->server;
-  ow->cells
-      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, _ow_cell_free);
   ow->tickets
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
-  ow->teams = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  ow->routes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  ow->waits = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return ow;
 }
 
-/* Releases OW and the state of its cells.  */
+/* Releases OW.  */
 void
 ow_destroy (ow_task *ow)
 {
   if (ow == NULL)
     return;
   g_hash_table_destroy (ow->tickets);
-  g_hash_table_destroy (ow->cells);
-  g_hash_table_destroy (ow->teams);
-  g_hash_table_destroy (ow->routes);
+  g_hash_table_destroy (ow->waits);
   g_free (ow);
 }
 
-static uint32_t
-_ow_index_of (GHashTable *table, const st_name *name, uint32_t max)
-{
-  gpointer hit = g_hash_table_lookup (table, name->text);
-  if (hit == NULL)
-    {
-      guint next = g_hash_table_size (table) + 1;
-      hit = GUINT_TO_POINTER (next < max ? next : max);
-      if (next <= max)
-        g_hash_table_insert (table, g_strdup (name->text), hit);
-    }
-  return GPOINTER_TO_UINT (hit) - 1;
-}
-
-/* ---- engines and their reports ---- */
+/* ---- choice of a cell ---- */
 
-static json_t *
-_ow_load_json (struct evbuffer *data)
+static double
+_ow_expected_wait_us (ow_task *ow, const cm_cell *cell)
 {
-  size_t size = evbuffer_get_length (data);
-  char *text = g_malloc (size + 1);
-  evbuffer_remove (data, text, size);
-  json_t *body = json_loadb (text, size, 0, NULL);
-  g_free (text);
-  return body;
+  const _ow_wait *wait = g_hash_table_lookup (ow->waits, cell->name.text);
+  if (wait == NULL)
+    return 0;
+  double age_us = (double)(sv_now_us (ow->sv) - wait->seen_us);
+  return wait->wait_us * exp2 (-age_us / _OW_WAIT_HALF_US);
 }
 
-/* Answers to /load and /cache-events are collected whole.  */
-typedef struct
-{
-  ow_task *ow;
-  char cell[2 * ST_NAME_MAX + 2];
-  st_name engine;
-  bool cache;
-  struct evbuffer *body;
-} _ow_poll;
-
-static _ow_engine *
-_ow_find_engine (_ow_cell *cell, st_str name)
+static void
+_ow_observe_wait (ow_task *ow, const _ow_ticket *t)
 {
-  for (guint i = 0; i < cell->engines->len; i++)
+  uint64_t now_us = sv_now_us (ow->sv);
+  _ow_wait *wait = g_hash_table_lookup (ow->waits, t->cell.text);
+  if (wait == NULL)
     {
-      _ow_engine *e = cell->engines->pdata[i];
-      if (st_equal (st_name_str (&e->name), name))
-        return e;
+      wait = g_new0 (_ow_wait, 1);
+      g_hash_table_insert (ow->waits, g_strdup (t->cell.text), wait);
     }
-  return NULL;
-}
-
-static void
-_ow_apply_load (_ow_engine *e, json_t *body)
-{
-  sv_server *sv = e->ow->sv;
-  uint64_t now_us = sv_now_us (sv);
-  uint64_t wall_ms = sv_wall_ms (sv);
-  uint64_t time_ms
-      = (uint64_t)json_integer_value (json_object_get (body, "time_ms"));
-  uint64_t age_us = wall_ms > time_ms ? (wall_ms - time_ms) * CK_MS_US : 0;
-  cs_load load = {
-    .time_us = now_us > age_us ? now_us - age_us : 0,
-    .running
-    = (uint32_t)json_integer_value (json_object_get (body, "running")),
-    .queued = (uint32_t)json_integer_value (json_object_get (body, "queued")),
-    .kv_tokens
-    = (uint64_t)json_integer_value (json_object_get (body, "kv_tokens")),
-  };
-  cs_set_load (e->cell->cs, e->cs_engine, &load, now_us);
+  wait->wait_us = (double)(now_us - t->asked_us);
+  wait->seen_us = now_us;
 }
 
-static void
-_ow_apply_cache (_ow_engine *e, json_t *body)
+static double
+_ow_cost_us (ow_task *ow, const cm_cell *cell)
 {
-  size_t index;
-  json_t *event;
-  json_t *events = json_object_get (body, "events");
-  json_array_foreach (events, index, event)
-  {
-    const char *block = json_string_value (json_object_get (event, "block"));
-    const char *kind = json_string_value (json_object_get (event, "kind"));
-    uint64_t n = (uint64_t)json_integer_value (json_object_get (event, "n"));
-    if (block == NULL || kind == NULL)
-      continue;
-    if (n > e->cache_next)
-      cs_cache_gap (e->cell->cs, e->cs_engine);
-    e->cache_next = n + 1;
-    cs_cache_event (e->cell->cs, e->cs_engine,
-                    g_ascii_strtoull (block, NULL, 16),
-                    strcmp (kind, "stored") == 0);
-  }
+  const sb_config *config = &ow->sv->config;
+  double cost = _ow_expected_wait_us (ow, cell);
+  if (!st_equal (st_name_str (&cell->region), st_name_str (&config->region)))
+    cost += (double)_OW_OTHER_REGION_US;
+  else if (!st_equal (st_name_str (&cell->data_center),
+                      st_name_str (&config->data_center)))
+    cost += (double)_OW_OTHER_DC_US;
+  return cost;
 }
 
-static void
-_ow_on_poll_data (void *user, struct evbuffer *data)
+static bool
+_ow_was_tried (const _ow_ticket *t, const cm_cell *cell)
 {
-  _ow_poll *poll = user;
-  evbuffer_add_buffer (poll->body, data);
+  uint64_t hash = st_hash (st_name_str (&cell->name), 0);
+  for (unsigned i = 0; i < t->tried_count; i++)
+    if (t->tried[i] == hash)
+      return true;
+  return false;
 }
 
-static void
-_ow_on_poll_done (void *user, const up_result *result)
+/* The cheapest cell that serves the model and has not refused yet.  A
+   stopped stream goes to the cell of the engine that keeps its state.  */
+static const cm_cell *
+_ow_choose_cell (ow_task *ow, const _ow_ticket *t)
 {
-  _ow_poll *poll = user;
-  _ow_cell *cell = g_hash_table_lookup (poll->ow->cells, poll->cell);
-  _ow_engine *e = cell != NULL
-                      ? _ow_find_engine (cell, st_name_str (&poll->engine))
-                      : NULL;
-  if (e != NULL)
+  const cm_cell *best = NULL;
+  double best_cost = 0;
+  if (t->tried_count >= _OW_MAX_TRIED)
+    return NULL;
+  if (t->resume_engine.len > 0)
     {
-      *(poll->cache ? &e->cache_asked : &e->load_asked) = false;
-      json_t *body = result->end == UP_COMPLETE && result->status == 200
-                         ? _ow_load_json (poll->body)
-                         : NULL;
-      if (json_is_object (body) && poll->cache)
-        _ow_apply_cache (e, body);
-      else if (json_is_object (body))
-        _ow_apply_load (e, body);
-      json_decref (body);
+      best = cm_find_engine (ow->sv->cells, st_name_str (&t->resume_engine));
+      return best != NULL && best->owner[0] != 0 && !_ow_was_tried (t, best)
+                 ? best
+                 : NULL;
     }
-  evbuffer_free (poll->body);
-  g_free (poll);
-}
-
-static void
-_ow_poll_engine (_ow_engine *e, bool cache)
-{
-  char path[64];
-  _ow_poll *poll = g_new0 (_ow_poll, 1);
-  poll->ow = e->ow;
-  poll->engine = e->name;
-  poll->cache = cache;
-  poll->body = evbuffer_new ();
-  g_strlcpy (poll->cell, e->cell->name, sizeof poll->cell);
-  if (cache)
-    g_snprintf (path, sizeof path, "/cache-events?from=%" G_GUINT64_FORMAT,
-                e->cache_next);
-  else
-    g_strlcpy (path, "/load", sizeof path);
-  up_id call = up_send (
-      e->ow->sv->up, &(up_call_desc){ .address = st_from_cstr (e->address),
-                                      .method = EVHTTP_REQ_GET,
-                                      .path = path,
-                                      .idle_timeout_ms = _OW_LOAD_TIMEOUT_MS,
-                                      .on_data = _ow_on_poll_data,
-                                      .on_done = _ow_on_poll_done,
-                                      .user = poll });
-  *(cache ? &e->cache_asked : &e->load_asked) = call != 0;
-  if (call == 0)
+  for (size_t i = 0; i < cm_query_count (ow->sv->cells); i++)
     {
-      evbuffer_free (poll->body);
-      g_free (poll);
+      const cm_cell *cell = cm_query_at (ow->sv->cells, i);
+      if (cell->owner[0] == 0
+          || !st_equal (st_name_str (&cell->model), st_name_str (&t->model))
+          || _ow_was_tried (t, cell))
+        continue;
+      double cost = _ow_cost_us (ow, cell);
+      if (best == NULL || cost < best_cost)
+        {
+          best = cell;
+          best_cost = cost;
+        }
     }
+  return best;
 }
 
-static void
-_ow_poll_due (_ow_engine *e, uint64_t now_us)
-{
-  if (now_us < e->next_load_us)
-    return;
-  e->next_load_us = now_us + _OW_LOAD_PERIOD_US;
-  if (!e->load_asked)
-    _ow_poll_engine (e, false);
-  if (!e->cache_asked)
-    _ow_poll_engine (e, true);
-}
-
-/* ---- cells ---- */
+/* ---- messages to owners ---- */
 
-static _ow_cell *
-_ow_cell_get (ow_task *ow, const dr_entry *engine)
+static uint64_t
+_ow_ms_left (const ow_task *ow, const _ow_ticket *t)
 {
-  char name[2 * ST_NAME_MAX + 2];
-  g_snprintf (name, sizeof name, "%s/%s", engine->data_center.text,
-              engine->serves.text);
-  _ow_cell *cell = g_hash_table_lookup (ow->cells, name);
-  if (cell != NULL)
-    return cell;
-  cell = g_new0 (_ow_cell, 1);
-  cell->ow = ow;
-  g_strlcpy (cell->name, name, sizeof cell->name);
-  cell->data_center = engine->data_center;
-  cell->region = engine->region;
-  cell->model = engine->serves;
-  cell->engines = g_ptr_array_new_with_free_func (_ow_engine_free);
-  cell->cs = cs_make (&(cs_desc){ .max_engines = CS_ENGINES_MAX });
-  g_hash_table_insert (ow->cells, cell->name, cell);
-  return cell;
+  uint64_t now_us = sv_now_us (ow->sv);
+  if (t->deadline_us == 0)
+    return 0;
+  return t->deadline_us > now_us ? (t->deadline_us - now_us) / CK_MS_US + 1
+                                 : 1;
 }
 
 static void
-_ow_set_engine (ow_task *ow, const dr_entry *entry, uint64_t now_us)
+_ow_send_ask (ow_task *ow, _ow_ticket *t)
 {
-  uint64_t versions[DR_VERSIONS_MAX];
-  _ow_cell *cell = _ow_cell_get (ow, entry);
-  for (uint32_t i = 0; i < entry->version_count; i++)
-    versions[i] = st_hash (st_name_str (&entry->versions[i]), 0);
-  cs_engine_desc desc = { .name = st_name_str (&entry->name),
-                          .region = st_name_str (&entry->region),
-                          .data_center = st_name_str (&entry->data_center),
-                          .versions = versions,
-                          .version_count = entry->version_count,
-                          .slots = entry->slots,
-                          .leaving = entry->leaving };
-  _ow_engine *e = _ow_find_engine (cell, st_name_str (&entry->name));
-  if (e == NULL)
-    {
-      e = g_new0 (_ow_engine, 1);
-      e->ow = ow;
-      e->cell = cell;
-      e->name = entry->name;
-      e->cs_engine = cs_make_engine (cell->cs, &desc, now_us);
-      if (e->cs_engine == 0)
-        {
-          lg_log (LG_WARNING, "", "cell %s is full; engine %s is not used",
-                  cell->name, entry->name.text);
-          g_free (e);
-          return;
-        }
-      g_ptr_array_add (cell->engines, e);
-    }
-  else
-    cs_update_engine (cell->cs, e->cs_engine, &desc, now_us);
-  g_strlcpy (e->address, entry->address.text, sizeof e->address);
-  e->seen = true;
+  ms_message m = { .type = MS_SLOT_ASK };
+  char owner[CM_INCARNATION_MAX];
+  m.u.slot_ask = (ms_slot_ask){
+    .handle = t->request,
+    .cell = st_name_str (&t->cell),
+    .tier = t->tier,
+    .team = st_name_str (&t->team),
+    .version = st_name_str (&t->version),
+    .route = st_name_str (&t->route),
+    .prompt_tokens = t->prompt_tokens,
+    .expected_tokens = t->expected_tokens,
+    .prefix_count = t->prefix_count,
+    .prefixes = t->prefixes,
+    .deadline_ms = _ow_ms_left (ow, t),
+    .resume_engine = st_name_str (&t->resume_engine),
+  };
+  t->repeat_us = sv_now_us (ow->sv) + _OW_REPEAT_US;
+  g_strlcpy (owner, t->owner, sizeof owner);
+  /* T may be gone when a local owner has answered at once.  */
+  sv_send (ow->sv, st_from_cstr (owner), &m);
 }
 
 static void
-_ow_drop_unseen (_ow_cell *cell, uint64_t now_us)
-{
-  for (guint i = cell->engines->len; i > 0; i--)
-    {
-      _ow_engine *e = cell->engines->pdata[i - 1];
-      if (e->seen)
-        continue;
-      lg_log (LG_INFO, "", "engine %s is gone from the VM list", e->name.text);
-      cs_destroy_engine (cell->cs, e->cs_engine, now_us);
-      g_ptr_array_remove_index (cell->engines, i - 1);
-    }
-}
-
-static void _ow_run (ow_task *ow);
-
-/* Applies the directory's engines to the cells.  */
-void
-ow_set_upstreams (ow_task *ow)
-{
-  GHashTableIter iter;
-  gpointer value;
-  uint64_t now_us = sv_now_us (ow->sv);
-  g_hash_table_iter_init (&iter, ow->cells);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      _ow_cell *cell = value;
-      for (guint i = 0; i < cell->engines->len; i++)
-        ((_ow_engine *)cell->engines->pdata[i])->seen = false;
-    }
-  for (size_t i = 0; i < dr_query_count (ow->sv->directory); i++)
-    {
-      const dr_entry *entry = dr_query_at (ow->sv->directory, i);
-      if (entry->kind == DR_ENGINE)
-        _ow_set_engine (ow, entry, now_us);
-    }
-  g_hash_table_iter_init (&iter, ow->cells);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    _ow_drop_unseen (value, now_us);
-  _ow_run (ow);
+_ow_send_hold (ow_task *ow, _ow_ticket *t)
+{
+  ms_message m = { .type = MS_SLOT_HOLD };
+  m.u.slot_hold = (ms_slot_hold){
+    .handle = t->request,
+    .grant_id = t->grant_id,
+    .cell = st_name_str (&t->cell),
+    .engine = st_name_str (&t->engine),
+    .tier = t->tier,
+    .team = st_name_str (&t->team),
+    .version = st_name_str (&t->version),
+    .route = st_name_str (&t->route),
+    .prompt_tokens = t->prompt_tokens,
+    .expected_tokens = t->expected_tokens,
+  };
+  t->repeat_us = sv_now_us (ow->sv) + _OW_HOLD_PERIOD_US;
+  sv_send (ow->sv, st_from_cstr (t->owner), &m);
 }
 
-/* ---- requests ---- */
-
-/* Cells that serve MODEL, in the order in which a request tries them: own
-   data centre, own region, others.  Within a group the order is by name.  */
-static int
-_ow_cell_rank (const ow_task *ow, const _ow_cell *cell)
+static void
+_ow_send_done (ow_task *ow, const char *owner, const ms_slot_done *done)
 {
-  const sb_config *config = &ow->sv->config;
-  if (st_equal (st_name_str (&cell->data_center),
-                st_name_str (&config->data_center)))
-    return 0;
-  if (st_equal (st_name_str (&cell->region), st_name_str (&config->region)))
-    return 1;
-  return 2;
+  ms_message m = { .type = MS_SLOT_DONE };
+  m.u.slot_done = *done;
+  sv_send (ow->sv, st_from_cstr (owner), &m);
 }
 
-static _ow_cell *
-_ow_choose_cell (ow_task *ow, const _ow_ticket *t)
+static const char *
+_ow_reason_name (ms_refuse_reason reason)
 {
-  GHashTableIter iter;
-  gpointer value;
-  GPtrArray *ranked = g_ptr_array_new ();
-  for (int rank = 0; rank < 3; rank++)
-    {
-      g_hash_table_iter_init (&iter, ow->cells);
-      while (g_hash_table_iter_next (&iter, NULL, &value))
-        {
-          _ow_cell *cell = value;
-          if (cell->engines->len > 0
-              && st_equal (st_name_str (&cell->model), st_name_str (&t->model))
-              && _ow_cell_rank (ow, cell) == rank)
-            g_ptr_array_add (ranked, cell);
-        }
-    }
-  _ow_cell *chosen = t->tried < ranked->len ? ranked->pdata[t->tried] : NULL;
-  if (t->resume_engine.len > 0)
+  switch (reason)
     {
-      chosen = NULL;
-      for (guint i = 0; i < ranked->len && t->tried == 0; i++)
-        if (_ow_find_engine (ranked->pdata[i], st_name_str (&t->resume_engine))
-            != NULL)
-          chosen = ranked->pdata[i];
+    case MS_REFUSE_DEADLINE:
+      return "deadline";
+    case MS_REFUSE_NO_ENGINE:
+    case MS_REFUSE_NOT_OWNER:
+    case MS_REFUSE_LEAVING:
+      return "no_engine";
+    default:
+      return "overload";
     }
-  g_ptr_array_free (ranked, TRUE);
-  return chosen;
 }
 
+/* Asks the next cell, or tells the front end that there is none left.  T may
+   be gone afterwards.  */
 static void
 _ow_submit (ow_task *ow, _ow_ticket *t)
 {
-  t->state = _OW_ASKED;
-  t->cell = _ow_choose_cell (ow, t);
-  if (t->cell == NULL)
+  const cm_cell *cell = _ow_choose_cell (ow, t);
+  if (cell == NULL)
     {
       id_handle request = t->request;
-      bool any = t->tried > 0;
+      ms_refuse_reason reason
+          = t->tried_count > 0 ? t->reason : MS_REFUSE_NO_ENGINE;
+      uint32_t retry_after_ms
+          = t->retry_after_ms > 0 ? t->retry_after_ms : 1000;
       g_hash_table_remove (ow->tickets, &request);
-      fe_on_refuse (ow->sv->front, request, any ? "overload" : "no_engine",
-                    1000);
+      fe_on_refuse (ow->sv->front, request, _ow_reason_name (reason),
+                    retry_after_ms);
       return;
     }
-  _ow_engine *resume
-      = t->resume_engine.len > 0
-            ? _ow_find_engine (t->cell, st_name_str (&t->resume_engine))
-            : NULL;
-  cs_request request = {
-    .request = t->request,
-    .holder = _OW_HOLDER_SELF,
-    .tier = t->tier,
-    .team = _ow_index_of (ow->teams, &t->team, 256),
-    .route = _ow_index_of (ow->routes, &t->route, CS_ROUTES_MAX),
-    .version = t->version.len > 0 ? st_hash (st_name_str (&t->version), 0) : 0,
-    .prompt_tokens = t->prompt_tokens,
-    .expected_tokens = t->expected_tokens,
-    .prefixes = t->prefixes,
-    .prefix_count = t->prefix_count,
-    .deadline_us = t->deadline_us,
-    .resume_of = resume != NULL ? resume->cs_engine : 0,
-  };
-  cs_submit (t->cell->cs, &request, sv_now_us (ow->sv));
+  t->cell = cell->name;
+  t->asked_us = sv_now_us (ow->sv);
+  g_strlcpy (t->owner, cell->owner, sizeof t->owner);
+  _ow_send_ask (ow, t);
 }
 
 static void
 _ow_hash_prefixes (_ow_ticket *t, st_str prompt)
 {
   uint64_t hash = 0;
-  cs_prefix all[_OW_MAX_PREFIXES];
-  uint32_t count = 0;
+  ms_prefix all[_OW_MAX_PREFIXES];
+  size_t count = 0;
   for (size_t at = 0;
        at + _OW_BLOCK_BYTES <= prompt.len && count < _OW_MAX_PREFIXES;
        at += _OW_BLOCK_BYTES)
     {
       hash = st_hash (st_slice (prompt, at, at + _OW_BLOCK_BYTES), hash);
       all[count].hash = hash;
-      all[count].tokens = (uint32_t)((at + _OW_BLOCK_BYTES) / 4);
+      all[count].tokens
+          = (uint32_t)((at + _OW_BLOCK_BYTES) / _OW_BYTES_PER_TOKEN);
       count++;
     }
   /* Thinned evenly; the longest prefix is always kept.  */
   t->prefix_count = count < CS_PREFIX_MAX ? count : CS_PREFIX_MAX;
-  for (uint32_t i = 0; i < t->prefix_count; i++)
+  for (size_t i = 0; i < t->prefix_count; i++)
     t->prefixes[i] = all[(i + 1) * count / t->prefix_count - 1];
 }
 
-/* Asks for a place.  The answer comes by fe_on_grant or fe_on_refuse, not
-   before ow_ask has returned to the event loop or run all decisions.  */
+/* Asks for a place for DESC's request.  */
 void
 ow_ask (ow_task *ow, const ow_ask_desc *desc)
 {
@@ -516,7 +315,6 @@
   _ow_hash_prefixes (t, desc->prompt);
   g_hash_table_replace (ow->tickets, &t->request, t);
   _ow_submit (ow, t);
-  _ow_run (ow);
 }
 
 /* Gives up a request that has no grant.  */
@@ -524,161 +322,209 @@
 ow_cancel (ow_task *ow, id_handle request)
 {
   _ow_ticket *t = g_hash_table_lookup (ow->tickets, &request);
+  ms_message m = { .type = MS_SLOT_CANCEL };
   if (t == NULL)
     return;
-  if (t->cell != NULL)
-    cs_cancel (t->cell->cs, request, sv_now_us (ow->sv));
+  char owner[CM_INCARNATION_MAX];
+  g_strlcpy (owner, t->owner, sizeof owner);
+  m.u.slot_cancel.handle = request;
   g_hash_table_remove (ow->tickets, &request);
-  _ow_run (ow);
+  sv_send (ow->sv, st_from_cstr (owner), &m);
 }
 
-/* Tells the scheduler when the first token of a stream arrived.  */
+/* Tells a local owner when the first token of a stream arrived, so that it
+   finds a slow engine early.  */
 void
 ow_first_token (ow_task *ow, id_handle request, uint64_t first_token_us)
 {
-  _ow_ticket *t = g_hash_table_lookup (ow->tickets, &request);
-  if (t != NULL && t->cell != NULL)
-    cs_first_token (t->cell->cs, request, first_token_us, sv_now_us (ow->sv));
+  const _ow_ticket *t = g_hash_table_lookup (ow->tickets, &request);
+  if (t != NULL && strcmp (t->owner, ow->sv->incarnation) == 0)
+    cl_on_first_token (ow->sv->owned, st_from_cstr (t->owner), request,
+                       first_token_us);
+}
+
+static void
+_ow_set_end (ms_slot_done *done, cs_outcome outcome)
+{
+  switch (outcome)
+    {
+    case CS_ANSWERED:
+      done->outcome = MS_OUTCOME_ANSWERED;
+      break;
+    case CS_FAILED:
+      done->outcome = MS_OUTCOME_UNKNOWN;
+      break;
+    case CS_NOT_ADMITTED:
+      done->engine_refused = true;
+      done->outcome = MS_OUTCOME_NOT_RUN;
+      break;
+    case CS_CANCELLED:
+      done->outcome = MS_OUTCOME_NOT_RUN;
+      break;
+    case CS_STOPPED:
+      done->outcome = MS_OUTCOME_NONE;
+      break;
+    }
 }
 
 /* Ends the grant of REQUEST.  */
 void
 ow_done (ow_task *ow, id_handle request, const cs_done_info *info)
 {
-  _ow_ticket *t = g_hash_table_lookup (ow->tickets, &request);
+  const _ow_ticket *t = g_hash_table_lookup (ow->tickets, &request);
   if (t == NULL)
     return;
-  if (t->cell != NULL)
-    cs_done (t->cell->cs, request, info, sv_now_us (ow->sv));
+  ms_slot_done done = { .handle = request,
+                        .grant_id = t->grant_id,
+                        .first_token_us = info->first_token_us,
+                        .inter_token_us = info->itl_us,
+                        .tokens = info->tokens };
+  char owner[CM_INCARNATION_MAX];
+  g_strlcpy (owner, t->owner, sizeof owner);
+  _ow_set_end (&done, info->outcome);
   g_hash_table_remove (ow->tickets, &request);
-  _ow_run (ow);
+  _ow_send_done (ow, owner, &done);
 }
 
-/* ---- decisions ---- */
+/* ---- messages of owners ---- */
 
 static void
-_ow_grant (ow_task *ow, _ow_cell *cell, const cs_decision *d)
+_ow_on_grant (ow_task *ow, st_str owner, const ms_slot_grant *grant)
 {
-  cs_engine_view view;
-  _ow_ticket *t = g_hash_table_lookup (ow->tickets, &d->request);
-  if (t == NULL || !cs_query_engine (cell->cs, d->engine, &view))
+  _ow_ticket *t = g_hash_table_lookup (ow->tickets, &grant->handle);
+  const dr_entry *e = dr_find (ow->sv->directory, DR_ENGINE, grant->engine);
+  bool expected = t != NULL && !t->granted && st_equal_cstr (owner, t->owner);
+  if (t != NULL && t->granted && t->grant_id == grant->grant_id)
+    return;
+  if (!expected || e == NULL)
     {
-      cs_done (cell->cs, d->request,
-               &(cs_done_info){ .outcome = CS_NOT_ADMITTED },
-               sv_now_us (ow->sv));
+      char text[CM_INCARNATION_MAX];
+      g_snprintf (text, sizeof text, "%.*s", ST_FMT (owner));
+      _ow_send_done (ow, text,
+                     &(ms_slot_done){ .handle = grant->handle,
+                                      .grant_id = grant->grant_id,
+                                      .outcome = MS_OUTCOME_NOT_RUN,
+                                      .engine_refused = expected });
+      if (expected)
+        t->repeat_us = 0;
       return;
     }
-  _ow_engine *e = _ow_find_engine (cell, st_name_str (&view.name));
-  t->state = _OW_GRANTED;
-  fe_on_grant (ow->sv->front, d->request,
-               &(fe_place){ .engine = st_name_str (&e->name),
-                            .address = st_from_cstr (e->address),
-                            .predicted_first_token_us = d->first_token_us });
-}
-
-static const char *
-_ow_reason_name (cs_reason reason)
-{
-  switch (reason)
-    {
-    case CS_REASON_DEADLINE:
-      return "deadline";
-    case CS_REASON_FULL:
-      return "overload";
-    case CS_REASON_NO_ENGINE:
-      return "no_engine";
-    case CS_REASON_INVALID:
-      return "invalid";
-    case CS_REASON_NONE:
-      break;
-    }
-  return "overload";
+  t->granted = true;
+  t->grant_id = grant->grant_id;
+  t->engine = e->name;
+  t->repeat_us = sv_now_us (ow->sv) + _OW_HOLD_PERIOD_US;
+  _ow_observe_wait (ow, t);
+  fe_on_grant (
+      ow->sv->front, grant->handle,
+      &(fe_place){ .engine = grant->engine,
+                   .address = st_name_str (&e->address),
+                   .predicted_first_token_us = grant->first_token_us });
 }
 
 static void
-_ow_refuse (ow_task *ow, const cs_decision *d)
+_ow_on_refuse (ow_task *ow, st_str owner, const ms_slot_refuse *refuse)
 {
-  _ow_ticket *t = g_hash_table_lookup (ow->tickets, &d->request);
-  if (t == NULL)
+  _ow_ticket *t = g_hash_table_lookup (ow->tickets, &refuse->handle);
+  if (t == NULL || t->granted || !st_equal_cstr (owner, t->owner))
     return;
-  t->tried++;
-  if (_ow_choose_cell (ow, t) != NULL)
+  if (refuse->reason == MS_REFUSE_NOT_OWNER)
     {
-      _ow_submit (ow, t);
+      /* The views of the members differ; the question is repeated to
+         whoever owns the cell then.  */
+      t->repeat_us = sv_now_us (ow->sv) + _OW_REPEAT_US / 10;
       return;
     }
-  id_handle request = d->request;
-  g_hash_table_remove (ow->tickets, &request);
-  fe_on_refuse (ow->sv->front, request, _ow_reason_name (d->reason),
-                d->retry_after_ms);
+  _ow_observe_wait (ow, t);
+  t->reason = refuse->reason;
+  t->retry_after_ms = (uint32_t)refuse->retry_after_ms;
+  if (t->tried_count < _OW_MAX_TRIED)
+    t->tried[t->tried_count++] = st_hash (st_name_str (&t->cell), 0);
+  _ow_submit (ow, t);
 }
 
-static void
-_ow_apply (ow_task *ow, _ow_cell *cell, const cs_decision *d)
+/* Handles one message of OWNER; other types are ignored.  */
+void
+ow_on_message (ow_task *ow, st_str owner, const ms_message *m)
 {
-  switch (d->kind)
+  const _ow_ticket *t;
+  switch (m->type)
     {
-    case CS_GRANT:
-      _ow_grant (ow, cell, d);
+    case MS_SLOT_GRANT:
+      _ow_on_grant (ow, owner, &m->u.slot_grant);
       break;
-    case CS_REFUSE:
-      _ow_refuse (ow, d);
+    case MS_SLOT_REFUSE:
+      _ow_on_refuse (ow, owner, &m->u.slot_refuse);
       break;
-    case CS_STOP:
-      fe_on_stop (ow->sv->front, d->request);
+    case MS_SLOT_STOP:
+      t = g_hash_table_lookup (ow->tickets, &m->u.slot_stop.handle);
+      if (t != NULL && t->granted && t->grant_id == m->u.slot_stop.grant_id)
+        fe_on_stop (ow->sv->front, m->u.slot_stop.handle);
+      break;
+    default:
       break;
     }
 }
 
-/* Takes all decisions of all cells.  Decisions cause inputs, which call this
-   function again: the outer call takes the decisions that follow.  */
+/* ---- repetition ---- */
+
+/* Follows a change of the cell's owner, and repeats the question or the
+   hold.  False when T is gone.  */
 static void
-_ow_run (ow_task *ow)
+_ow_repeat (ow_task *ow, _ow_ticket *t)
 {
-  bool more = true;
-  if (ow->draining_decisions)
-    return;
-  ow->draining_decisions = true;
-  while (more)
+  const cm_cell *cell = cm_find (ow->sv->cells, st_name_str (&t->cell));
+  if (t->granted)
     {
-      GList *cells = g_hash_table_get_values (ow->cells);
-      more = false;
-      for (GList *at = cells; at != NULL; at = at->next)
-        {
-          _ow_cell *cell = at->data;
-          cs_decision d;
-          while (cs_next (cell->cs, sv_now_us (ow->sv), &d))
-            {
-              more = true;
-              _ow_apply (ow, cell, &d);
-            }
-        }
-      g_list_free (cells);
+      if (cell != NULL)
+        g_strlcpy (t->owner, cell->owner, sizeof t->owner);
+      if (t->owner[0] != 0)
+        _ow_send_hold (ow, t);
+      return;
+    }
+  if (cell == NULL || cell->owner[0] == 0)
+    {
+      _ow_submit (ow, t);
+      return;
     }
-  ow->draining_decisions = false;
+  g_strlcpy (t->owner, cell->owner, sizeof t->owner);
+  _ow_send_ask (ow, t);
 }
 
-/* The set of live VMs changed.  */
+static void
+_ow_repeat_where (ow_task *ow, bool all, uint64_t now_us)
+{
+  GList *keys = g_hash_table_get_keys (ow->tickets);
+  GArray *due = g_array_new (FALSE, FALSE, sizeof (id_handle));
+  for (GList *at = keys; at != NULL; at = at->next)
+    {
+      const _ow_ticket *t = g_hash_table_lookup (ow->tickets, at->data);
+      const cm_cell *cell
+          = all ? cm_find (ow->sv->cells, st_name_str (&t->cell)) : NULL;
+      bool moved = all && (cell == NULL || strcmp (cell->owner, t->owner));
+      if (moved || t->repeat_us <= now_us)
+        g_array_append_val (due, t->request);
+    }
+  g_list_free (keys);
+  for (guint i = 0; i < due->len; i++)
+    {
+      _ow_ticket *t = g_hash_table_lookup (ow->tickets,
+                                           &g_array_index (due, id_handle, i));
+      if (t != NULL)
+        _ow_repeat (ow, t);
+    }
+  g_array_free (due, TRUE);
+}
+
+/* The cell map changed: tickets of cells with another owner follow.  */
 void
-ow_members_changed (ow_task *ow)
+ow_update (ow_task *ow)
 {
-  _ow_run (ow);
+  _ow_repeat_where (ow, true, sv_now_us (ow->sv));
 }
 
-/* Periodic work, at least every 50 ms.  */
+/* Periodic work.  */
 void
 ow_tick (ow_task *ow)
 {
-  GHashTableIter iter;
-  gpointer value;
-  uint64_t now_us = sv_now_us (ow->sv);
-  g_hash_table_iter_init (&iter, ow->cells);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      _ow_cell *cell = value;
-      cs_tick (cell->cs, now_us);
-      for (guint i = 0; i < cell->engines->len; i++)
-        _ow_poll_due (cell->engines->pdata[i], now_us);
-    }
-  _ow_run (ow);
+  _ow_repeat_where (ow, false, sv_now_us (ow->sv));
 }
--- a/packages/server/ow.h
+++ b/packages/server/ow.h
@@ -1,20 +1,25 @@
-/* ow.h -- places requests: the cells this VM owns and the way to the others.
+/* ow.h -- finds a place for the requests of this VM.
 
-   A request is placed by the owner of a cell that serves its model.  The
-   task picks the cell (own data centre first, then own region, then others),
-   runs the scheduler of the cells that this VM owns, and talks to the owners
-   of the others by SLOT messages.  Answers go to the front end:
-   fe_on_grant, fe_on_refuse, fe_on_stop.
+   A place is a slot of an engine, granted by the owner of the engine's cell.
+   The task chooses the cell (own data centre first, then by the wait that it
+   saw there), asks the owner by SLOT messages, repeats questions that were
+   not answered, and registers grants with a new owner.  Answers go to the
+   front end: fe_on_grant, fe_on_refuse, fe_on_stop.
 
      ow_task *ow = ow_make (&(ow_desc){ .server = sv });
      ow_ask (ow, &(ow_ask_desc){ .request = id, .model = model });
      ow_done (ow, id, &info);           // ends a grant
-     ow_cancel (ow, id);                // ends a wait  */
+     ow_cancel (ow, id);                // ends a wait
+     ow_on_message (ow, owner, &m);     // SLOT_GRANT, REFUSE, STOP
+     ow_tick (ow);
+
+   fe_on_grant and fe_on_refuse may be called before ow_ask returns.  */
 #ifndef OW_H
 #define OW_H
 
 #include "cs.h"
 #include "id.h"
+#include "ms.h"
 #include "st.h"
 
 typedef struct ow_task ow_task;
@@ -46,8 +51,8 @@
 void ow_cancel (ow_task *ow, id_handle request);
 void ow_first_token (ow_task *ow, id_handle request, uint64_t first_token_us);
 void ow_done (ow_task *ow, id_handle request, const cs_done_info *info);
-void ow_set_upstreams (ow_task *ow);
-void ow_members_changed (ow_task *ow);
+void ow_on_message (ow_task *ow, st_str owner, const ms_message *m);
+void ow_update (ow_task *ow);
 void ow_tick (ow_task *ow);
 
 #endif
--- a/packages/server/sv.c
+++ b/packages/server/sv.c
@@ -112,11 +112,11 @@
 
 /* Fills OUT with the VMs that take part, this one first.  */
 size_t
-sv_query_members (sv_server *sv, sv_member *out, size_t max)
+sv_query_members (sv_server *sv, cm_member *out, size_t max)
 {
   if (max == 0)
     return 0;
-  out[0] = (sv_member){
+  out[0] = (cm_member){
     .name = st_name_str (&sv->config.vm_name),
     .incarnation = st_from_cstr (sv->incarnation),
     .region = st_name_str (&sv->config.region),
@@ -133,7 +133,7 @@
 sv_find_incarnation (sv_server *sv, st_str incarnation, char *address,
                      size_t size)
 {
-  sv_member members[_SV_MAX_MEMBERS];
+  cm_member members[_SV_MAX_MEMBERS];
   size_t count = sv_query_members (sv, members, _SV_MAX_MEMBERS);
   for (size_t i = 0; i < count; i++)
     if (st_equal (members[i].incarnation, incarnation))
@@ -150,7 +150,7 @@
 json_t *
 sv_addresses_json (sv_server *sv, st_str region)
 {
-  sv_member members[_SV_MAX_MEMBERS];
+  cm_member members[_SV_MAX_MEMBERS];
   size_t count = sv_query_members (sv, members, _SV_MAX_MEMBERS);
   json_t *list = json_array ();
   if (region.len == 0)
@@ -158,7 +158,7 @@
   for (int near = 1; near >= 0; near--)
     for (size_t i = 0; i < count; i++)
       {
-        const sv_member *m = &members[i];
+        const cm_member *m = &members[i];
         if (m->leaving || st_equal (m->region, region) != (near == 1))
           continue;
         json_array_append_new (
@@ -281,6 +281,61 @@
   return near_count > 0 ? near[attempt % near_count] : NULL;
 }
 
+/* Tiers 0 to N-1 that are urgent.  */
+uint32_t
+sv_query_strict_tiers (const sv_server *sv)
+{
+  (void)sv;
+  return 2;
+}
+
+/* ---- messages ---- */
+
+static void
+_sv_on_message (sv_server *sv, st_str sender, const ms_message *m)
+{
+  switch (m->type)
+    {
+    case MS_SLOT_ASK:
+    case MS_SLOT_DONE:
+    case MS_SLOT_HOLD:
+    case MS_SLOT_CANCEL:
+      cl_on_message (sv->owned, sender, m);
+      break;
+    case MS_SLOT_GRANT:
+    case MS_SLOT_REFUSE:
+    case MS_SLOT_STOP:
+      ow_on_message (sv->owner, sender, m);
+      break;
+    default:
+      break;
+    }
+}
+
+/* Sends M to the process INCARNATION, which may be this one.  False when
+   there is no connection; M is then lost.  */
+bool
+sv_send (sv_server *sv, st_str incarnation, const ms_message *m)
+{
+  if (!st_equal_cstr (incarnation, sv->incarnation))
+    return false;
+  _sv_on_message (sv, incarnation, m);
+  return true;
+}
+
+/* Computes the cells again after a change of the directory or the members,
+   and tells the tasks that follow them.  */
+static void
+_sv_update_cells (sv_server *sv)
+{
+  cm_member members[_SV_MAX_MEMBERS];
+  size_t count = sv_query_members (sv, members, _SV_MAX_MEMBERS);
+  bool changed = cm_update (sv->cells, sv->directory, members, count);
+  cl_update (sv->owned);
+  if (changed)
+    ow_update (sv->owner);
+}
+
 /* ---- VM list ---- */
 
 static void
@@ -351,7 +406,7 @@
   }
   sv->state->list_seen = true;
   if (dr_set (sv->directory, (dr_entry *)(void *)entries->data, entries->len))
-    ow_set_upstreams (sv->owner);
+    _sv_update_cells (sv);
   g_array_free (entries, TRUE);
 }
 
@@ -405,6 +460,7 @@
   (void)fd;
   (void)what;
   _sv_poll_list (sv, sv_now_us (sv));
+  cl_tick (sv->owned);
   ow_tick (sv->owner);
   fe_tick (sv->front);
   if (sv->state->leaving && fe_query_open (sv->front) == 0)
@@ -445,6 +501,8 @@
                    ST_FMT (listen));
   sv->up = up_make (&(up_desc){ .base = sv->base });
   sv->directory = dr_make ();
+  sv->cells = cm_make ();
+  sv->owned = cl_make (&(cl_desc){ .server = sv });
   sv->owner = ow_make (&(ow_desc){ .server = sv });
   sv->requests = rq_make (
       &(rq_desc){ .incarnation = st_from_cstr (sv->incarnation),
@@ -518,6 +576,8 @@
   fe_destroy (sv->front);
   up_destroy (sv->up);
   ow_destroy (sv->owner);
+  cl_destroy (sv->owned);
+  cm_destroy (sv->cells);
   rq_destroy (sv->requests);
   dr_destroy (sv->directory);
   mt_destroy (sv->metrics);
--- a/packages/server/sv.h
+++ b/packages/server/sv.h
@@ -11,6 +11,8 @@
 #define SV_H
 
 #include "ck.h"
+#include "cl.h"
+#include "cm.h"
 #include "cs.h"
 #include "dr.h"
 #include "er.h"
@@ -38,6 +40,8 @@
   rq_table *requests;
   up_pool *up;
   dr_directory *directory;
+  cm_map *cells;
+  cl_task *owned;
   ow_task *owner;
   fe_front *front;
   struct sv_state *state; /* private to sv.c */
@@ -58,17 +62,6 @@
   SV_PEER_DEAD
 } sv_peer_state;
 
-/* A VM of ours that takes part.  */
-typedef struct
-{
-  st_str name;
-  st_str incarnation;
-  st_str region;
-  st_str data_center;
-  st_str callers_address;
-  bool leaving;
-} sv_member;
-
 /* What the settings say for a team and a model.  */
 typedef struct
 {
@@ -99,7 +92,9 @@
 st_str sv_query_incarnation (const sv_server *sv);
 bool sv_query_leaving (const sv_server *sv);
 bool sv_query_ready (const sv_server *sv, const char **why);
-size_t sv_query_members (sv_server *sv, sv_member *out, size_t max);
+size_t sv_query_members (sv_server *sv, cm_member *out, size_t max);
+uint32_t sv_query_strict_tiers (const sv_server *sv);
+bool sv_send (sv_server *sv, st_str incarnation, const ms_message *m);
 bool sv_query_policy (sv_server *sv, st_str team, st_str service,
                       sv_policy *out, er_error *err);
 sv_peer_state sv_find_incarnation (sv_server *sv, st_str incarnation,
