Read the VM list through the platform module

Cause: the server parsed the list itself. Change: pf_vm_list in place of an own HTTP call and parser. Conclusion: one driver interface for the platform.

--- a/packages/server/sv.c
+++ b/packages/server/sv.c
@@ -12,7 +12,6 @@
 
 #define _SV_TICK_MS 20
 #define _SV_LIST_PERIOD_US (500 * CK_MS_US)
-#define _SV_LIST_TIMEOUT_MS 2000
 #define _SV_ADDRESSES_KEEP_S 5
 #define _SV_MAX_MEMBERS 64
 #define _SV_RETRY_BASE_MS 50
@@ -27,7 +26,6 @@
   bool list_seen;
   bool list_asked;
   uint64_t next_list_us;
-  struct evbuffer *list_body;
   unsigned service_next;
 };
 
@@ -338,117 +336,67 @@
 
 /* ---- VM list ---- */
 
-static void
-_sv_get_name (json_t *object, const char *key, st_name *out)
+static dr_entry
+_sv_entry_of (const pf_vm *vm)
 {
-  json_t *value = json_object_get (object, key);
-  if (json_is_string (value))
-    st_name_set (out, (st_str){ json_string_value (value),
-                                json_string_length (value) });
-}
-
-static bool
-_sv_parse_entry (json_t *item, dr_entry *out)
-{
-  size_t index;
-  json_t *version;
-  st_name kind = { 0 };
-  st_name state = { 0 };
-  memset (out, 0, sizeof *out);
-  _sv_get_name (item, "kind", &kind);
-  _sv_get_name (item, "state", &state);
-  _sv_get_name (item, "name", &out->name);
-  _sv_get_name (item, "address", &out->address);
-  _sv_get_name (item, "peer_address", &out->peer_address);
-  _sv_get_name (item, "region", &out->region);
-  _sv_get_name (item, "data_center", &out->data_center);
-  out->leaving = st_equal (st_name_str (&state), ST_LIT ("leaving"));
-  out->slots = (uint32_t)json_integer_value (json_object_get (item, "slots"));
-  json_array_foreach (json_object_get (item, "versions"), index, version)
-  {
-    if (out->version_count < DR_VERSIONS_MAX && json_is_string (version))
-      st_name_set (&out->versions[out->version_count++],
-                   st_from_cstr (json_string_value (version)));
-  }
-  if (st_equal (st_name_str (&kind), ST_LIT ("vm")))
-    out->kind = DR_VM;
-  else if (st_equal (st_name_str (&kind), ST_LIT ("engine")))
+  dr_entry entry;
+  memset (&entry, 0, sizeof entry);
+  switch (vm->kind)
     {
-      out->kind = DR_ENGINE;
-      _sv_get_name (item, "model", &out->serves);
-    }
-  else if (st_equal (st_name_str (&kind), ST_LIT ("service")))
-    {
-      out->kind = DR_SERVICE;
-      _sv_get_name (item, "service", &out->serves);
+    case PF_VM:
+      entry.kind = DR_VM;
+      break;
+    case PF_ENGINE:
+      entry.kind = DR_ENGINE;
+      st_name_set (&entry.serves, vm->model);
+      break;
+    case PF_SERVICE:
+      entry.kind = DR_SERVICE;
+      st_name_set (&entry.serves, vm->service);
+      break;
     }
-  else
-    return false;
-  return out->name.len > 0 && out->address.len > 0;
+  st_name_set (&entry.name, vm->name);
+  st_name_set (&entry.address, vm->address);
+  st_name_set (&entry.peer_address, vm->peer_address);
+  st_name_set (&entry.region, vm->region);
+  st_name_set (&entry.data_center, vm->data_center);
+  for (uint32_t i = 0; i < vm->version_count && i < DR_VERSIONS_MAX; i++)
+    st_name_set (&entry.versions[entry.version_count++], vm->versions[i]);
+  entry.slots = vm->slots;
+  entry.leaving = vm->leaving;
+  return entry;
 }
 
 static void
-_sv_apply_list (sv_server *sv, json_t *body)
+_sv_on_vm_list (const pf_answer *answer, void *user)
 {
-  size_t index;
-  json_t *item;
-  json_t *list = json_object_get (body, "vms");
-  if (!json_is_array (list))
+  sv_server *sv = user;
+  sv->state->list_asked = false;
+  if (answer->result != PF_OK)
     return;
+  if (answer->malformed > 0)
+    lg_log (LG_WARNING, "", "%u entries of the VM list are malformed",
+            answer->malformed);
   GArray *entries = g_array_new (FALSE, TRUE, sizeof (dr_entry));
-  json_array_foreach (list, index, item)
-  {
-    dr_entry entry;
-    if (_sv_parse_entry (item, &entry))
+  for (uint32_t i = 0; i < answer->vm_count; i++)
+    {
+      dr_entry entry = _sv_entry_of (&answer->vms[i]);
       g_array_append_val (entries, entry);
-    else
-      lg_log (LG_WARNING, "", "entry %zu of the VM list is malformed", index);
-  }
+    }
   sv->state->list_seen = true;
   if (dr_set (sv->directory, (dr_entry *)(void *)entries->data, entries->len))
     _sv_update_cells (sv);
   g_array_free (entries, TRUE);
 }
 
-static void
-_sv_on_list_data (void *user, struct evbuffer *data)
-{
-  sv_server *sv = user;
-  evbuffer_add_buffer (sv->state->list_body, data);
-}
-
-static void
-_sv_on_list_done (void *user, const up_result *result)
-{
-  sv_server *sv = user;
-  struct evbuffer *data = sv->state->list_body;
-  sv->state->list_asked = false;
-  if (result->end == UP_COMPLETE && result->status == 200)
-    {
-      json_t *body = json_loadb ((const char *)evbuffer_pullup (data, -1),
-                                 evbuffer_get_length (data), 0, NULL);
-      _sv_apply_list (sv, body);
-      json_decref (body);
-    }
-  evbuffer_drain (data, evbuffer_get_length (data));
-}
-
 static void
 _sv_poll_list (sv_server *sv, uint64_t now_us)
 {
   if (sv->state->list_asked || now_us < sv->state->next_list_us)
     return;
   sv->state->next_list_us = now_us + _SV_LIST_PERIOD_US;
-  sv->state->list_asked
-      = up_send (sv->up,
-                 &(up_call_desc){ .address = st_name_str (&sv->config.vm_list),
-                                  .method = EVHTTP_REQ_GET,
-                                  .path = "/vms",
-                                  .idle_timeout_ms = _SV_LIST_TIMEOUT_MS,
-                                  .on_data = _sv_on_list_data,
-                                  .on_done = _sv_on_list_done,
-                                  .user = sv })
-        != 0;
+  sv->state->list_asked = true;
+  pf_vm_list (sv->platform, _sv_on_vm_list, sv);
 }
 
 /* ---- life ---- */
@@ -490,6 +438,12 @@
   sv_begin_drain (arg);
 }
 
+static const char *
+_sv_address_or_null (const st_name *address)
+{
+  return address->len > 0 ? address->text : NULL;
+}
+
 static bool
 _sv_start_tasks (sv_server *sv, er_error *err)
 {
@@ -499,6 +453,16 @@
   if (!up_parse_address (listen, host, sizeof host, &port))
     return er_set (err, ER_INVALID, "listen.callers '%.*s' is not IP:PORT",
                    ST_FMT (listen));
+  sv->platform = pf_make (
+      &(pf_desc){ .base = sv->base,
+                  .driver = PF_HTTP,
+                  .store = _sv_address_or_null (&sv->config.store),
+                  .vm_list = _sv_address_or_null (&sv->config.vm_list),
+                  .weights = _sv_address_or_null (&sv->config.weights),
+                  .seed = sv_random (sv) },
+      err);
+  if (sv->platform == NULL)
+    return false;
   sv->up = up_make (&(up_desc){ .base = sv->base });
   sv->directory = dr_make ();
   sv->cells = cm_make ();
@@ -529,7 +493,6 @@
   memset (config, 0, sizeof *config);
   sv->base = event_base_new ();
   sv->metrics = mt_make (&(mt_desc){ 0 });
-  sv->state->list_body = evbuffer_new ();
   g_snprintf (sv->incarnation, sizeof sv->incarnation,
               "%s-%016" G_GINT64_MODIFIER "x", sv->config.vm_name.text,
               sv_random (sv));
@@ -578,10 +541,10 @@
   ow_destroy (sv->owner);
   cl_destroy (sv->owned);
   cm_destroy (sv->cells);
+  pf_destroy (sv->platform);
   rq_destroy (sv->requests);
   dr_destroy (sv->directory);
   mt_destroy (sv->metrics);
-  evbuffer_free (sv->state->list_body);
   event_base_free (sv->base);
   sb_free (&sv->config);
   g_free (sv->state);
--- a/packages/server/sv.h
+++ b/packages/server/sv.h
@@ -19,6 +19,7 @@
 #include "fe.h"
 #include "mt.h"
 #include "ow.h"
+#include "pf.h"
 #include "rq.h"
 #include "sb.h"
 #include "up.h"
@@ -38,6 +39,7 @@
   char incarnation[ST_NAME_MAX + 18];
   mt_registry *metrics;
   rq_table *requests;
+  pf_platform *platform;
   up_pool *up;
   dr_directory *directory;
   cm_map *cells;
