--- a/packages/decide/cs.c
+++ b/packages/decide/cs.c
@@ -20,6 +20,8 @@
 #define _CS_RETRY_MAX_MS 60000
 /* An import of KV cache costs this fraction of the prefill it saves.  */
 #define _CS_IMPORT_COST 0.25
+/* A prompt this many times the usual one is long.  */
+#define _CS_LONG_RATIO 8.0
 /* Learned times this far above the best engine's ratio mark a slow one.  */
 #define _CS_SLOW_RATIO 2.0
 /* Samples with less prefill say more about the base than the rate.  */
@@ -72,6 +74,7 @@
   bool late;    /* the first token target has passed */
   bool stashed; /* out of its heap for the rest of the pass */
   bool has_first_token;
+  bool is_long;
   bool cached_part; /* part of the prompt was expected in the cache */
 } _cs_req;
 
@@ -173,7 +176,8 @@
   uint64_t seq;
   uint32_t scan_at;
   bool dirty;
-  double service_us; /* mean time in a slot */
+  double service_us;   /* mean time in a slot */
+  double usual_tokens; /* mean prompt, long ones cut */
   double route_tokens[CS_ROUTES_MAX];
   cs_counts counts;
 };
@@ -186,6 +190,8 @@
   uint32_t uncached;
   bool found;
   bool meets;
+  bool misses_deadline; /* an engine was passed over for the deadline */
+  bool held_long;       /* one was passed over for another long prefill */
 } _cs_choice;
 
 /* Requests by handle.  */
@@ -762,6 +768,31 @@
   e->us_per_token += weight * (seen - e->us_per_token);
 }
 
+/* Corrects the end of the engine's prefill when the prefill of SLOT is known
+   to be over or will not be done: only the requests granted after it, which
+   come before it in the list, are still to be done.  Without reports of
+   first tokens some of these may be over too, so the end only moves back.  */
+static void
+_cs_prefill_over (cs_cell *cs, uint32_t slot, uint64_t now_us)
+{
+  _cs_engine *e = &cs->engines[cs->reqs[slot].engine];
+  double left_us = 0;
+  bool is_long = false;
+  for (uint32_t s = e->head; s != slot; s = cs->reqs[s].next)
+    if (!cs->reqs[s].has_first_token)
+      {
+        left_us += cs->reqs[s].uncached_tokens * e->us_per_token;
+        is_long = is_long || cs->reqs[s].is_long;
+      }
+  uint64_t end = now_us + (uint64_t)left_us;
+  if (e->reports_first_token || end < e->busy_until_us)
+    e->busy_until_us = end;
+  if (!is_long)
+    e->long_until_us = now_us;
+  else if (e->long_until_us > end)
+    e->long_until_us = end;
+}
+
 static void
 _cs_learn_itl (_cs_engine *e, uint64_t itl_us)
 {
@@ -927,6 +958,13 @@
   return busy < (engines + 1) / 2;
 }
 
+static bool
+_cs_is_long (const cs_cell *cs, uint32_t uncached, double own_us)
+{
+  return uncached > _CS_LONG_RATIO * cs->usual_tokens
+         && own_us > (double)cs->desc.long_prefill_us;
+}
+
 static bool
 _cs_may_probe (const cs_cell *cs, const _cs_engine *e, const _cs_req *r,
                uint64_t now_us)
@@ -942,69 +980,59 @@
          || idle_us > 9 * cs->desc.probe_us;
 }
 
-/* Chooses among the engines with a free slot (STOP false) or among those
-   where a stop would make one (STOP true).  An engine that meets the first
-   token target goes before one that does not; then the earliest end.  */
+/* Chooses among the engines with a free slot.  An engine that meets the
+   first token target goes before one that does not; then the earliest end.
+   A slow engine whose probe is due goes first.  */
 static _cs_choice
-_cs_choose (cs_cell *cs, const _cs_req *r, const uint32_t *cached, bool stop,
-            uint64_t now_us, bool *misses_deadline)
+_cs_choose (const cs_cell *cs, const _cs_req *r, const uint32_t *cached,
+            uint64_t now_us)
 {
   _cs_choice best = { 0 };
   bool long_ok = _cs_long_allowed (cs, now_us);
   for (uint32_t i = 0; i < cs->engine_capacity; i++)
     {
       const _cs_engine *e = &cs->engines[i];
-      if (!_cs_takes (e, r))
+      if (!_cs_takes (e, r) || !_cs_free_slot (cs, e, r->tier)
+          || now_us < e->refused_until_us)
         continue;
-      if (!stop
-          && (!_cs_free_slot (cs, e, r->tier) || now_us < e->refused_until_us))
-        continue;
-      if (e->kv_max > 0 && e->running > 0 && !stop
+      if (e->kv_max > 0 && e->running > 0
           && e->kv_used + r->prompt_tokens + r->expected_tokens > e->kv_max)
         continue;
       uint32_t uncached = _cs_uncached (r, e, cached[i]);
       double own_us = uncached * e->us_per_token;
-      if (own_us > (double)cs->desc.long_prefill_us
+      if (_cs_is_long (cs, uncached, own_us)
           && (!long_ok || e->long_until_us > now_us))
-        continue;
+        {
+          best.held_long = true;
+          continue;
+        }
       double queue_us = e->busy_until_us > now_us
                             ? (double)(e->busy_until_us - now_us)
                             : 0;
       double first = queue_us + own_us + e->base_us;
-      if (stop)
-        {
-          uint32_t lower = 0;
-          for (uint32_t t = r->tier + 1; t < CS_TIERS; t++)
-            lower += e->by_tier[t];
-          if (lower == 0)
-            continue;
-          first += _CS_STOP_US;
-        }
       double finish
           = first + r->expected_tokens * _cs_itl_us (e, _cs_load (e) + 1);
-      bool probe = !stop && _cs_may_probe (cs, e, r, now_us);
+      bool probe = _cs_may_probe (cs, e, r, now_us);
       if (!probe && r->deadline_us > 0
           && now_us + (uint64_t)finish > r->deadline_us)
         {
-          *misses_deadline = true;
+          best.misses_deadline = true;
           continue;
         }
-      bool meets = r->first_by_us == 0 || r->late
+      bool meets = probe || r->first_by_us == 0 || r->late
                    || now_us + (uint64_t)first <= r->first_by_us;
-      bool better = !best.found || (meets && !best.meets)
-                    || (meets == best.meets && finish < best.finish_us);
-      if (better || probe)
-        best = (_cs_choice){ .engine = i,
-                             .first_us = first,
-                             .finish_us = finish,
-                             .uncached = uncached,
-                             .found = true,
-                             .meets = meets };
-      if (probe)
+      if (probe || !best.found || (meets && !best.meets)
+          || (meets == best.meets && finish < best.finish_us))
         {
-          best.meets = true;
-          break;
+          best.engine = i;
+          best.first_us = first;
+          best.finish_us = finish;
+          best.uncached = uncached;
+          best.found = true;
+          best.meets = meets;
         }
+      if (probe)
+        break;
     }
   return best;
 }
@@ -1063,7 +1091,7 @@
       double first = queue_us - _cs_prefill_left_us (v, e, now_us)
                      + _cs_uncached (r, e, cached[i]) * e->us_per_token
                      + e->base_us + _CS_STOP_US;
-      bool meets = r->first_by_us == 0
+      bool meets = r->first_by_us == 0 || r->late
                    || (double)now_us + first <= (double)r->first_by_us;
       if (prefill && !meets)
         continue;
@@ -1116,7 +1144,8 @@
   double own_us = c->uncached * e->us_per_token;
   r->sample_tokens = (double)(start - now_us) / e->us_per_token + c->uncached;
   e->busy_until_us = start + (uint64_t)own_us;
-  if (own_us > (double)cs->desc.long_prefill_us)
+  r->is_long = _cs_is_long (cs, c->uncached, own_us);
+  if (r->is_long)
     e->long_until_us = e->busy_until_us;
   r->uncached_tokens = c->uncached;
   r->cached_part = c->uncached < r->prompt_tokens;
@@ -1147,32 +1176,29 @@
       _cs_refuse (cs, slot, CS_REASON_DEADLINE);
       return _CS_REFUSED;
     }
-  bool urgent = r->tier < cs->desc.strict_tiers;
-  bool misses = false;
+  if (r->first_by_us > 0 && now_us + (uint64_t)first_us > r->first_by_us)
+    r->late = true;
   uint32_t cached[CS_ENGINES_MAX];
   _cs_cached (cs, r, cached);
   _cs_choice c = { 0 };
   if (cs->running < cs->desc.max_running)
-    c = _cs_choose (cs, r, cached, false, now_us, &misses);
+    c = _cs_choose (cs, r, cached, now_us);
+  bool urgent = r->tier < cs->desc.strict_tiers;
   if (c.found && (c.meets || !urgent))
     {
       _cs_grant (cs, slot, &c, now_us);
       return _CS_PLACED;
     }
-  if (!urgent || misses)
+  if (!urgent)
     return _CS_WAIT;
-  if (c.found)
-    {
-      /* There are slots, but no first token in time: the prefill of
-         lower-tier work may be in the way.  */
-      if (_cs_claim (cs, r) || _cs_make_room (cs, r, cached, true, now_us))
-        return _CS_WAIT;
-      _cs_grant (cs, slot, &c, now_us);
-      return _CS_PLACED;
-    }
-  if (!_cs_claim (cs, r))
-    _cs_make_room (cs, r, cached, false, now_us);
-  return _CS_WAIT;
+  /* With a slot that is free but too late, or kept from a long prefill, only
+     a stop of lower-tier prefill helps.  */
+  bool prefill = c.found || c.misses_deadline || c.held_long;
+  if (_cs_claim (cs, r) || _cs_make_room (cs, r, cached, prefill, now_us)
+      || !c.found)
+    return _CS_WAIT;
+  _cs_grant (cs, slot, &c, now_us);
+  return _CS_PLACED;
 }
 
 static void
@@ -1328,9 +1354,9 @@
 static void
 _cs_pass (cs_cell *cs, uint64_t now_us)
 {
-  cs->dirty = false;
   if (now_us < cs->desc.collect_until_us)
     return;
+  cs->dirty = false;
   for (uint32_t i = 0; i < cs->engine_capacity; i++)
     {
       _cs_engine *e = &cs->engines[i];
@@ -1438,6 +1464,7 @@
   for (uint32_t i = 0; i < cs->req_capacity; i++)
     cs->reqs[i].next = i + 1 < cs->req_capacity ? i + 1 : _CS_NIL;
   cs->service_us = 1000000;
+  cs->usual_tokens = 512;
   for (uint32_t i = 0; i < CS_ROUTES_MAX; i++)
     cs->route_tokens[i] = 128;
   return cs;
@@ -1679,22 +1706,26 @@
 }
 
 /* Makes room in a full queue.  The newest waiting request of the lowest tier
-   is refused; false when that is the new request itself.  An urgent request
-   that can replace running work is taken beyond the limit: its place is paid
-   for by the slot that it takes over.  */
+   is refused; false when that is the new request itself.  When that one is
+   urgent and can replace running work, the new one is taken beyond the limit:
+   its place is paid for by the slot that is taken over.  */
 static bool
 _cs_make_place (cs_cell *cs, const cs_request *q)
 {
   if (cs->waiting < cs->desc.max_waiting && cs->free_head != _CS_NIL)
     return true;
-  for (uint32_t t = CS_TIERS - 1; t > q->tier; t--)
-    if (cs->tiers[t].waiting > 0)
-      {
-        _cs_refuse (cs, cs->tiers[t].newest, CS_REASON_FULL);
-        return true;
-      }
-  return cs->free_head != _CS_NIL && q->tier < cs->desc.strict_tiers
-         && _cs_replaceable (cs, q->tier, q->version);
+  uint32_t tier = CS_TIERS - 1;
+  while (tier > q->tier && cs->tiers[tier].waiting == 0)
+    tier--;
+  uint32_t newest = tier > q->tier ? cs->tiers[tier].newest : _CS_NIL;
+  uint64_t version = newest != _CS_NIL ? cs->reqs[newest].version : q->version;
+  if (tier < cs->desc.strict_tiers && cs->free_head != _CS_NIL
+      && _cs_replaceable (cs, tier, version))
+    return true;
+  if (newest == _CS_NIL)
+    return false;
+  _cs_refuse (cs, newest, CS_REASON_FULL);
+  return true;
 }
 
 /* Queues a request.  Its end comes from cs_next.  False when the decisions
@@ -1722,6 +1753,12 @@
   _cs_req_set (cs, slot, request, now_us);
   _cs_map_add (cs, slot);
   _cs_wait_add (cs, slot);
+  double cut = _CS_LONG_RATIO * cs->usual_tokens;
+  double tokens = request->prompt_tokens;
+  cs->usual_tokens
+      += 0.01 * ((tokens < cut ? tokens : cut) - cs->usual_tokens);
+  if (cs->usual_tokens < 64)
+    cs->usual_tokens = 64;
   cs->dirty = true;
   return true;
 }
@@ -1749,7 +1786,6 @@
                 uint64_t now_us)
 {
   uint32_t slot = _cs_find (cs, request);
-  (void)now_us;
   if (slot == _CS_NIL || cs->reqs[slot].state == _CS_WAITING
       || cs->reqs[slot].has_first_token)
     return false;
@@ -1758,6 +1794,7 @@
   e->reports_first_token = true;
   _cs_learn_first (e, r, first_token_us);
   r->has_first_token = true;
+  _cs_prefill_over (cs, slot, now_us);
   return true;
 }
 
@@ -1766,16 +1803,21 @@
 {
   _cs_req *r = &cs->reqs[slot];
   _cs_engine *e = &cs->engines[r->engine];
-  double left_us = _cs_prefill_left_us (r, e, now_us);
-  if (!r->has_first_token && done->first_token_us > 0)
-    _cs_learn_first (e, r, done->first_token_us);
-  else if (!r->has_first_token && e->busy_until_us > now_us)
+  if (!r->has_first_token)
     {
-      double busy = (double)(e->busy_until_us - now_us);
-      e->busy_until_us -= (uint64_t)(left_us < busy ? left_us : busy);
-      if (r->uncached_tokens * e->us_per_token
-          > (double)cs->desc.long_prefill_us)
-        e->long_until_us = now_us;
+      double left_us = _cs_prefill_left_us (r, e, now_us);
+      if (done->first_token_us > 0)
+        {
+          _cs_learn_first (e, r, done->first_token_us);
+          _cs_prefill_over (cs, slot, now_us);
+        }
+      else if (e->busy_until_us > now_us)
+        {
+          double busy = (double)(e->busy_until_us - now_us);
+          e->busy_until_us -= (uint64_t)(left_us < busy ? left_us : busy);
+          if (r->is_long)
+            e->long_until_us = now_us;
+        }
     }
   if (done->itl_us > 0 && done->tokens > 1)
     _cs_learn_itl (e, done->itl_us);
@@ -1968,6 +2010,8 @@
     .slow = e->slow,
     .prefill_tokens_s = 1e6 / e->us_per_token,
     .itl_us = (uint64_t)_cs_itl_us (e, _cs_load (e)),
+    .idle_itl_us = (uint64_t)_cs_itl_us (e, 1),
+    .base_us = (uint64_t)e->base_us,
   };
   return true;
 }
--- a/packages/decide/cs.h
+++ b/packages/decide/cs.h
@@ -29,8 +29,9 @@
    Tiers below STRICT_TIERS are urgent.  Among the patient tiers a request
    gains one tier for each AGE_STEP_US that it waits; one that has waited for
    AGE_BOUND_US is passed only by urgent requests and by older ones that can
-   be placed.  Team shares of a tier are exact to one quantum and the largest
-   request of the team (in tokens) while the teams have work waiting.  */
+   be placed.  While two teams of a tier have work waiting, the tokens that
+   they were granted, each divided by its weight, differ by at most two quanta
+   and the largest request of either.  */
 #ifndef CS_H
 #define CS_H
 
@@ -68,8 +69,9 @@
   uint64_t implied_deadline_us; /* order of requests without one; 0: 30 s */
   uint64_t probe_us;            /* least time between probes; 0: 1 s */
   uint64_t report_max_age_us;   /* older load reports are ignored; 0: 5 s */
-  uint64_t long_prefill_us;     /* prefill that counts as long; 0: 150 ms */
-  uint64_t collect_until_us;    /* no decision before this time */
+  uint64_t
+      long_prefill_us; /* shorter prefill never counts as long; 0: 150 ms */
+  uint64_t collect_until_us; /* no decision before this time */
   al_allocator allocator;
 } cs_desc;
 
@@ -178,7 +180,9 @@
   bool leaving;
   bool slow; /* found slow from observed times */
   double prefill_tokens_s;
-  uint64_t itl_us; /* at the present batch size */
+  uint64_t itl_us;      /* at the present batch size */
+  uint64_t idle_itl_us; /* at batch 1 */
+  uint64_t base_us;     /* first token of an empty prompt */
 } cs_engine_view;
 
 typedef struct
--- a/packages/decide/tests/cs_test.cc
+++ b/packages/decide/tests/cs_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <vector>
+
 namespace
 {
 
@@ -85,4 +87,220 @@
   cs_destroy (cs);
 }
 
+/* Guards against a stop for each pass instead of one for each urgent
+   request.  */
+TEST (Cs, StopsOnceForEachUrgentRequest)
+{
+  cs_desc desc = {};
+  cs_cell *cs = cs_make (&desc);
+  engine (cs, "a", 8);
+  cs_decision d;
+  for (uint64_t i = 1; i <= 8; i++)
+    {
+      cs_request low = request (i, 1, 100, 10);
+      cs_submit (cs, &low, 0);
+    }
+  while (cs_next (cs, 0, &d))
+    EXPECT_EQ (d.kind, CS_GRANT);
+  unsigned stops = 0;
+  for (uint64_t i = 0; i < 50; i++)
+    {
+      cs_request urgent = request (100 + i, 0, 100, 10);
+      if (i < 3)
+        cs_submit (cs, &urgent, i * 1000);
+      cs_tick (cs, i * 1000);
+      while (cs_next (cs, i * 1000, &d))
+        stops += d.kind == CS_STOP;
+    }
+  EXPECT_EQ (stops, 3u);
+  cs_destroy (cs);
+}
+
+/* Guards against prefill spent on an answer that comes too late.  */
+TEST (Cs, RefusesADeadlineThatCannotBeMet)
+{
+  cs_desc desc = {};
+  cs_cell *cs = cs_make (&desc);
+  engine (cs, "a", 8);
+  cs_request q = request (1, 3, 8000, 10);
+  q.deadline_us = 500000; /* the prefill alone takes a second */
+  cs_submit (cs, &q, 0);
+  cs_decision d;
+  ASSERT_TRUE (cs_next (cs, 0, &d));
+  EXPECT_EQ (d.kind, CS_REFUSE);
+  EXPECT_EQ (d.reason, CS_REASON_DEADLINE);
+  EXPECT_GT (d.retry_after_ms, 0u);
+  cs_destroy (cs);
+}
+
+/* Guards against prompts prefilled again on an engine without their prefix,
+   and against belief in a cache after events were lost.  */
+TEST (Cs, PrefersTheEngineThatHoldsThePrefix)
+{
+  cs_desc desc = {};
+  cs_cell *cs = cs_make (&desc);
+  engine (cs, "a", 8);
+  id_handle b = engine (cs, "b", 8);
+  cs_prefix prefix = { 77, 4000 };
+  cs_cache_event (cs, b, 77, true);
+  cs_request q = request (1, 0, 4100, 10);
+  q.prefixes = &prefix;
+  q.prefix_count = 1;
+  cs_submit (cs, &q, 0);
+  cs_decision d;
+  ASSERT_TRUE (cs_next (cs, 0, &d));
+  EXPECT_EQ (d.engine, b);
+  EXPECT_EQ (d.cached_tokens, 4000u);
+  cs_cache_gap (cs, b);
+  q.request = 2;
+  cs_submit (cs, &q, 1000000);
+  ASSERT_TRUE (cs_next (cs, 1000000, &d));
+  EXPECT_EQ (d.cached_tokens, 2000u);
+  cs_cache_event (cs, b, 77, false);
+  q.request = 3;
+  cs_submit (cs, &q, 2000000);
+  ASSERT_TRUE (cs_next (cs, 2000000, &d));
+  EXPECT_LE (d.cached_tokens, 4000u);
+  cs_destroy (cs);
+}
+
+/* Guards against a load report that makes up for grants it cannot know.  */
+TEST (Cs, CorrectsAStaleLoadReport)
+{
+  cs_desc desc = {};
+  desc.headroom_percent = CS_NONE;
+  cs_cell *cs = cs_make (&desc);
+  id_handle e = engine (cs, "a", 4);
+  cs_decision d;
+  for (uint64_t i = 1; i <= 3; i++)
+    {
+      cs_request q = request (i, 0, 100, 10);
+      cs_submit (cs, &q, 1000000 + i);
+      ASSERT_TRUE (cs_next (cs, 1000000 + i, &d));
+    }
+  /* At 0.9 s the engine ran one request of somebody else and none of ours,
+     as the next report confirms.  */
+  cs_load load = { 900000, 1, 0, 0 };
+  EXPECT_TRUE (cs_set_load (cs, e, &load, 1100000));
+  load.time_us = 950000;
+  EXPECT_TRUE (cs_set_load (cs, e, &load, 1100000));
+  cs_engine_view v;
+  ASSERT_TRUE (cs_query_engine (cs, e, &v));
+  EXPECT_EQ (v.running, 3u);
+  EXPECT_EQ (v.foreign, 1u);
+  cs_request q = request (9, 0, 100, 10);
+  cs_submit (cs, &q, 1200000);
+  EXPECT_FALSE (cs_next (cs, 1200000, &d));
+  load.time_us = 800000; /* older than the last one */
+  EXPECT_FALSE (cs_set_load (cs, e, &load, 1200000));
+  cs_destroy (cs);
+}
+
+/* Guards against a slow engine that keeps its share of the work although it
+   reports nothing unusual, and against one that is never tried again.  */
+TEST (Cs, FindsASilentSlowEngineAndProbesIt)
+{
+  cs_desc desc = {};
+  cs_cell *cs = cs_make (&desc);
+  id_handle slow = engine (cs, "slow", 16);
+  engine (cs, "b", 16);
+  uint64_t id = 0, last_probe = 0;
+  unsigned late = 0, probes = 0;
+  cs_decision d;
+  struct Open
+  {
+    uint64_t id, at, first;
+  };
+  std::vector<Open> open;
+  for (uint64_t now = 0; now < 20000000; now += 10000)
+    {
+      for (size_t i = 0; i < open.size ();)
+        if (open[i].at <= now)
+          {
+            cs_done_info info = {};
+            info.first_token_us = open[i].first;
+            info.tokens = 10;
+            cs_first_token (cs, open[i].id, open[i].first, now);
+            cs_done (cs, open[i].id, &info, now);
+            open.erase (open.begin () + (long)i);
+          }
+        else
+          i++;
+      if (now % 100000 == 0)
+        {
+          cs_request q = request (++id, 2, 800, 10);
+          cs_submit (cs, &q, now);
+          cs_tick (cs, now);
+        }
+      while (cs_next (cs, now, &d))
+        {
+          ASSERT_EQ (d.kind, CS_GRANT);
+          bool on_slow = d.engine == slow;
+          uint64_t first = on_slow ? 415000 : 115000;
+          if (now > 5000000 && on_slow)
+            {
+              late++;
+              probes++;
+              EXPECT_GE (now - last_probe, 1000000u);
+              last_probe = now;
+            }
+          open.push_back ({ d.request, now + first, first });
+        }
+    }
+  cs_engine_view v;
+  ASSERT_TRUE (cs_query_engine (cs, slow, &v));
+  EXPECT_TRUE (v.slow);
+  EXPECT_GE (probes, 5u);
+  EXPECT_LE (late, 15u);
+  cs_destroy (cs);
+}
+
+/* Guards against long prompts that take every engine and keep short urgent
+   requests waiting.  */
+TEST (Cs, LongPromptsLeaveEnginesForShortOnes)
+{
+  cs_desc desc = {};
+  cs_cell *cs = cs_make (&desc);
+  for (const char *name : { "a", "b", "c", "d" })
+    engine (cs, name, 16);
+  cs_decision d;
+  for (uint64_t i = 1; i <= 8; i++)
+    {
+      cs_request q = request (i, 0, 50000, 10);
+      cs_submit (cs, &q, 0);
+    }
+  unsigned granted = 0;
+  while (cs_next (cs, 0, &d))
+    granted += d.kind == CS_GRANT;
+  EXPECT_EQ (granted, 2u);
+  cs_request q = request (99, 0, 500, 10);
+  q.first_token_by_us = 310000;
+  cs_submit (cs, &q, 0);
+  ASSERT_TRUE (cs_next (cs, 0, &d));
+  EXPECT_EQ (d.request, 99u);
+  EXPECT_LT (d.first_token_us, 310000u);
+  cs_destroy (cs);
+}
+
+/* Guards against grants given while the former owner's are not known.  */
+TEST (Cs, CollectsHoldsBeforeTheFirstGrant)
+{
+  cs_desc desc = {};
+  desc.collect_until_us = 500000;
+  cs_cell *cs = cs_make (&desc);
+  id_handle e = engine (cs, "a", 1);
+  cs_request held = request (1, 3, 100, 10), q = request (2, 3, 100, 10);
+  cs_submit (cs, &q, 0);
+  cs_decision d;
+  EXPECT_FALSE (cs_next (cs, 0, &d));
+  EXPECT_TRUE (cs_hold (cs, &held, e, 0, 1000));
+  EXPECT_FALSE (cs_hold (cs, &held, e, 0, 1000));
+  EXPECT_FALSE (cs_next (cs, 500000, &d));
+  cs_done_info info = {};
+  EXPECT_TRUE (cs_done (cs, 1, &info, 600000));
+  ASSERT_TRUE (cs_next (cs, 600000, &d));
+  EXPECT_EQ (d.request, 2u);
+  cs_destroy (cs);
+}
+
 }
