Test the upstream client

Cause: the outcome of a request depends on whether a byte was sent. Change: tests with a scripted peer: refused, closed after the request, cut answers, silence, garbage, kept connections, cancel inside a callback. Conclusion: not-sent and broken are told apart.

--- a/packages/server/cl.h
+++ b/packages/server/cl.h
@@ -25,14 +25,23 @@
   sv_server *server;
 } cl_desc;
 
-cl_task *cl_make (const cl_desc *desc);
-void cl_destroy (cl_task *cl);
-void cl_update (cl_task *cl);
-void cl_on_message (cl_task *cl, st_str holder, const ms_message *m);
-void cl_on_holder_gone (cl_task *cl, st_str holder);
-void cl_on_first_token (cl_task *cl, st_str holder, uint64_t handle,
-                        uint64_t first_token_us);
-void cl_tick (cl_task *cl);
-size_t cl_query_owned (const cl_task *cl);
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  cl_task *cl_make (const cl_desc *desc);
+  void cl_destroy (cl_task *cl);
+  void cl_update (cl_task *cl);
+  void cl_on_message (cl_task *cl, st_str holder, const ms_message *m);
+  void cl_on_holder_gone (cl_task *cl, st_str holder);
+  void cl_on_first_token (cl_task *cl, st_str holder, uint64_t handle,
+                          uint64_t first_token_us);
+  void cl_tick (cl_task *cl);
+  size_t cl_query_owned (const cl_task *cl);
+
+#ifdef __cplusplus
+}
+#endif
 
 #endif
--- a/packages/server/cm.h
+++ b/packages/server/cm.h
@@ -42,13 +42,22 @@
 
 typedef struct cm_map cm_map;
 
-cm_map *cm_make (void);
-void cm_destroy (cm_map *cm);
-bool cm_update (cm_map *cm, const dr_directory *directory,
-                const cm_member *members, size_t member_count);
-size_t cm_query_count (const cm_map *cm);
-const cm_cell *cm_query_at (const cm_map *cm, size_t index);
-const cm_cell *cm_find (const cm_map *cm, st_str name);
-const cm_cell *cm_find_engine (const cm_map *cm, st_str engine);
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  cm_map *cm_make (void);
+  void cm_destroy (cm_map *cm);
+  bool cm_update (cm_map *cm, const dr_directory *directory,
+                  const cm_member *members, size_t member_count);
+  size_t cm_query_count (const cm_map *cm);
+  const cm_cell *cm_query_at (const cm_map *cm, size_t index);
+  const cm_cell *cm_find (const cm_map *cm, st_str name);
+  const cm_cell *cm_find_engine (const cm_map *cm, st_str engine);
+
+#ifdef __cplusplus
+}
+#endif
 
 #endif
--- a/packages/server/dr.h
+++ b/packages/server/dr.h
@@ -39,12 +39,21 @@
 
 typedef struct dr_directory dr_directory;
 
-dr_directory *dr_make (void);
-void dr_destroy (dr_directory *dr);
-bool dr_set (dr_directory *dr, const dr_entry *entries, size_t count);
-size_t dr_query_count (const dr_directory *dr);
-const dr_entry *dr_query_at (const dr_directory *dr, size_t index);
-const dr_entry *dr_find (const dr_directory *dr, dr_kind kind, st_str name);
-bool dr_has_model (const dr_directory *dr, st_str model);
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  dr_directory *dr_make (void);
+  void dr_destroy (dr_directory *dr);
+  bool dr_set (dr_directory *dr, const dr_entry *entries, size_t count);
+  size_t dr_query_count (const dr_directory *dr);
+  const dr_entry *dr_query_at (const dr_directory *dr, size_t index);
+  const dr_entry *dr_find (const dr_directory *dr, dr_kind kind, st_str name);
+  bool dr_has_model (const dr_directory *dr, st_str model);
+
+#ifdef __cplusplus
+}
+#endif
 
 #endif
--- a/packages/server/fe.h
+++ b/packages/server/fe.h
@@ -53,16 +53,25 @@
   st_str import_from; /* address of the engine that keeps the KV state */
 } fe_place;
 
-fe_front *fe_make (const fe_desc *desc, er_error *err);
-void fe_destroy (fe_front *fe);
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  fe_front *fe_make (const fe_desc *desc, er_error *err);
+  void fe_destroy (fe_front *fe);
 
-void fe_on_grant (fe_front *fe, id_handle request, const fe_place *place);
-void fe_on_refuse (fe_front *fe, id_handle request, const char *reason,
-                   uint32_t retry_after_ms);
-void fe_on_stop (fe_front *fe, id_handle request);
+  void fe_on_grant (fe_front *fe, id_handle request, const fe_place *place);
+  void fe_on_refuse (fe_front *fe, id_handle request, const char *reason,
+                     uint32_t retry_after_ms);
+  void fe_on_stop (fe_front *fe, id_handle request);
 
-void fe_tick (fe_front *fe);
-uint32_t fe_query_open (const fe_front *fe);
-uint16_t fe_query_port (const fe_front *fe);
+  void fe_tick (fe_front *fe);
+  uint32_t fe_query_open (const fe_front *fe);
+  uint16_t fe_query_port (const fe_front *fe);
+
+#ifdef __cplusplus
+}
+#endif
 
 #endif
--- a/packages/server/ow.h
+++ b/packages/server/ow.h
@@ -45,14 +45,24 @@
   st_str resume_engine; /* engine that keeps a stopped stream; may be empty */
 } ow_ask_desc;
 
-ow_task *ow_make (const ow_desc *desc);
-void ow_destroy (ow_task *ow);
-void ow_ask (ow_task *ow, const ow_ask_desc *desc);
-void ow_cancel (ow_task *ow, id_handle request);
-void ow_first_token (ow_task *ow, id_handle request, uint64_t first_token_us);
-void ow_done (ow_task *ow, id_handle request, const cs_done_info *info);
-void ow_on_message (ow_task *ow, st_str owner, const ms_message *m);
-void ow_update (ow_task *ow);
-void ow_tick (ow_task *ow);
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  ow_task *ow_make (const ow_desc *desc);
+  void ow_destroy (ow_task *ow);
+  void ow_ask (ow_task *ow, const ow_ask_desc *desc);
+  void ow_cancel (ow_task *ow, id_handle request);
+  void ow_first_token (ow_task *ow, id_handle request,
+                       uint64_t first_token_us);
+  void ow_done (ow_task *ow, id_handle request, const cs_done_info *info);
+  void ow_on_message (ow_task *ow, st_str owner, const ms_message *m);
+  void ow_update (ow_task *ow);
+  void ow_tick (ow_task *ow);
+
+#ifdef __cplusplus
+}
+#endif
 
 #endif
--- a/packages/server/sv.h
+++ b/packages/server/sv.h
@@ -83,35 +83,44 @@
   uint64_t itl_us;         /* 0: unknown */
 } sv_evidence;
 
-sv_server *sv_make (sb_config *config, er_error *err);
-void sv_destroy (sv_server *sv);
-int sv_run (sv_server *sv);
-void sv_begin_drain (sv_server *sv);
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  sv_server *sv_make (sb_config *config, er_error *err);
+  void sv_destroy (sv_server *sv);
+  int sv_run (sv_server *sv);
+  void sv_begin_drain (sv_server *sv);
 
-uint64_t sv_now_us (const sv_server *sv);
-uint64_t sv_wall_ms (const sv_server *sv);
-uint64_t sv_random (sv_server *sv);
-st_str sv_query_incarnation (const sv_server *sv);
-bool sv_query_leaving (const sv_server *sv);
-bool sv_query_ready (const sv_server *sv, const char **why);
-size_t sv_query_members (sv_server *sv, cm_member *out, size_t max);
-uint32_t sv_query_strict_tiers (const sv_server *sv);
-bool sv_send (sv_server *sv, st_str incarnation, const ms_message *m);
-bool sv_query_policy (sv_server *sv, st_str team, st_str service,
-                      sv_policy *out, er_error *err);
-sv_peer_state sv_find_incarnation (sv_server *sv, st_str incarnation,
-                                   char *address, size_t size);
-json_t *sv_addresses_json (sv_server *sv, st_str region);
-bool sv_take_team_tokens (sv_server *sv, st_str team, uint32_t tokens);
-bool sv_take_retry (sv_server *sv);
-uint64_t sv_retry_delay_ms (sv_server *sv, unsigned attempt);
-void sv_choose_version (sv_server *sv, st_str service, st_str route,
-                        st_name *version, bool *is_new);
-const dr_entry *sv_choose_service (sv_server *sv, st_str service,
-                                   unsigned attempt);
-void sv_engine_unreachable (sv_server *sv, st_str engine);
-void sv_report_evidence (sv_server *sv, const sv_evidence *evidence);
-st_str sv_tier_name (uint8_t tier);
-uint16_t sv_socket_port (evutil_socket_t fd);
+  uint64_t sv_now_us (const sv_server *sv);
+  uint64_t sv_wall_ms (const sv_server *sv);
+  uint64_t sv_random (sv_server *sv);
+  st_str sv_query_incarnation (const sv_server *sv);
+  bool sv_query_leaving (const sv_server *sv);
+  bool sv_query_ready (const sv_server *sv, const char **why);
+  size_t sv_query_members (sv_server *sv, cm_member *out, size_t max);
+  uint32_t sv_query_strict_tiers (const sv_server *sv);
+  bool sv_send (sv_server *sv, st_str incarnation, const ms_message *m);
+  bool sv_query_policy (sv_server *sv, st_str team, st_str service,
+                        sv_policy *out, er_error *err);
+  sv_peer_state sv_find_incarnation (sv_server *sv, st_str incarnation,
+                                     char *address, size_t size);
+  json_t *sv_addresses_json (sv_server *sv, st_str region);
+  bool sv_take_team_tokens (sv_server *sv, st_str team, uint32_t tokens);
+  bool sv_take_retry (sv_server *sv);
+  uint64_t sv_retry_delay_ms (sv_server *sv, unsigned attempt);
+  void sv_choose_version (sv_server *sv, st_str service, st_str route,
+                          st_name *version, bool *is_new);
+  const dr_entry *sv_choose_service (sv_server *sv, st_str service,
+                                     unsigned attempt);
+  void sv_engine_unreachable (sv_server *sv, st_str engine);
+  void sv_report_evidence (sv_server *sv, const sv_evidence *evidence);
+  st_str sv_tier_name (uint8_t tier);
+  uint16_t sv_socket_port (evutil_socket_t fd);
+
+#ifdef __cplusplus
+}
+#endif
 
 #endif
--- /dev/null
+++ b/packages/server/tests/up_test.cc
@@ -0,0 +1,272 @@
+#include "up.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <gtest/gtest.h>
+#include <string>
+#include <unistd.h>
+#include <vector>
+
+// A server that answers each connection's first bytes by a script.
+struct Peer
+{
+  evconnlistener *listener = nullptr;
+  std::string answer;
+  bool close_after = false;
+  int accepted = 0;
+  std::string received;
+  std::vector<bufferevent *> open;
+
+  static void
+  on_read (bufferevent *bev, void *arg)
+  {
+    Peer *p = static_cast<Peer *> (arg);
+    char buffer[4096];
+    size_t n = bufferevent_read (bev, buffer, sizeof buffer);
+    p->received.append (buffer, n);
+    if (p->received.find ("\r\n\r\n") == std::string::npos)
+      return;
+    p->received.clear ();
+    bufferevent_write (bev, p->answer.data (), p->answer.size ());
+    if (p->close_after && p->answer.empty ())
+      shutdown (bufferevent_getfd (bev), SHUT_RDWR);
+    else if (p->close_after)
+      bufferevent_setcb (bev, nullptr, on_written, nullptr, p);
+  }
+
+  static void
+  on_written (bufferevent *bev, void *)
+  {
+    shutdown (bufferevent_getfd (bev), SHUT_RDWR);
+  }
+
+  static void
+  on_accept (evconnlistener *l, evutil_socket_t fd, sockaddr *, int, void *arg)
+  {
+    Peer *p = static_cast<Peer *> (arg);
+    p->accepted++;
+    bufferevent *bev = bufferevent_socket_new (evconnlistener_get_base (l), fd,
+                                               BEV_OPT_CLOSE_ON_FREE);
+    p->open.push_back (bev);
+    bufferevent_setcb (bev, on_read, nullptr, nullptr, p);
+    bufferevent_enable (bev, EV_READ | EV_WRITE);
+  }
+
+  std::string
+  start (event_base *base)
+  {
+    sockaddr_in address = {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    listener = evconnlistener_new_bind (
+        base, on_accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 16,
+        reinterpret_cast<sockaddr *> (&address), sizeof address);
+    socklen_t size = sizeof address;
+    getsockname (evconnlistener_get_fd (listener),
+                 reinterpret_cast<sockaddr *> (&address), &size);
+    return "127.0.0.1:" + std::to_string (ntohs (address.sin_port));
+  }
+
+  void
+  stop ()
+  {
+    for (bufferevent *bev : open)
+      bufferevent_free (bev);
+    open.clear ();
+    if (listener != nullptr)
+      evconnlistener_free (listener);
+    listener = nullptr;
+  }
+};
+
+struct Result
+{
+  event_base *base;
+  int done = 0;
+  up_result last = {};
+  std::string body;
+  up_pool *pool = nullptr;
+  up_id id = 0;
+  bool cancel_on_data = false;
+};
+
+static void
+on_data (void *user, evbuffer *data)
+{
+  Result *r = static_cast<Result *> (user);
+  size_t n = evbuffer_get_length (data);
+  r->body.append (reinterpret_cast<char *> (evbuffer_pullup (data, -1)), n);
+  evbuffer_drain (data, n);
+  if (r->cancel_on_data)
+    {
+      up_cancel (r->pool, r->id);
+      event_base_loopbreak (r->base);
+    }
+}
+
+static void
+on_done (void *user, const up_result *result)
+{
+  Result *r = static_cast<Result *> (user);
+  r->done++;
+  r->last = *result;
+  event_base_loopbreak (r->base);
+}
+
+class Up : public testing::Test
+{
+protected:
+  event_base *base = event_base_new ();
+  up_pool *pool = nullptr;
+  Peer peer;
+  Result result;
+
+  void
+  SetUp () override
+  {
+    up_desc desc = {};
+    desc.base = base;
+    desc.idle_timeout_ms = 300;
+    desc.connect_timeout_ms = 300;
+    pool = up_make (&desc);
+    result.base = base;
+    result.pool = pool;
+  }
+
+  void
+  TearDown () override
+  {
+    up_destroy (pool);
+    peer.stop ();
+    event_base_free (base);
+  }
+
+  void
+  call (const std::string &address, const char *body = "{}")
+  {
+    up_call_desc desc = {};
+    desc.address = st_str{ address.data (), address.size () };
+    desc.method = EVHTTP_REQ_POST;
+    desc.path = "/x";
+    desc.body = st_from_cstr (body);
+    desc.on_data = on_data;
+    desc.on_done = on_done;
+    desc.user = &result;
+    result.id = up_send (pool, &desc);
+    ASSERT_NE (result.id, 0u);
+    timeval limit = { 5, 0 };
+    event_base_loopexit (base, &limit);
+    event_base_dispatch (base);
+  }
+};
+
+// Guards against a refused connection being taken as one that may have run.
+TEST_F (Up, RefusedConnectionIsNotSent)
+{
+  std::string address = peer.start (base);
+  peer.stop ();
+  call (address);
+  EXPECT_EQ (result.done, 1);
+  EXPECT_EQ (result.last.end, UP_NOT_SENT);
+}
+
+// Guards against a request being placed again after the upstream read it.
+TEST_F (Up, CloseAfterRequestIsBroken)
+{
+  std::string address = peer.start (base);
+  peer.close_after = true;
+  call (address);
+  EXPECT_EQ (result.done, 1);
+  EXPECT_EQ (result.last.end, UP_BROKEN);
+}
+
+// Guards against a cut answer being taken as whole.
+TEST_F (Up, CutAnswerIsBroken)
+{
+  std::string address = peer.start (base);
+  peer.answer = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc";
+  peer.close_after = true;
+  call (address);
+  EXPECT_EQ (result.last.end, UP_BROKEN);
+  EXPECT_EQ (result.body, "abc");
+}
+
+// Guards against a cut chunked stream being taken as whole.
+TEST_F (Up, CutChunkedAnswerIsBroken)
+{
+  std::string address = peer.start (base);
+  peer.answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "3\r\nabc\r\n";
+  peer.close_after = true;
+  call (address);
+  EXPECT_EQ (result.last.end, UP_BROKEN);
+  EXPECT_EQ (result.body, "abc");
+}
+
+// Guards against a silent upstream that holds a request forever.
+TEST_F (Up, SilentUpstreamTimesOutAsBroken)
+{
+  std::string address = peer.start (base);
+  call (address);
+  EXPECT_EQ (result.done, 1);
+  EXPECT_EQ (result.last.end, UP_BROKEN);
+  EXPECT_STREQ (result.last.error, "timed out");
+}
+
+// Guards against garbage being taken as an answer.
+TEST_F (Up, GarbageIsBroken)
+{
+  std::string address = peer.start (base);
+  peer.answer = "this is not HTTP\r\n\r\n";
+  peer.close_after = true;
+  call (address);
+  EXPECT_EQ (result.last.end, UP_BROKEN);
+}
+
+// Guards against a new connection for each call.
+TEST_F (Up, ConnectionIsKept)
+{
+  std::string address = peer.start (base);
+  peer.answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc";
+  for (int i = 0; i < 5; i++)
+    {
+      call (address);
+      EXPECT_EQ (result.last.end, UP_COMPLETE);
+      EXPECT_EQ (result.last.status, 200);
+    }
+  EXPECT_EQ (peer.accepted, 1);
+  EXPECT_EQ (result.body, "abcabcabcabcabc");
+}
+
+// Guards against callbacks after a cancel, also from inside a callback, and
+// against the events of a cancelled call reaching the next one.
+TEST_F (Up, CancelInsideCallbackEndsTheCall)
+{
+  std::string address = peer.start (base);
+  peer.answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc";
+  result.cancel_on_data = true;
+  call (address);
+  EXPECT_EQ (result.done, 0);
+  EXPECT_EQ (up_query_calls (pool), 0u);
+  result.cancel_on_data = false;
+  result.body.clear ();
+  call (address);
+  EXPECT_EQ (result.done, 1);
+  EXPECT_EQ (result.body, "abc");
+}
+
+// Guards against malformed addresses reaching the network.
+TEST_F (Up, MalformedAddressIsRefused)
+{
+  for (const char *bad : { "", "127.0.0.1", ":80", "127.0.0.1:0",
+                           "127.0.0.1:65536", "127.0.0.1:x" })
+    {
+      char host[64];
+      uint16_t port;
+      EXPECT_FALSE (
+          up_parse_address (st_from_cstr (bad), host, sizeof host, &port))
+          << bad;
+    }
+}
--- a/packages/server/up.h
+++ b/packages/server/up.h
@@ -74,14 +74,23 @@
   uint64_t connect_timeout_ms; /* 0 means 2 s */
 } up_desc;
 
-up_pool *up_make (const up_desc *desc);
-void up_destroy (up_pool *pool);
-up_id up_send (up_pool *pool, const up_call_desc *desc);
-bool up_pause (up_pool *pool, up_id id);
-bool up_resume (up_pool *pool, up_id id);
-bool up_cancel (up_pool *pool, up_id id);
-uint32_t up_query_calls (const up_pool *pool);
-bool up_parse_address (st_str text, char *host, size_t host_size,
-                       uint16_t *port);
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  up_pool *up_make (const up_desc *desc);
+  void up_destroy (up_pool *pool);
+  up_id up_send (up_pool *pool, const up_call_desc *desc);
+  bool up_pause (up_pool *pool, up_id id);
+  bool up_resume (up_pool *pool, up_id id);
+  bool up_cancel (up_pool *pool, up_id id);
+  uint32_t up_query_calls (const up_pool *pool);
+  bool up_parse_address (st_str text, char *host, size_t host_size,
+                         uint16_t *port);
+
+#ifdef __cplusplus
+}
+#endif
 
 #endif
