Run rollouts on every VM

Cause: versions must move by evidence and be withdrawn everywhere. Change: rl_ follows the stored states, records evidence, runs the controller under a lease with compare-and-swap, orders weight loads, spreads halts; a waiting request whose version was halted gets another one.

--- a/packages/server/fe_account.c
+++ b/packages/server/fe_account.c
@@ -28,13 +28,14 @@
                             .itl_us = itl_us,
                             .tokens = r->events });
   if (end == CS_ANSWERED || end == CS_FAILED)
-    sv_report_evidence (r->fe->sv,
-                        &(sv_evidence){ .service = st_name_str (&r->model),
-                                        .version = st_name_str (&r->version),
-                                        .route = st_name_str (&r->route),
-                                        .failed = end == CS_FAILED,
-                                        .first_token_us = r->first_token_us,
-                                        .itl_us = itl_us });
+    rl_record (r->fe->sv->rollouts,
+               &(rl_sample){ .service = st_name_str (&r->model),
+                             .route = st_name_str (&r->route),
+                             .engine = st_from_cstr (r->engine),
+                             .choice = r->choice,
+                             .failed = end == CS_FAILED,
+                             .first_token_us = r->first_token_us,
+                             .inter_token_us = itl_us });
 }
 
 static void
--- a/packages/server/fe_admit.c
+++ b/packages/server/fe_admit.c
@@ -106,7 +106,7 @@
   ow_ask (r->fe->sv->owner,
           &(ow_ask_desc){ .request = r->self,
                           .model = st_name_str (&r->model),
-                          .version = st_name_str (&r->version),
+                          .version = st_name_str (&r->choice.version),
                           .team = st_name_str (&r->team),
                           .route = st_name_str (&r->route),
                           .tier = r->tier,
@@ -118,6 +118,20 @@
                               r->resumed || r->events > 0 ? r->engine : "") });
 }
 
+/* Chooses the version of R and asks for a place.  R may be gone
+   afterwards.  */
+void
+fe_choose_version (fe_request *r)
+{
+  r->choice = rl_choose (r->fe->sv->rollouts, st_name_str (&r->model),
+                         st_name_str (&r->route));
+  if (r->choice.halted)
+    fe_end (r, RQ_NOT_RUN, "no_version",
+            "every version of the model is withdrawn: ask an operator");
+  else
+    fe_ask_place (r);
+}
+
 static bool
 _fe_take_id (fe_front *fe, struct evhttp_request *req, fe_request *r)
 {
@@ -193,7 +207,5 @@
               "operator to raise limits.requests_per_s");
       return;
     }
-  sv_choose_version (fe->sv, st_name_str (&r->model), st_name_str (&r->route),
-                     &r->version, &r->on_new_version);
-  fe_ask_place (r);
+  fe_choose_version (r);
 }
--- a/packages/server/fe_dispatch.c
+++ b/packages/server/fe_dispatch.c
@@ -80,10 +80,10 @@
   const up_header headers[] = {
     { "Content-Type", "application/json" },
     { "Dotterelbend-Stream", r->id },
-    { "Dotterelbend-Version", r->version.text },
+    { "Dotterelbend-Version", r->choice.version.text },
     { "Dotterelbend-Route", r->route.text },
   };
-  size_t count = r->version.len > 0 ? G_N_ELEMENTS (headers) : 2;
+  size_t count = r->choice.version.len > 0 ? G_N_ELEMENTS (headers) : 2;
   r->call = up_send (
       r->fe->sv->up,
       &(up_call_desc){ .address = st_from_cstr (r->address),
@@ -341,6 +341,13 @@
   rq_query (fe->sv->requests, r->record, &record);
   if (record.state == RQ_DISPATCHED)
     _fe_dispatch_resume (r);
+  else if (rl_query_halted (fe->sv->rollouts, st_name_str (&r->model),
+                            st_name_str (&r->choice.version)))
+    {
+      /* The version was halted while the request waited.  */
+      fe_release_place (r, CS_CANCELLED);
+      fe_choose_version (r);
+    }
   else
     _fe_dispatch_first (r);
 }
--- a/packages/server/fe_internal.h
+++ b/packages/server/fe_internal.h
@@ -50,7 +50,7 @@
   const char *path; /* of the engine's interface */
   st_name team;
   st_name model;
-  st_name version;
+  rl_choice choice; /* version */
   st_name route;
   uint8_t tier;
   bool stream;
@@ -59,7 +59,6 @@
   bool resumed;
   bool placed; /* holds a slot */
   bool paused;
-  bool on_new_version;
   fe_state state;
   uint8_t placements;
   uint8_t resumes;
@@ -120,6 +119,7 @@
 /* fe_admit.c */
 void fe_admit (fe_front *fe, struct evhttp_request *req, fe_request *r);
 void fe_ask_place (fe_request *r);
+void fe_choose_version (fe_request *r);
 bool fe_answer_foreign (fe_front *fe, struct evhttp_request *req, st_str id,
                         bool may_redirect);
 
--- a/packages/server/ow.c
+++ b/packages/server/ow.c
@@ -528,3 +528,23 @@
 {
   _ow_repeat_where (ow, false, sv_now_us (ow->sv));
 }
+
+/* Longest wait for a slot that was seen lately at a cell of MODEL in the own
+   region.  */
+uint64_t
+ow_query_wait_us (ow_task *ow, st_str model)
+{
+  double longest = 0;
+  st_str region = st_name_str (&ow->sv->config.region);
+  for (size_t i = 0; i < cm_query_count (ow->sv->cells); i++)
+    {
+      const cm_cell *cell = cm_query_at (ow->sv->cells, i);
+      if (!st_equal (st_name_str (&cell->model), model)
+          || !st_equal (st_name_str (&cell->region), region))
+        continue;
+      double wait = _ow_expected_wait_us (ow, cell);
+      if (wait > longest)
+        longest = wait;
+    }
+  return (uint64_t)longest;
+}
--- a/packages/server/ow.h
+++ b/packages/server/ow.h
@@ -59,6 +59,7 @@
   void ow_done (ow_task *ow, id_handle request, const cs_done_info *info);
   void ow_on_message (ow_task *ow, st_str owner, const ms_message *m);
   void ow_update (ow_task *ow);
+  uint64_t ow_query_wait_us (ow_task *ow, st_str model);
   void ow_tick (ow_task *ow);
 
 #ifdef __cplusplus
--- a/packages/server/sv.c
+++ b/packages/server/sv.c
@@ -13,7 +13,8 @@
 #define _SV_TICK_MS 20
 #define _SV_LIST_PERIOD_US (500 * CK_MS_US)
 #define _SV_ADDRESSES_KEEP_S 5
-#define _SV_MAX_MEMBERS 64
+/* A wait for a slot above this counts as high load.  */
+#define _SV_HIGH_LOAD_WAIT_US (20 * CK_MS_US)
 #define _SV_RETRY_BASE_MS 50
 #define _SV_RETRY_MAX_MS 2000
 
@@ -131,8 +132,8 @@
 sv_find_incarnation (sv_server *sv, st_str incarnation, char *address,
                      size_t size)
 {
-  cm_member members[_SV_MAX_MEMBERS];
-  size_t count = sv_query_members (sv, members, _SV_MAX_MEMBERS);
+  cm_member members[SV_MAX_MEMBERS];
+  size_t count = sv_query_members (sv, members, SV_MAX_MEMBERS);
   for (size_t i = 0; i < count; i++)
     if (st_equal (members[i].incarnation, incarnation))
       {
@@ -148,8 +149,8 @@
 json_t *
 sv_addresses_json (sv_server *sv, st_str region)
 {
-  cm_member members[_SV_MAX_MEMBERS];
-  size_t count = sv_query_members (sv, members, _SV_MAX_MEMBERS);
+  cm_member members[SV_MAX_MEMBERS];
+  size_t count = sv_query_members (sv, members, SV_MAX_MEMBERS);
   json_t *list = json_array ();
   if (region.len == 0)
     region = st_name_str (&sv->config.region);
@@ -219,25 +220,31 @@
   return 1 + sv_random (sv) % limit;
 }
 
-/* Version of SERVICE that the next request of ROUTE uses; an empty one means
-   any.  */
-void
-sv_choose_version (sv_server *sv, st_str service, st_str route,
-                   st_name *version, bool *is_new)
+/* The rollout that the settings ask for.  False when they name neither a
+   version nor a rollout.  */
+bool
+sv_query_wish (sv_server *sv, st_str service, rl_wish *out)
 {
   (void)sv;
   (void)service;
-  (void)route;
-  *is_new = false;
-  st_name_set (version, ST_LIT (""));
+  memset (out, 0, sizeof *out);
+  return false;
 }
 
-/* Adds one finished request to the evidence.  */
-void
-sv_report_evidence (sv_server *sv, const sv_evidence *evidence)
+/* Time after 100% in which a version may still be taken back.  */
+uint64_t
+sv_query_watch_ms (sv_server *sv, st_str service)
 {
   (void)sv;
-  (void)evidence;
+  (void)service;
+  return 0;
+}
+
+/* True when requests for SERVICE wait for slots.  */
+bool
+sv_query_high_load (sv_server *sv, st_str service)
+{
+  return ow_query_wait_us (sv->owner, service) > _SV_HIGH_LOAD_WAIT_US;
 }
 
 /* The engine refused a connection.  */
@@ -253,8 +260,8 @@
 const dr_entry *
 sv_choose_service (sv_server *sv, st_str service, unsigned attempt)
 {
-  const dr_entry *near[_SV_MAX_MEMBERS];
-  const dr_entry *far[_SV_MAX_MEMBERS];
+  const dr_entry *near[SV_MAX_MEMBERS];
+  const dr_entry *far[SV_MAX_MEMBERS];
   size_t near_count = 0;
   size_t far_count = 0;
   for (size_t i = 0; i < dr_query_count (sv->directory); i++)
@@ -305,6 +312,10 @@
     case MS_SLOT_STOP:
       ow_on_message (sv->owner, sender, m);
       break;
+    case MS_HALT:
+    case MS_EVIDENCE:
+      rl_on_message (sv->rollouts, sender, m);
+      break;
     default:
       break;
     }
@@ -326,8 +337,8 @@
 static void
 _sv_update_cells (sv_server *sv)
 {
-  cm_member members[_SV_MAX_MEMBERS];
-  size_t count = sv_query_members (sv, members, _SV_MAX_MEMBERS);
+  cm_member members[SV_MAX_MEMBERS];
+  size_t count = sv_query_members (sv, members, SV_MAX_MEMBERS);
   bool changed = cm_update (sv->cells, sv->directory, members, count);
   cl_update (sv->owned);
   if (changed)
@@ -410,6 +421,7 @@
   _sv_poll_list (sv, sv_now_us (sv));
   cl_tick (sv->owned);
   ow_tick (sv->owner);
+  rl_tick (sv->rollouts);
   fe_tick (sv->front);
   if (sv->state->leaving && fe_query_open (sv->front) == 0)
     {
@@ -538,6 +550,7 @@
   _sv_free_event (sv->state->sigint);
   fe_destroy (sv->front);
   up_destroy (sv->up);
+  rl_destroy (sv->rollouts);
   ow_destroy (sv->owner);
   cl_destroy (sv->owned);
   cm_destroy (sv->cells);
--- a/packages/server/sv.h
+++ b/packages/server/sv.h
@@ -20,6 +20,7 @@
 #include "mt.h"
 #include "ow.h"
 #include "pf.h"
+#include "rl.h"
 #include "rq.h"
 #include "sb.h"
 #include "up.h"
@@ -30,6 +31,7 @@
 #include <jansson.h>
 
 #define SV_TIERS 5
+#define SV_MAX_MEMBERS 64
 
 struct sv_server
 {
@@ -45,6 +47,7 @@
   cm_map *cells;
   cl_task *owned;
   ow_task *owner;
+  rl_task *rollouts;
   fe_front *front;
   struct sv_state *state; /* private to sv.c */
 };
@@ -72,17 +75,6 @@
   uint64_t deadline_ms;
 } sv_policy;
 
-/* One finished request, for the rollout's evidence.  */
-typedef struct
-{
-  st_str service;
-  st_str version;
-  st_str route;
-  bool failed;
-  uint64_t first_token_us; /* 0: none seen */
-  uint64_t itl_us;         /* 0: unknown */
-} sv_evidence;
-
 #ifdef __cplusplus
 extern "C"
 {
@@ -110,12 +102,12 @@
   bool sv_take_team_tokens (sv_server *sv, st_str team, uint32_t tokens);
   bool sv_take_retry (sv_server *sv);
   uint64_t sv_retry_delay_ms (sv_server *sv, unsigned attempt);
-  void sv_choose_version (sv_server *sv, st_str service, st_str route,
-                          st_name *version, bool *is_new);
   const dr_entry *sv_choose_service (sv_server *sv, st_str service,
                                      unsigned attempt);
   void sv_engine_unreachable (sv_server *sv, st_str engine);
-  void sv_report_evidence (sv_server *sv, const sv_evidence *evidence);
+  bool sv_query_wish (sv_server *sv, st_str service, rl_wish *out);
+  uint64_t sv_query_watch_ms (sv_server *sv, st_str service);
+  bool sv_query_high_load (sv_server *sv, st_str service);
   st_str sv_tier_name (uint8_t tier);
   uint16_t sv_socket_port (evutil_socket_t fd);
 
