--- a/packages/server/sv.c
+++ b/packages/server/sv.c
@@ -12,7 +12,6 @@
 
 #define _SV_TICK_MS 20
 #define _SV_LIST_PERIOD_US (500 * CK_MS_US)
-#define _SV_LIST_TIMEOUT_MS 2000
 #define _SV_ADDRESSES_KEEP_S 5
 #define _SV_MAX_MEMBERS 64
 #define _SV_RETRY_BASE_MS 50
@@ -27,7 +26,6 @@
   bool list_seen;
   bool list_asked;
   uint64_t next_list_us;
-  struct evbuffer *list_body;
   unsigned service_next;
 };
 
@@ -112,11 +110,11 @@
 
 /* Fills OUT with the VMs that take part, this one first.  */
 size_t
-sv_query_members (sv_server *sv, sv_member *out, size_t max)
+sv_query_members (sv_server *sv, cm_member *out, size_t max)
 {
   if (max == 0)
     return 0;
-  out[0] = (sv_member){
+  out[0] = (cm_member){
     .name = st_name_str (&sv->config.vm_name),
     .incarnation = st_from_cstr (sv->incarnation),
     .region = st_name_str (&sv->config.region),
@@ -133,7 +131,7 @@
 sv_find_incarnation (sv_server *sv, st_str incarnation, char *address,
                      size_t size)
 {
-  sv_member members[_SV_MAX_MEMBERS];
+  cm_member members[_SV_MAX_MEMBERS];
   size_t count = sv_query_members (sv, members, _SV_MAX_MEMBERS);
   for (size_t i = 0; i < count; i++)
     if (st_equal (members[i].incarnation, incarnation))
@@ -150,7 +148,7 @@
 json_t *
 sv_addresses_json (sv_server *sv, st_str region)
 {
-  sv_member members[_SV_MAX_MEMBERS];
+  cm_member members[_SV_MAX_MEMBERS];
   size_t count = sv_query_members (sv, members, _SV_MAX_MEMBERS);
   json_t *list = json_array ();
   if (region.len == 0)
@@ -158,7 +156,7 @@
   for (int near = 1; near >= 0; near--)
     for (size_t i = 0; i < count; i++)
       {
-        const sv_member *m = &members[i];
+        const cm_member *m = &members[i];
         if (m->leaving || st_equal (m->region, region) != (near == 1))
           continue;
         json_array_append_new (
@@ -281,101 +279,114 @@
   return near_count > 0 ? near[attempt % near_count] : NULL;
 }
 
-/* ---- VM list ---- */
-
-static void
-_sv_get_name (json_t *object, const char *key, st_name *out)
+/* Tiers 0 to N-1 that are urgent.  */
+uint32_t
+sv_query_strict_tiers (const sv_server *sv)
 {
-  json_t *value = json_object_get (object, key);
-  if (json_is_string (value))
-    st_name_set (out, (st_str){ json_string_value (value),
-                                json_string_length (value) });
+  (void)sv;
+  return 2;
 }
 
-static bool
-_sv_parse_entry (json_t *item, dr_entry *out)
-{
-  size_t index;
-  json_t *version;
-  st_name kind = { 0 };
-  st_name state = { 0 };
-  memset (out, 0, sizeof *out);
-  _sv_get_name (item, "kind", &kind);
-  _sv_get_name (item, "state", &state);
-  _sv_get_name (item, "name", &out->name);
-  _sv_get_name (item, "address", &out->address);
-  _sv_get_name (item, "peer_address", &out->peer_address);
-  _sv_get_name (item, "region", &out->region);
-  _sv_get_name (item, "data_center", &out->data_center);
-  out->leaving = st_equal (st_name_str (&state), ST_LIT ("leaving"));
-  out->slots = (uint32_t)json_integer_value (json_object_get (item, "slots"));
-  json_array_foreach (json_object_get (item, "versions"), index, version)
-  {
-    if (out->version_count < DR_VERSIONS_MAX && json_is_string (version))
-      st_name_set (&out->versions[out->version_count++],
-                   st_from_cstr (json_string_value (version)));
-  }
-  if (st_equal (st_name_str (&kind), ST_LIT ("vm")))
-    out->kind = DR_VM;
-  else if (st_equal (st_name_str (&kind), ST_LIT ("engine")))
-    {
-      out->kind = DR_ENGINE;
-      _sv_get_name (item, "model", &out->serves);
-    }
-  else if (st_equal (st_name_str (&kind), ST_LIT ("service")))
+/* ---- messages ---- */
+
+static void
+_sv_on_message (sv_server *sv, st_str sender, const ms_message *m)
+{
+  switch (m->type)
     {
-      out->kind = DR_SERVICE;
-      _sv_get_name (item, "service", &out->serves);
+    case MS_SLOT_ASK:
+    case MS_SLOT_DONE:
+    case MS_SLOT_HOLD:
+    case MS_SLOT_CANCEL:
+      cl_on_message (sv->owned, sender, m);
+      break;
+    case MS_SLOT_GRANT:
+    case MS_SLOT_REFUSE:
+    case MS_SLOT_STOP:
+      ow_on_message (sv->owner, sender, m);
+      break;
+    default:
+      break;
     }
-  else
+}
+
+/* Sends M to the process INCARNATION, which may be this one.  False when
+   there is no connection; M is then lost.  */
+bool
+sv_send (sv_server *sv, st_str incarnation, const ms_message *m)
+{
+  if (!st_equal_cstr (incarnation, sv->incarnation))
     return false;
-  return out->name.len > 0 && out->address.len > 0;
+  _sv_on_message (sv, incarnation, m);
+  return true;
 }
 
+/* Computes the cells again after a change of the directory or the members,
+   and tells the tasks that follow them.  */
 static void
-_sv_apply_list (sv_server *sv, json_t *body)
+_sv_update_cells (sv_server *sv)
 {
-  size_t index;
-  json_t *item;
-  json_t *list = json_object_get (body, "vms");
-  if (!json_is_array (list))
-    return;
-  GArray *entries = g_array_new (FALSE, TRUE, sizeof (dr_entry));
-  json_array_foreach (list, index, item)
-  {
-    dr_entry entry;
-    if (_sv_parse_entry (item, &entry))
-      g_array_append_val (entries, entry);
-    else
-      lg_log (LG_WARNING, "", "entry %zu of the VM list is malformed", index);
-  }
-  sv->state->list_seen = true;
-  if (dr_set (sv->directory, (dr_entry *)(void *)entries->data, entries->len))
-    ow_set_upstreams (sv->owner);
-  g_array_free (entries, TRUE);
+  cm_member members[_SV_MAX_MEMBERS];
+  size_t count = sv_query_members (sv, members, _SV_MAX_MEMBERS);
+  bool changed = cm_update (sv->cells, sv->directory, members, count);
+  cl_update (sv->owned);
+  if (changed)
+    ow_update (sv->owner);
 }
 
-static void
-_sv_on_list_data (void *user, struct evbuffer *data)
+/* ---- VM list ---- */
+
+static dr_entry
+_sv_entry_of (const pf_vm *vm)
 {
-  sv_server *sv = user;
-  evbuffer_add_buffer (sv->state->list_body, data);
+  dr_entry entry;
+  memset (&entry, 0, sizeof entry);
+  switch (vm->kind)
+    {
+    case PF_VM:
+      entry.kind = DR_VM;
+      break;
+    case PF_ENGINE:
+      entry.kind = DR_ENGINE;
+      st_name_set (&entry.serves, vm->model);
+      break;
+    case PF_SERVICE:
+      entry.kind = DR_SERVICE;
+      st_name_set (&entry.serves, vm->service);
+      break;
+    }
+  st_name_set (&entry.name, vm->name);
+  st_name_set (&entry.address, vm->address);
+  st_name_set (&entry.peer_address, vm->peer_address);
+  st_name_set (&entry.region, vm->region);
+  st_name_set (&entry.data_center, vm->data_center);
+  for (uint32_t i = 0; i < vm->version_count && i < DR_VERSIONS_MAX; i++)
+    st_name_set (&entry.versions[entry.version_count++], vm->versions[i]);
+  entry.slots = vm->slots;
+  entry.leaving = vm->leaving;
+  return entry;
 }
 
 static void
-_sv_on_list_done (void *user, const up_result *result)
+_sv_on_vm_list (const pf_answer *answer, void *user)
 {
   sv_server *sv = user;
-  struct evbuffer *data = sv->state->list_body;
   sv->state->list_asked = false;
-  if (result->end == UP_COMPLETE && result->status == 200)
+  if (answer->result != PF_OK)
+    return;
+  if (answer->malformed > 0)
+    lg_log (LG_WARNING, "", "%u entries of the VM list are malformed",
+            answer->malformed);
+  GArray *entries = g_array_new (FALSE, TRUE, sizeof (dr_entry));
+  for (uint32_t i = 0; i < answer->vm_count; i++)
     {
-      json_t *body = json_loadb ((const char *)evbuffer_pullup (data, -1),
-                                 evbuffer_get_length (data), 0, NULL);
-      _sv_apply_list (sv, body);
-      json_decref (body);
+      dr_entry entry = _sv_entry_of (&answer->vms[i]);
+      g_array_append_val (entries, entry);
     }
-  evbuffer_drain (data, evbuffer_get_length (data));
+  sv->state->list_seen = true;
+  if (dr_set (sv->directory, (dr_entry *)(void *)entries->data, entries->len))
+    _sv_update_cells (sv);
+  g_array_free (entries, TRUE);
 }
 
 static void
@@ -384,16 +395,8 @@
   if (sv->state->list_asked || now_us < sv->state->next_list_us)
     return;
   sv->state->next_list_us = now_us + _SV_LIST_PERIOD_US;
-  sv->state->list_asked
-      = up_send (sv->up,
-                 &(up_call_desc){ .address = st_name_str (&sv->config.vm_list),
-                                  .method = EVHTTP_REQ_GET,
-                                  .path = "/vms",
-                                  .idle_timeout_ms = _SV_LIST_TIMEOUT_MS,
-                                  .on_data = _sv_on_list_data,
-                                  .on_done = _sv_on_list_done,
-                                  .user = sv })
-        != 0;
+  sv->state->list_asked = true;
+  pf_vm_list (sv->platform, _sv_on_vm_list, sv);
 }
 
 /* ---- life ---- */
@@ -405,6 +408,7 @@
   (void)fd;
   (void)what;
   _sv_poll_list (sv, sv_now_us (sv));
+  cl_tick (sv->owned);
   ow_tick (sv->owner);
   fe_tick (sv->front);
   if (sv->state->leaving && fe_query_open (sv->front) == 0)
@@ -434,6 +438,12 @@
   sv_begin_drain (arg);
 }
 
+static const char *
+_sv_address_or_null (const st_name *address)
+{
+  return address->len > 0 ? address->text : NULL;
+}
+
 static bool
 _sv_start_tasks (sv_server *sv, er_error *err)
 {
@@ -443,8 +453,20 @@
   if (!up_parse_address (listen, host, sizeof host, &port))
     return er_set (err, ER_INVALID, "listen.callers '%.*s' is not IP:PORT",
                    ST_FMT (listen));
+  sv->platform = pf_make (
+      &(pf_desc){ .base = sv->base,
+                  .driver = PF_HTTP,
+                  .store = _sv_address_or_null (&sv->config.store),
+                  .vm_list = _sv_address_or_null (&sv->config.vm_list),
+                  .weights = _sv_address_or_null (&sv->config.weights),
+                  .seed = sv_random (sv) },
+      err);
+  if (sv->platform == NULL)
+    return false;
   sv->up = up_make (&(up_desc){ .base = sv->base });
   sv->directory = dr_make ();
+  sv->cells = cm_make ();
+  sv->owned = cl_make (&(cl_desc){ .server = sv });
   sv->owner = ow_make (&(ow_desc){ .server = sv });
   sv->requests = rq_make (
       &(rq_desc){ .incarnation = st_from_cstr (sv->incarnation),
@@ -471,7 +493,6 @@
   memset (config, 0, sizeof *config);
   sv->base = event_base_new ();
   sv->metrics = mt_make (&(mt_desc){ 0 });
-  sv->state->list_body = evbuffer_new ();
   g_snprintf (sv->incarnation, sizeof sv->incarnation,
               "%s-%016" G_GINT64_MODIFIER "x", sv->config.vm_name.text,
               sv_random (sv));
@@ -518,10 +539,12 @@
   fe_destroy (sv->front);
   up_destroy (sv->up);
   ow_destroy (sv->owner);
+  cl_destroy (sv->owned);
+  cm_destroy (sv->cells);
+  pf_destroy (sv->platform);
   rq_destroy (sv->requests);
   dr_destroy (sv->directory);
   mt_destroy (sv->metrics);
-  evbuffer_free (sv->state->list_body);
   event_base_free (sv->base);
   sb_free (&sv->config);
   g_free (sv->state);
