--- a/packages/wire/fuzz/run.sh
+++ b/packages/wire/fuzz/run.sh
@@ -14,5 +14,5 @@
 clang++ -std=c++17 -g -O1 -fsanitize=fuzzer,address,undefined -Ipackages/base \
   -Ipackages/wire $cflags packages/wire/fuzz/ms_fuzz.cc "$work"/*.o $libs -o "$work/ms_fuzz"
 echo "work folder: $work"
-"$work/ms_fuzz" -max_total_time="${1:-60}" -max_len=4096 -timeout=5 \
+"$work/ms_fuzz" -max_total_time="${1:-60}" -max_len=4096 -timeout=5 -use_value_profile=1 \
   -artifact_prefix="$work/" "$work/corpus"
--- a/packages/wire/ms.c
+++ b/packages/wire/ms.c
@@ -623,8 +623,9 @@
 _ms_io_abandon_ask (_ms_io *io, ms_abandon_ask *m)
 {
   _ms_io saved;
-  if (!_ms_enter (io, "body", 2, &saved))
+  if (!_ms_enter (io, "body", 3, &saved))
     return;
+  _ms_key (io, "incarnation", &m->incarnation, MS_INCARNATION_MAX);
   _ms_key (io, "key", &m->key, MS_KEY_MAX);
   _ms_u64 (io, "attempt", &m->attempt, UINT64_MAX);
   _ms_leave (io, &saved);
--- a/packages/wire/ms.h
+++ b/packages/wire/ms.h
@@ -304,7 +304,8 @@
 
 typedef struct
 {
-  st_str key; /* (team, service, key) in one string */
+  st_str incarnation; /* that holds the attempt */
+  st_str key;         /* (team, service, key) in one string */
   uint64_t attempt;
 } ms_abandon_ask;
 
--- a/packages/wire/tests/ms_test.cc
+++ b/packages/wire/tests/ms_test.cc
@@ -153,7 +153,7 @@
           m.u.evidence = { str ("a-1"), 3, 2, entries };
           break;
         case MS_ABANDON_ASK:
-          m.u.abandon_ask = { str ("night/orders/k1"), 99 };
+          m.u.abandon_ask = { str ("a-1"), str ("night/orders/k1"), 99 };
           break;
         case MS_ABANDON_REPLY:
           m.u.abandon_reply = { str ("night/orders/k1"), 99, true };
