--- a/packages/server/ow.c
+++ b/packages/server/ow.c
@@ -500,7 +500,8 @@
       const _ow_ticket *t = g_hash_table_lookup (ow->tickets, at->data);
       const cm_cell *cell
           = all ? cm_find (ow->sv->cells, st_name_str (&t->cell)) : NULL;
-      bool moved = all && (cell == NULL || strcmp (cell->owner, t->owner) != 0);
+      bool moved
+          = all && (cell == NULL || strcmp (cell->owner, t->owner) != 0);
       if (moved || t->repeat_us <= now_us)
         g_array_append_val (due, t->request);
     }
--- a/packages/server/sv.c
+++ b/packages/server/sv.c
@@ -480,6 +480,7 @@
   sv->cells = cm_make ();
   sv->owned = cl_make (&(cl_desc){ .server = sv });
   sv->owner = ow_make (&(ow_desc){ .server = sv });
+  sv->rollouts = rl_make (&(rl_desc){ .server = sv });
   sv->requests = rq_make (
       &(rq_desc){ .incarnation = st_from_cstr (sv->incarnation),
                   .capacity = (uint32_t)sv->config.limits.open_requests });
