Resume requests whose owner is gone from the engines

Cause: after the death of a VM its callers got no answer although an engine had it. Change: an id of a process that is gone is looked up at the engines and the stream is read from there; it is never dispatched; otherwise unknown.

--- a/packages/server/fe_account.c
+++ b/packages/server/fe_account.c
@@ -96,7 +96,7 @@
 fe_end (fe_request *r, rq_outcome outcome, const char *kind,
         const char *message)
 {
-  if (!rq_finish (r->fe->sv->requests, r->record, outcome))
+  if (!r->foreign && !rq_finish (r->fe->sv->requests, r->record, outcome))
     {
       /* The table refuses a promise that does not hold.  */
       lg_log (LG_ERROR, r->id, "outcome %s was refused; unknown is told",
--- a/packages/server/fe_admit.c
+++ b/packages/server/fe_admit.c
@@ -45,56 +45,40 @@
   fe_reply_error (fe, req, &error);
 }
 
-/* Answers a request whose id names another process.  A live owner gets the
-   caller by redirect; for a dead one the outcome is unknown.  False when the
-   id is malformed.  */
+/* Sends the caller to the process that owns the id, when that is alive.
+   False when it is gone or not known.  */
 bool
-fe_answer_foreign (fe_front *fe, struct evhttp_request *req, st_str id,
-                   bool may_redirect)
+fe_redirect (fe_front *fe, struct evhttp_request *req, st_str id)
 {
   rq_id parts;
   char address[80];
+  char text[RQ_ID_MAX];
+  char location[512];
   if (!rq_parse_id (id, &parts))
     return false;
-  char text[RQ_ID_MAX];
-  g_snprintf (text, sizeof text, "%.*s", ST_FMT (id));
   switch (
       sv_find_incarnation (fe->sv, parts.incarnation, address, sizeof address))
     {
     case SV_PEER_ALIVE:
     case SV_PEER_LEAVING:
-      if (may_redirect)
-        {
-          char location[512];
-          g_snprintf (location, sizeof location, "http://%s%s", address,
-                      evhttp_request_get_uri (req));
-          evhttp_add_header (evhttp_request_get_output_headers (req),
-                             "Location", location);
-          fe_count (fe, "dotterelbend_redirects_total", NULL, ST_LIT (""));
-          fe_reply_error (fe, req,
-                          &(fe_error){ .status = 307,
-                                       .kind = ER_CONFLICT,
-                                       .name = "other_owner",
-                                       .request_id = text,
-                                       .message
-                                       = "another VM owns this id: follow the "
-                                         "Location header" });
-          return true;
-        }
       break;
     case SV_PEER_DEAD:
     case SV_PEER_UNKNOWN:
-      break;
+      return false;
     }
+  g_snprintf (text, sizeof text, "%.*s", ST_FMT (id));
+  g_snprintf (location, sizeof location, "http://%s%s", address,
+              evhttp_request_get_uri (req));
+  evhttp_add_header (evhttp_request_get_output_headers (req), "Location",
+                     location);
+  fe_count (fe, "dotterelbend_redirects_total", NULL, ST_LIT (""));
   fe_reply_error (fe, req,
-                  &(fe_error){ .status = 409,
+                  &(fe_error){ .status = 307,
                                .kind = ER_CONFLICT,
-                               .name = "owner_gone",
-                               .outcome = RQ_UNKNOWN,
+                               .name = "other_owner",
                                .request_id = text,
-                               .message = "the process that owned this id is "
-                                          "gone; the request is not sent "
-                                          "again" });
+                               .message = "another VM owns this id: follow "
+                                          "the Location header" });
   return true;
 }
 
@@ -183,8 +167,10 @@
                        fe_record_json (fe, &record));
       return;
     case RQ_OTHER_OWNER:
-      fe_answer_foreign (fe, req, id, true);
-      fe_request_free (r);
+      if (fe_redirect (fe, req, id))
+        fe_request_free (r);
+      else
+        fe_recover (r, req, 0);
       return;
     default:
       _fe_refuse_verdict (fe, req, r, verdict);
--- a/packages/server/fe_dispatch.c
+++ b/packages/server/fe_dispatch.c
@@ -124,6 +124,11 @@
 _fe_lose (fe_request *r, const char *why)
 {
   char message[160];
+  if (r->foreign && r->events == 0)
+    {
+      fe_recover_next (r);
+      return;
+    }
   g_snprintf (message, sizeof message,
               "the connection to engine %s broke (%s) and the engine does not "
               "know the stream; the request is not sent again",
@@ -266,6 +271,17 @@
   event_base_once (r->fe->sv->base, -1, EV_TIMEOUT, callback, ref, &tv);
 }
 
+/* Reads the events of a stream that the engine has; PATH says from which
+   one on.  */
+void
+fe_call_stream (fe_request *r, const char *path)
+{
+  r->resumed = true;
+  r->state = FE_RESUMING;
+  if (_fe_call (r, EVHTTP_REQ_GET, path, ST_LIT (""), true) == 0)
+    _fe_lose (r, "no connection could be made");
+}
+
 static void
 _fe_on_retry_timer (evutil_socket_t fd, short what, void *arg)
 {
@@ -275,16 +291,16 @@
   if (r == NULL || r->state != FE_RESUMING || r->call != 0)
     return;
   char path[RQ_ID_MAX + 48];
-  g_snprintf (path, sizeof path, "/v1/streams/%s?from=%u", r->id, r->events);
-  if (_fe_call (r, EVHTTP_REQ_GET, path, ST_LIT (""), true) == 0)
-    _fe_lose (r, "no connection could be made");
+  g_snprintf (path, sizeof path, "/v1/streams/%s?from=%u", r->id,
+              r->recover_from + r->events);
+  fe_call_stream (r, path);
 }
 
 /* Fetches the events from the last whole one on from the same engine.  */
 static void
 _fe_fetch_rest (fe_request *r)
 {
-  if (r->resumes >= FE_MAX_RESUMES)
+  if (r->resumes >= FE_MAX_RESUMES || (r->foreign && r->events == 0))
     {
       _fe_lose (r, "resumed too often");
       return;
@@ -467,7 +483,7 @@
 void
 fe_dispatch_abort (fe_request *r)
 {
-  rq_record record;
+  rq_record record = { .state = RQ_DISPATCHED };
   rq_query (r->fe->sv->requests, r->record, &record);
   if (r->call != 0)
     up_cancel (r->fe->sv->up, r->call);
@@ -480,6 +496,11 @@
       fe_end (r, RQ_NOT_RUN, "cancelled", "the request was cancelled");
       return;
     }
+  if (r->foreign)
+    {
+      fe_end (r, RQ_UNKNOWN, "cancelled", "the caller is gone");
+      return;
+    }
   char path[RQ_ID_MAX + 48];
   g_snprintf (path, sizeof path, "/v1/streams/%s", r->id);
   up_send (r->fe->sv->up,
--- a/packages/server/fe_internal.h
+++ b/packages/server/fe_internal.h
@@ -59,6 +59,7 @@
   bool resumed;
   bool placed; /* holds a slot */
   bool paused;
+  bool foreign; /* owned by a process that is gone; only resumed */
   fe_state state;
   uint8_t placements;
   uint8_t resumes;
@@ -88,7 +89,9 @@
   char error[200];
   uint32_t retry_after_ms;
   fe_reader *readers;
-  GList *kept; /* link in the list of kept answers */
+  GList *kept;           /* link in the list of kept answers */
+  uint32_t recover_from; /* first event that the caller wants */
+  uint32_t candidate;    /* engines that were asked for the stream */
 };
 
 struct fe_front
@@ -120,12 +123,17 @@
 void fe_admit (fe_front *fe, struct evhttp_request *req, fe_request *r);
 void fe_ask_place (fe_request *r);
 void fe_choose_version (fe_request *r);
-bool fe_answer_foreign (fe_front *fe, struct evhttp_request *req, st_str id,
-                        bool may_redirect);
+bool fe_redirect (fe_front *fe, struct evhttp_request *req, st_str id);
 
 /* fe_dispatch.c */
 void fe_dispatch_abort (fe_request *r);
 
+void fe_call_stream (fe_request *r, const char *path);
+
+/* fe_recover.c */
+void fe_recover (fe_request *r, struct evhttp_request *req, uint32_t from);
+void fe_recover_next (fe_request *r);
+
 /* fe_stream.c */
 void fe_attach (fe_request *r, struct evhttp_request *req, uint32_t from);
 void fe_append (fe_request *r, struct evbuffer *data);
--- a/packages/server/fe_query.c
+++ b/packages/server/fe_query.c
@@ -131,6 +131,32 @@
     }
 }
 
+/* A question about an id whose owner is gone.  Its answer is resumed from
+   the engine that has the stream; its outcome is unknown otherwise.  */
+static void
+_fe_query_orphan (fe_front *fe, struct evhttp_request *req, st_str id,
+                  bool answer)
+{
+  char text[RQ_ID_MAX];
+  uint32_t from;
+  g_snprintf (text, sizeof text, "%.*s", ST_FMT (id));
+  fe_request *r = answer ? fe_request_make (fe) : NULL;
+  if (r != NULL)
+    {
+      _fe_query_from (req, &from);
+      g_strlcpy (r->id, text, sizeof r->id);
+      r->path = "/v1/completions";
+      r->stream = true;
+      fe_recover (r, req, from);
+      return;
+    }
+  fe_reply_json (req, 200,
+                 json_pack ("{s:s,s:s,s:s,s:s}", "id", text, "state",
+                            "owner_gone", "outcome", "unknown", "message",
+                            "the process that owned this id is gone; GET "
+                            ".../answer fetches what an engine still has"));
+}
+
 /* GET /v1/requests/ID, GET /v1/requests/ID/answer and DELETE
    /v1/requests/ID.  REST is the path behind "/v1/requests/".  A question
    about an id that never arrived makes it refused, so that the answer "not
@@ -149,7 +175,8 @@
       = rq_lookup (fe->sv->requests, id, sv_wall_ms (fe->sv), true, &record);
   if (verdict == RQ_OTHER_OWNER)
     {
-      fe_answer_foreign (fe, req, id, true);
+      if (!fe_redirect (fe, req, id))
+        _fe_query_orphan (fe, req, id, answer);
       return;
     }
   if (verdict != RQ_SEEN)
