--- a/packages/testing/te.c
+++ b/packages/testing/te.c
@@ -613,7 +613,6 @@
   te_engine *e = user;
   (void)fd;
   (void)what;
-  e->step_armed = false;
   for (int n = 0; n < TE_STEPS_A_TURN && e->running->len > 0; n++)
     {
       uint64_t now_us = ck_now_us (&e->clock);
@@ -626,6 +625,7 @@
       if (e->step_due_us + 50 * CK_MS_US < now_us)
         e->step_due_us = now_us;
     }
+  e->step_armed = false;
   _te_arm (e);
 }
 
--- /dev/null
+++ b/packages/testing/tests/e2e_request_test.cc
@@ -0,0 +1,300 @@
+// Failures around drafts, with the real programs on loopback.
+#include "proc.h"
+
+#include <csignal>
+#include <future>
+#include <gtest/gtest.h>
+
+using proc::Cluster;
+using proc::ClusterDesc;
+using proc::Response;
+
+namespace
+{
+
+const uint32_t seed = 7;
+
+// Streams of 100 tokens that take about 2 s.
+ClusterDesc
+slow_engines (int vms)
+{
+  ClusterDesc desc;
+  desc.vms = vms;
+  desc.engine_args = { "--decode", "50", "--slots", "16" };
+  desc.seed = seed;
+  return desc;
+}
+
+class E2eRequest : public testing::Test
+{
+protected:
+  void
+  run (const ClusterDesc &desc)
+  {
+    printf ("seed %u\n", desc.seed);
+    cluster = std::make_unique<Cluster> (desc);
+    ASSERT_TRUE (cluster->start ()) << cluster->error;
+  }
+
+  void
+  TearDown () override
+  {
+    if (HasFailure () && cluster)
+      cluster->print_logs ();
+  }
+
+  std::vector<std::future<Response>>
+  send (int vm, const std::vector<std::string> &ids, int tokens)
+  {
+    std::vector<std::future<Response>> answers;
+    for (const std::string &id : ids)
+      answers.push_back (std::async (std::launch::async, [=] {
+        return cluster->draft (vm, id, tokens);
+      }));
+    return answers;
+  }
+
+  std::vector<std::string>
+  ids (int vm, int count)
+  {
+    std::vector<std::string> out;
+    for (int i = 0; i < count; i++)
+      out.push_back (cluster->new_id (vm));
+    return out;
+  }
+
+  // No stream was dispatched twice, and none that was told not to run ran.
+  void
+  check_received (const std::map<std::string, std::string> &outcomes)
+  {
+    std::map<std::string, int> received = cluster->received ();
+    for (const auto &entry : received)
+      EXPECT_LE (entry.second, 1) << entry.first << " was dispatched twice";
+    for (const auto &entry : outcomes)
+      if (entry.second == "not_run")
+        {
+          EXPECT_EQ (received[entry.first], 0)
+              << entry.first << " was told not to run and ran";
+        }
+  }
+
+  std::unique_ptr<Cluster> cluster;
+};
+
+} // namespace
+
+// Guards against a second dispatch of requests whose VM was killed, and
+// against callers that are told "not run" though their request ran.
+TEST_F (E2eRequest, VmKilledWithRequestsInFlight)
+{
+  run (slow_engines (3));
+  std::vector<std::string> sent = ids (0, 8);
+  auto answers = send (0, sent, 100);
+  ASSERT_TRUE (proc::wait_until (
+      5000, [&] { return cluster->running_streams () == 8; }));
+  cluster->vm (0).process.signal (SIGKILL);
+  for (auto &a : answers)
+    EXPECT_FALSE (a.get ().done ());
+  std::map<std::string, std::string> outcomes;
+  for (const std::string &id : sent)
+    {
+      // The caller sends the same id again at another VM, then asks.
+      Response again = cluster->draft (1, id, 100);
+      EXPECT_NE (again.outcome (), "not_run") << again.body;
+      if (again.done ())
+        {
+          EXPECT_EQ (again.text (), Cluster::expected (id, 100));
+        }
+      std::string stated;
+      proc::wait_until (15000, [&] {
+        stated = cluster->outcome (2, id);
+        return stated == "answered" || stated == "unknown"
+               || stated == "not_run";
+      });
+      EXPECT_TRUE (stated == "answered" || stated == "unknown") << stated;
+      outcomes[id] = stated;
+    }
+  check_received (outcomes);
+  // The other VMs go on.
+  std::string id = cluster->new_id (1);
+  EXPECT_EQ (cluster->draft (1, id, 4).text (), Cluster::expected (id, 4));
+}
+
+// Guards against answers that are lost or sent twice when a VM was paused.
+TEST_F (E2eRequest, VmPausedAndResumed)
+{
+  run (slow_engines (3));
+  std::vector<std::string> sent = ids (0, 6);
+  auto answers = send (0, sent, 100);
+  ASSERT_TRUE (proc::wait_until (
+      5000, [&] { return cluster->running_streams () == 6; }));
+  cluster->vm (0).process.signal (SIGSTOP);
+  std::string other = cluster->new_id (1);
+  EXPECT_EQ (cluster->draft (1, other, 4).text (),
+             Cluster::expected (other, 4))
+      << "the other VMs go on";
+  proc::sleep_ms (4000);
+  cluster->vm (0).process.signal (SIGCONT);
+  for (size_t i = 0; i < sent.size (); i++)
+    {
+      Response r = answers[i].get ();
+      EXPECT_TRUE (r.done ()) << r.error << r.body.size ();
+      EXPECT_EQ (r.text (), Cluster::expected (sent[i], 100));
+    }
+  check_received ({});
+  std::string after = cluster->new_id (1);
+  EXPECT_EQ (cluster->draft (1, after, 4).text (),
+             Cluster::expected (after, 4));
+}
+
+// Guards against a cut connection to an engine that is answered by a second
+// dispatch or a short answer instead of a resume.
+TEST_F (E2eRequest, ConnectionsToEnginesCut)
+{
+  run (slow_engines (1));
+  std::vector<std::string> sent = ids (0, 6);
+  auto answers = send (0, sent, 100);
+  ASSERT_TRUE (proc::wait_until (
+      5000, [&] { return cluster->running_streams () == 6; }));
+  proc::sleep_ms (300);
+  for (int cut = 0; cut < 2; cut++)
+    {
+      for (int i = 0; i < 3; i++)
+        cluster->faults (cluster->engine (i), R"({"cut_streams":true})");
+      proc::sleep_ms (400);
+    }
+  for (size_t i = 0; i < sent.size (); i++)
+    {
+      Response r = answers[i].get ();
+      EXPECT_TRUE (r.done ()) << r.body;
+      EXPECT_EQ (r.text (), Cluster::expected (sent[i], 100));
+    }
+  check_received ({});
+}
+
+// Guards against a whole (not streamed) answer that is lost when the
+// connection to the engine is cut.
+TEST_F (E2eRequest, ConnectionOfAWholeAnswerCut)
+{
+  run (slow_engines (1));
+  std::string id = cluster->new_id (0);
+  auto answer = std::async (
+      std::launch::async, [&] { return cluster->draft (0, id, 100, false); });
+  ASSERT_TRUE (proc::wait_until (
+      5000, [&] { return cluster->running_streams () == 1; }));
+  proc::sleep_ms (300);
+  for (int i = 0; i < 3; i++)
+    cluster->faults (cluster->engine (i), R"({"cut_streams":true})");
+  Response r = answer.get ();
+  EXPECT_EQ (r.status, 200) << r.body;
+  EXPECT_EQ (r.text (), Cluster::expected (id, 100));
+  check_received ({});
+}
+
+// Guards against an engine that falls silent without closing (a half-open
+// connection) and whose stream is dispatched to another engine meanwhile.
+TEST_F (E2eRequest, EngineSilentThenBack)
+{
+  run (slow_engines (1));
+  std::vector<std::string> sent = ids (0, 6);
+  auto answers = send (0, sent, 100);
+  ASSERT_TRUE (proc::wait_until (
+      5000, [&] { return cluster->running_streams () == 6; }));
+  for (int i = 0; i < 3; i++)
+    cluster->engine (i).process.signal (SIGSTOP);
+  proc::sleep_ms (3000);
+  for (int i = 0; i < 3; i++)
+    cluster->engine (i).process.signal (SIGCONT);
+  for (size_t i = 0; i < sent.size (); i++)
+    {
+      Response r = answers[i].get ();
+      EXPECT_TRUE (r.done ()) << r.body;
+      EXPECT_EQ (r.text (), Cluster::expected (sent[i], 100));
+    }
+  check_received ({});
+}
+
+// Guards against streams of a killed engine that are dispatched again, that
+// hang, or whose callers are told "not run".
+TEST_F (E2eRequest, EngineKilled)
+{
+  run (slow_engines (1));
+  std::vector<std::string> sent = ids (0, 9);
+  auto answers = send (0, sent, 150);
+  ASSERT_TRUE (proc::wait_until (
+      5000, [&] { return cluster->running_streams () == 9; }));
+  cluster->received ();
+  cluster->engine (0).process.signal (SIGKILL);
+  std::map<std::string, std::string> outcomes;
+  int answered = 0;
+  for (size_t i = 0; i < sent.size (); i++)
+    {
+      Response r = answers[i].get ();
+      std::string outcome = r.outcome ();
+      EXPECT_TRUE (outcome == "answered" || outcome == "unknown")
+          << r.status << r.body << r.error;
+      if (outcome == "answered")
+        {
+          answered++;
+          EXPECT_EQ (r.text (), Cluster::expected (sent[i], 150));
+        }
+      outcomes[sent[i]] = outcome;
+    }
+  EXPECT_GT (answered, 0) << "the streams of the other engines go on";
+  check_received (outcomes);
+  for (int i = 0; i < 4; i++)
+    {
+      std::string id = cluster->new_id (0);
+      EXPECT_EQ (cluster->draft (0, id, 4).text (), Cluster::expected (id, 4))
+          << "new work goes to the engines that are left";
+    }
+}
+
+// Guards against VM list entries that are wrong: engines that do not exist,
+// entries without an address, a wrong kind, a name used twice.
+TEST_F (E2eRequest, VmListWrong)
+{
+  run (slow_engines (1));
+  std::string gone = "127.0.0.1:" + std::to_string (proc::free_port ());
+  cluster->post_vms (
+      R"({"vms":[
+    {"name":"ghost","kind":"engine","address":")"
+      + gone + R"(",
+     "region":"gujarat-west","data_center":"rajkot-a","state":"live",
+     "model":"m1","versions":["v1"],"slots":64},
+    {"name":"nowhere","kind":"engine","region":"gujarat-west",
+     "data_center":"rajkot-a","state":"live","model":"m1","slots":8},
+    {"name":"toaster","kind":"toaster","address":"127.0.0.1:1"},
+    {"name":"vm-ghost","kind":"vm","address":")"
+      + gone + R"(",
+     "peer_address":")"
+      + gone + R"(","region":"gujarat-west",
+     "data_center":"rajkot-a","state":"live"}]})");
+  proc::sleep_ms (1500);
+  std::map<std::string, std::string> outcomes;
+  for (int i = 0; i < 12; i++)
+    {
+      std::string id = cluster->new_id (0);
+      Response r = cluster->draft (0, id, 4);
+      EXPECT_TRUE (r.outcome () == "answered") << r.status << r.body;
+      outcomes[id] = r.outcome ();
+      EXPECT_EQ (r.text (), Cluster::expected (id, 4));
+    }
+  check_received (outcomes);
+  EXPECT_TRUE (cluster->vm (0).process.running ());
+}
+
+// Guards against a duplicate request that is dispatched a second time.
+TEST_F (E2eRequest, SameIdSentFourTimesAtOnce)
+{
+  run (slow_engines (1));
+  std::string id = cluster->new_id (0);
+  auto answers = send (0, { id, id, id, id }, 40);
+  for (auto &a : answers)
+    {
+      Response r = a.get ();
+      EXPECT_TRUE (r.done ()) << r.body;
+      EXPECT_EQ (r.text (), Cluster::expected (id, 40));
+    }
+  EXPECT_EQ (cluster->received ()[id], 1);
+}
