--- /dev/null
+++ b/packages/bench/bn_table.c
@@ -0,0 +1,17 @@
+#include "bn.h"
+
+#include <stddef.h>
+
+const bn_scenario bn_scenarios[] = {
+  { "steady", bn_run_placement },
+  { "burst_3x", bn_run_placement },
+  { "overload_1_3x", bn_run_placement },
+  { "long_requests", bn_run_placement },
+  { "stale_reports", bn_run_placement },
+  { "silent_slow_engine", bn_run_placement },
+  { "third_of_engines_lost", bn_run_placement },
+  { "link_cut", bn_run_placement },
+  { "callers_back_at_once", bn_run_placement },
+  { "prefix_heavy", bn_run_placement },
+  { NULL, NULL },
+};
--- a/packages/decide/cs.c
+++ b/packages/decide/cs.c
@@ -1659,9 +1659,9 @@
 }
 
 static void
-_cs_req_set (cs_cell *cs, uint32_t slot, const cs_request *q, uint64_t now_us)
+_cs_req_fill (const cs_cell *cs, _cs_req *r, const cs_request *q,
+              uint64_t now_us)
 {
-  _cs_req *r = &cs->reqs[slot];
   r->request = q->request;
   r->holder = q->holder;
   r->tier = (uint8_t)q->tier;
@@ -1676,7 +1676,6 @@
   r->first_by_us = q->first_token_by_us;
   r->resume_of = q->resume_of;
   r->submit_us = now_us;
-  r->seq = ++cs->seq;
   r->key = r->first_by_us > 0   ? r->first_by_us
            : r->deadline_us > 0 ? r->deadline_us
                                 : now_us + cs->desc.implied_deadline_us;
@@ -1688,6 +1687,13 @@
   r->prefix_count = (uint8_t)kept;
 }
 
+static void
+_cs_req_set (cs_cell *cs, uint32_t slot, const cs_request *q, uint64_t now_us)
+{
+  _cs_req_fill (cs, &cs->reqs[slot], q, now_us);
+  cs->reqs[slot].seq = ++cs->seq;
+}
+
 /* True when a request of TIER for VERSION could run in the place of running
    work of a lower tier that has not been stopped yet.  */
 static bool
@@ -1994,6 +2000,37 @@
   return _cs_replaceable (cs, tier, version);
 }
 
+/* Predicted first token time of REQUEST, from now, if it were submitted here
+   now.  For the choice between cells; nothing is queued.  UINT64_MAX when no
+   engine has the version.  */
+uint64_t
+cs_query_estimate (cs_cell *cs, const cs_request *request, uint64_t now_us)
+{
+  _cs_req r = { 0 };
+  double first_us, finish_us;
+  if (!_cs_validate_request (cs, request))
+    return UINT64_MAX;
+  _cs_req_fill (cs, &r, request, now_us);
+  if (!_cs_best_case (cs, &r, &first_us, &finish_us))
+    return UINT64_MAX;
+  uint32_t cached[CS_ENGINES_MAX];
+  _cs_cached (cs, &r, cached);
+  _cs_choice c = _cs_choose (cs, &r, cached, now_us);
+  if (c.found)
+    return (uint64_t)c.first_us;
+  if (r.tier < cs->desc.strict_tiers
+      && _cs_replaceable (cs, r.tier, r.version))
+    return (uint64_t)first_us + _CS_STOP_US;
+  uint32_t ahead = 1, slots = 0;
+  for (uint32_t t = 0; t <= r.tier; t++)
+    ahead += cs->tiers[t].waiting;
+  for (uint32_t i = 0; i < cs->engine_capacity; i++)
+    if (_cs_takes (&cs->engines[i], &r))
+      slots += cs->engines[i].slots;
+  return (uint64_t)(first_us
+                    + ahead * cs->service_us / (slots > 0 ? slots : 1));
+}
+
 /* Fills VIEW.  False when ENGINE is not in the cell.  */
 bool
 cs_query_engine (const cs_cell *cs, id_handle engine, cs_engine_view *view)
--- a/packages/decide/cs.h
+++ b/packages/decide/cs.h
@@ -231,6 +231,8 @@
   uint32_t cs_query_running (const cs_cell *cs, uint32_t tier);
   bool cs_query_lower_work (const cs_cell *cs, uint32_t tier,
                             uint64_t version);
+  uint64_t cs_query_estimate (cs_cell *cs, const cs_request *request,
+                              uint64_t now_us);
   bool cs_query_engine (const cs_cell *cs, id_handle engine,
                         cs_engine_view *view);
   id_handle cs_query_engine_named (const cs_cell *cs, st_str name);
