--- a/packages/decide/tests/sp_test.cc
+++ b/packages/decide/tests/sp_test.cc
@@ -106,8 +106,9 @@
         vms[i].centre = i % set.centres;
         vms[i].name = "vm" + std::to_string (i);
         vms[i].sees.assign ((size_t)set.vms, true);
-        Start (vms[i]);
       }
+    for (auto &v : vms)
+      Start (v);
     for (int i = 0; i < set.operators; i++)
       After (Between (0, set.operator_pause_us), [this] { Operate (); });
     if (set.faults.outages)
