--- a/packages/server/cl.c
+++ b/packages/server/cl.c
@@ -358,12 +358,16 @@
 _cl_cell_make (cl_task *cl, const cm_cell *source)
 {
   _cl_cell *cell = g_new0 (_cl_cell, 1);
+  uint32_t headroom = po_query_headroom_percent (cl->sv->policy,
+                                                 st_name_str (&source->model));
   cell->cl = cl;
   cell->name = source->name;
   cell->engines = g_ptr_array_new_with_free_func (g_free);
   cell->cs = cs_make (
       &(cs_desc){ .max_engines = CS_ENGINES_MAX,
-                  .strict_tiers = sv_query_strict_tiers (cl->sv),
+                  .strict_tiers = po_query_strict_tiers (cl->sv->policy),
+                  .headroom_percent = headroom > 0 ? headroom : CS_NONE,
+                  .age_step_us = po_query_ageing_us (cl->sv->policy),
                   .collect_until_us = sv_now_us (cl->sv) + _CL_COLLECT_US });
   g_hash_table_insert (cl->cells, cell->name.text, cell);
   lg_log (LG_INFO, "", "owns cell %s", cell->name.text);
--- a/packages/server/fe_admit.c
+++ b/packages/server/fe_admit.c
@@ -186,12 +186,14 @@
               "this VM is shutting down: use another address");
       return;
     }
-  if (!sv_take_team_tokens (fe->sv, st_name_str (&r->team), r->prompt_tokens))
+  if (!po_take_team (fe->sv->policy, st_name_str (&r->team), r->prompt_tokens,
+                     &r->retry_after_ms))
     {
       fe_end (r, RQ_NOT_RUN, "team_limit",
               "the team's rate limit is reached: send later or ask an "
-              "operator to raise limits.requests_per_s");
+              "operator to raise limit.requests_per_s");
       return;
     }
+  po_first_try (fe->sv->policy);
   fe_choose_version (r);
 }
--- a/packages/server/fe_dispatch.c
+++ b/packages/server/fe_dispatch.c
@@ -113,7 +113,7 @@
             st_from_cstr (why));
   lg_log (LG_INFO, r->id, "engine %s did not take the request (%s)", r->engine,
           why);
-  if (r->placements >= FE_MAX_PLACEMENTS || !sv_take_retry (r->fe->sv))
+  if (r->placements >= FE_MAX_PLACEMENTS || !po_take_retry (r->fe->sv->policy))
     fe_end (r, RQ_NOT_RUN, "no_engine",
             "no engine took the request: send it again later");
   else
@@ -309,7 +309,7 @@
   r->resumed = true;
   r->state = FE_RESUMING;
   fe_count (r->fe, "dotterelbend_resumes_total", NULL, ST_LIT (""));
-  _fe_start_timer (r, sv_retry_delay_ms (r->fe->sv, r->resumes++),
+  _fe_start_timer (r, po_retry_delay_ms (r->fe->sv->policy, r->resumes++),
                    _fe_on_retry_timer);
 }
 
--- a/packages/server/fe_identify.c
+++ b/packages/server/fe_identify.c
@@ -68,21 +68,24 @@
                    "Dotterelbend-Deadline-Ms '%.*s' is not a number of "
                    "milliseconds from 1 to %llu",
                    ST_FMT (deadline), (unsigned long long)_FE_MAX_DEADLINE_MS);
-  sv_policy policy;
-  if (!sv_query_policy (fe->sv, st_name_str (&r->team),
-                        st_name_str (&r->model), &policy, err))
+  uint8_t asked = SV_TIERS;
+  po_answer policy;
+  if (!fe_parse_tier (fe_header (req, "Dotterelbend-Tier"), &asked, err)
+      || !po_query (fe->sv->policy, st_name_str (&r->team),
+                    st_name_str (&r->model),
+                    asked < SV_TIERS ? asked : SX_NO_TIER, &policy, err))
     return false;
-  r->tier = policy.default_tier;
-  if (!fe_parse_tier (fe_header (req, "Dotterelbend-Tier"), &r->tier, err))
-    return false;
-  if (r->tier < policy.highest_tier)
-    return er_set (err, ER_DENIED,
-                   "team '%.*s' may use tiers %u and above: raise "
-                   "Dotterelbend-Tier or ask an operator to change "
-                   "team.highest_tier",
-                   ST_FMT (team), policy.highest_tier);
+  r->tier = asked < SV_TIERS ? asked : policy.default_tier;
+  if (r->tier < policy.most_urgent)
+    r->tier = policy.most_urgent;
   if (deadline_ms == 0)
     deadline_ms = policy.deadline_ms;
+  if (deadline_ms > policy.deadline_max_ms)
+    return er_set (err, ER_INVALID,
+                   "Dotterelbend-Deadline-Ms %llu is above deadline_max_ms, "
+                   "%llu: name a shorter deadline",
+                   (unsigned long long)deadline_ms,
+                   (unsigned long long)policy.deadline_max_ms);
   r->deadline_us = r->accepted_us + deadline_ms * 1000;
   return true;
 }
--- a/packages/server/fe_service.c
+++ b/packages/server/fe_service.c
@@ -93,7 +93,7 @@
   read->call = 0;
   bool failed = result->end != UP_COMPLETE || result->status >= 500;
   if (failed && read->tries < _FE_MAX_READ_TRIES
-      && sv_take_retry (read->fe->sv))
+      && po_take_retry (read->fe->sv->policy))
     {
       evbuffer_drain (read->answer, evbuffer_get_length (read->answer));
       _fe_read_send (read);
--- a/packages/server/ow.c
+++ b/packages/server/ow.c
@@ -16,10 +16,14 @@
 /* Block of the engines' prefix caches: 64 tokens of 4 bytes.  */
 #define _OW_BLOCK_BYTES 256
 #define _OW_BYTES_PER_TOKEN 4
-/* What it takes to leave the own data centre or the own region, in
-   microseconds of expected wait.  */
+/* Expected wait that is accepted to stay in the own data centre.  */
 #define _OW_OTHER_DC_US (5 * CK_MS_US)
-#define _OW_OTHER_REGION_US (2 * CK_S_US)
+/* Gain below which a request never leaves its region: the wait that is seen
+   varies by about this much.  */
+#define _OW_MIN_GAIN_US (100 * CK_MS_US)
+#define _OW_DEFAULT_TOKENS 256
+/* One event of a stream with its JSON frame.  */
+#define _OW_EVENT_BYTES 180
 /* An observed wait counts half after this time.  */
 #define _OW_WAIT_HALF_US ((double)CK_S_US)
 
@@ -114,15 +118,19 @@
   wait->seen_us = now_us;
 }
 
+static bool
+_ow_is_near (const ow_task *ow, const cm_cell *cell)
+{
+  return st_equal (st_name_str (&cell->region),
+                   st_name_str (&ow->sv->config.region));
+}
+
 static double
 _ow_cost_us (ow_task *ow, const cm_cell *cell)
 {
-  const sb_config *config = &ow->sv->config;
   double cost = _ow_expected_wait_us (ow, cell);
-  if (!st_equal (st_name_str (&cell->region), st_name_str (&config->region)))
-    cost += (double)_OW_OTHER_REGION_US;
-  else if (!st_equal (st_name_str (&cell->data_center),
-                      st_name_str (&config->data_center)))
+  if (!st_equal (st_name_str (&cell->data_center),
+                 st_name_str (&ow->sv->config.data_center)))
     cost += (double)_OW_OTHER_DC_US;
   return cost;
 }
@@ -137,41 +145,29 @@
   return false;
 }
 
-/* The cheapest cell that serves the model and has not refused yet.  A
-   stopped stream goes to the cell of the engine that keeps its state.  */
+/* The cheapest cell of the own region, or of the others, that serves the
+   model and has not refused yet.  */
 static const cm_cell *
-_ow_choose_cell (ow_task *ow, const _ow_ticket *t)
+_ow_cheapest (ow_task *ow, const _ow_ticket *t, bool near, double *cost)
 {
   const cm_cell *best = NULL;
-  double best_cost = 0;
-  if (t->tried_count >= _OW_MAX_TRIED)
-    return NULL;
-  if (t->resume_engine.len > 0)
-    {
-      best = cm_find_engine (ow->sv->cells, st_name_str (&t->resume_engine));
-      return best != NULL && best->owner[0] != 0 && !_ow_was_tried (t, best)
-                 ? best
-                 : NULL;
-    }
   for (size_t i = 0; i < cm_query_count (ow->sv->cells); i++)
     {
       const cm_cell *cell = cm_query_at (ow->sv->cells, i);
-      if (cell->owner[0] == 0
+      if (cell->owner[0] == 0 || _ow_is_near (ow, cell) != near
           || !st_equal (st_name_str (&cell->model), st_name_str (&t->model))
           || _ow_was_tried (t, cell))
         continue;
-      double cost = _ow_cost_us (ow, cell);
-      if (best == NULL || cost < best_cost)
+      double wait_us = _ow_cost_us (ow, cell);
+      if (best == NULL || wait_us < *cost)
         {
           best = cell;
-          best_cost = cost;
+          *cost = wait_us;
         }
     }
   return best;
 }
 
-/* ---- messages to owners ---- */
-
 static uint64_t
 _ow_ms_left (const ow_task *ow, const _ow_ticket *t)
 {
@@ -182,6 +178,54 @@
                                  : 1;
 }
 
+/* True when T should go to another region: nothing is left in the own one,
+   or the wait there is longer by enough to be worth the bytes.  */
+static bool
+_ow_crosses (ow_task *ow, const _ow_ticket *t, bool near_possible,
+             double near_us, double far_us)
+{
+  uint64_t tokens
+      = t->expected_tokens > 0 ? t->expected_tokens : _OW_DEFAULT_TOKENS;
+  uint64_t bytes = (uint64_t)t->prompt_tokens * _OW_BYTES_PER_TOKEN
+                   + tokens * _OW_EVENT_BYTES;
+  if (near_possible && near_us < far_us + _OW_MIN_GAIN_US)
+    return false;
+  return po_may_cross (
+      ow->sv->policy,
+      &(po_crossing){ .tier = t->tier,
+                      .bytes = bytes,
+                      .near_us
+                      = near_possible ? (uint64_t)near_us : UINT64_MAX,
+                      .far_us = (uint64_t)far_us,
+                      .deadline_us = _ow_ms_left (ow, t) * CK_MS_US });
+}
+
+/* The cell to ask next.  A stopped stream goes to the cell of the engine
+   that keeps its state.  */
+static const cm_cell *
+_ow_choose_cell (ow_task *ow, const _ow_ticket *t)
+{
+  double near_us = 0;
+  double far_us = 0;
+  if (t->tried_count >= _OW_MAX_TRIED)
+    return NULL;
+  if (t->resume_engine.len > 0)
+    {
+      const cm_cell *cell
+          = cm_find_engine (ow->sv->cells, st_name_str (&t->resume_engine));
+      return cell != NULL && cell->owner[0] != 0 && !_ow_was_tried (t, cell)
+                 ? cell
+                 : NULL;
+    }
+  const cm_cell *near = _ow_cheapest (ow, t, true, &near_us);
+  const cm_cell *far = _ow_cheapest (ow, t, false, &far_us);
+  if (far != NULL && _ow_crosses (ow, t, near != NULL, near_us, far_us))
+    return far;
+  return near;
+}
+
+/* ---- messages to owners ---- */
+
 static void
 _ow_send_ask (ow_task *ow, _ow_ticket *t)
 {
--- /dev/null
+++ b/packages/server/po.h
@@ -0,0 +1,90 @@
+/* po.h -- policy: the settings in force, and the limits that follow from
+   them.
+
+   Holds the settings snapshot of this VM, the team limits, the retry budget
+   and the link budget.  All answers are local.
+
+     po_policy *po = po_make (&(po_desc){ .server = sv });
+     po_set_tree (po, tree);                  // a newer snapshot
+     po_answer answer;
+     if (!po_query (po, team, service, &answer, &err))
+       refuse;
+     if (!po_take_team (po, team, tokens, &wait_ms))
+       refuse, Retry-After wait_ms;
+     po_tick (po);                            // at least each 100 ms  */
+#ifndef PO_H
+#define PO_H
+
+#include "er.h"
+#include "rl.h"
+#include "st.h"
+#include "sx.h"
+
+typedef struct po_policy po_policy;
+typedef struct sv_server sv_server;
+
+typedef struct
+{
+  sv_server *server;
+} po_desc;
+
+/* What the settings say for a team and a service.  */
+typedef struct
+{
+  uint8_t default_tier;
+  uint8_t most_urgent; /* a more urgent tier is lowered to it */
+  uint64_t deadline_ms;
+  uint64_t deadline_max_ms;
+} po_answer;
+
+/* One request that might go to another region.  */
+typedef struct
+{
+  uint8_t tier;
+  uint64_t bytes;       /* of the request and its answer */
+  uint64_t near_us;     /* expected time in the own region */
+  uint64_t far_us;      /* expected time in the other region */
+  uint64_t deadline_us; /* from now; 0: none */
+} po_crossing;
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  po_policy *po_make (const po_desc *desc);
+  void po_destroy (po_policy *po);
+  void po_set_tree (po_policy *po, sx_tree *tree);
+  const sx_tree *po_query_tree (const po_policy *po);
+
+  bool po_query (po_policy *po, st_str team, st_str service, int tier,
+                 po_answer *out, er_error *err);
+  uint32_t po_query_strict_tiers (const po_policy *po);
+  uint32_t po_query_weight (const po_policy *po, st_str team);
+  uint32_t po_query_headroom_percent (const po_policy *po, st_str service);
+  uint64_t po_query_ageing_us (const po_policy *po);
+  uint64_t po_query_keep_ms (const po_policy *po);
+  uint64_t po_query_watch_ms (const po_policy *po, st_str service);
+  bool po_query_wish (const po_policy *po, st_str service, rl_wish *out);
+  bool po_query_withdrawn (const po_policy *po, st_str service,
+                           st_str version);
+
+  bool po_take_team (po_policy *po, st_str team, uint32_t tokens,
+                     uint32_t *wait_ms);
+  void po_first_try (po_policy *po);
+  bool po_take_retry (po_policy *po);
+  uint64_t po_retry_delay_ms (po_policy *po, unsigned attempt);
+  bool po_may_cross (po_policy *po, const po_crossing *crossing);
+
+  void po_set_vm (po_policy *po, st_str vm, bool live, bool gone);
+  void po_on_report (po_policy *po, st_str vm, st_str team, double demand,
+                     double share);
+  size_t po_query_reports (po_policy *po, st_name *teams, double *demands,
+                           double *shares, size_t max);
+  void po_tick (po_policy *po);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/packages/server/rl.c
+++ b/packages/server/rl.c
@@ -100,7 +100,7 @@
   s->rl = rl;
   s->name = text;
   s->controller = ro_make_controller (&(ro_controller_desc){
-      .service = text, .watch_ms = sv_query_watch_ms (rl->sv, name) });
+      .service = text, .watch_ms = po_query_watch_ms (rl->sv->policy, name) });
   s->evidence = ev_make_tracker (&(ev_desc){ 0 });
   s->planner = wl_make_planner (&(wl_desc){ 0 });
   g_hash_table_insert (rl->services, s->name.text, s);
@@ -135,16 +135,14 @@
   rl_choice out = { 0 };
   rl_wish wish = { 0 };
   ro_state state;
-  sv_query_wish (rl->sv, service, &wish);
+  po_query_wish (rl->sv->policy, service, &wish);
   bool high = sv_query_high_load (rl->sv, service);
   out.high_load = high;
   if (!ro_query_state (rl->follower, service, &state)
       || (_rl_is_settled (rl, &state, &wish) && wish.current.len > 0))
     {
       out.version = wish.current;
-      out.halted = wish.current.len > 0
-                   && ro_query_halted (rl->follower, service,
-                                       st_name_str (&wish.current));
+      out.halted = rl_query_halted (rl, service, st_name_str (&wish.current));
       return out;
     }
   ro_choice choice
@@ -153,7 +151,8 @@
   out.version = choice.version;
   out.new_version = choice.new_version;
   out.step = choice.step;
-  out.halted = choice.version.len == 0 && state.from.len > 0;
+  out.halted = (choice.version.len == 0 && state.from.len > 0)
+               || rl_query_halted (rl, service, st_name_str (&choice.version));
   return out;
 }
 
@@ -161,7 +160,9 @@
 bool
 rl_query_halted (const rl_task *rl, st_str service, st_str version)
 {
-  return version.len > 0 && ro_query_halted (rl->follower, service, version);
+  return version.len > 0
+         && (ro_query_halted (rl->follower, service, version)
+             || po_query_withdrawn (rl->sv->policy, service, version));
 }
 
 static bool
@@ -800,7 +801,7 @@
   bool have = ro_query_state (rl->follower, st_name_str (&s->name), &state);
   in.candidate = _rl_is_candidate (rl, s, controller, sizeof controller)
                  && !sv_query_leaving (rl->sv);
-  sv_query_wish (rl->sv, st_name_str (&s->name), &wish);
+  po_query_wish (rl->sv->policy, st_name_str (&s->name), &wish);
   if (in.candidate)
     _rl_start_wish (s, &wish);
   if (have)
@@ -813,6 +814,10 @@
           s->next_delta_us = in.now_us + _RL_DELTA_PERIOD_US;
           _rl_send_delta (s, &state, controller);
         }
+      if (po_query_withdrawn (rl->sv->policy, st_name_str (&s->name),
+                              st_name_str (&state.to)))
+        _rl_halt (rl, st_name_str (&s->name), st_name_str (&state.to),
+                  ST_LIT ("withdrawn by an operator"), state.fence);
       in.halted = ro_query_halted (rl->follower, st_name_str (&s->name),
                                    st_name_str (&state.to));
       in.halt_reason.kind = RO_REASON_HALTED;
@@ -860,7 +865,7 @@
       rl_wish wish = { 0 };
       if (e->kind != DR_ENGINE)
         continue;
-      sv_query_wish (rl->sv, st_name_str (&e->serves), &wish);
+      po_query_wish (rl->sv->policy, st_name_str (&e->serves), &wish);
       if (wish.to.len > 0)
         _rl_service_get (rl, st_name_str (&e->serves));
     }
--- a/packages/server/sv.c
+++ b/packages/server/sv.c
@@ -12,11 +12,8 @@
 
 #define _SV_TICK_MS 20
 #define _SV_LIST_PERIOD_US (500 * CK_MS_US)
-#define _SV_ADDRESSES_KEEP_S 5
 /* A wait for a slot above this counts as high load.  */
 #define _SV_HIGH_LOAD_WAIT_US (20 * CK_MS_US)
-#define _SV_RETRY_BASE_MS 50
-#define _SV_RETRY_MAX_MS 2000
 
 struct sv_state
 {
@@ -170,75 +167,10 @@
                        near == 1 ? 100 : 10));
       }
   return json_pack ("{s:o,s:i}", "addresses", list, "keep_s",
-                    _SV_ADDRESSES_KEEP_S);
+                    (int)(po_query_keep_ms (sv->policy) / 1000));
 }
 
-/* ---- policy ---- */
-
-/* What the settings say for TEAM and SERVICE.  False when no engine serves
-   SERVICE.  */
-bool
-sv_query_policy (sv_server *sv, st_str team, st_str service, sv_policy *out,
-                 er_error *err)
-{
-  (void)team;
-  if (!dr_has_model (sv->directory, service))
-    return er_set (err, ER_NOT_FOUND,
-                   "no engine serves model '%.*s': check the name in 'model'",
-                   ST_FMT (service));
-  *out = (sv_policy){ .default_tier = 2,
-                      .highest_tier = 0,
-                      .deadline_ms = 120000 };
-  return true;
-}
-
-/* Takes one request and TOKENS from the team's rate limit.  */
-bool
-sv_take_team_tokens (sv_server *sv, st_str team, uint32_t tokens)
-{
-  (void)sv;
-  (void)team;
-  (void)tokens;
-  return true;
-}
-
-/* True when the retry budget has room.  */
-bool
-sv_take_retry (sv_server *sv)
-{
-  (void)sv;
-  return true;
-}
-
-/* Delay before retry ATTEMPT (0 is the first): exponential, full jitter.  */
-uint64_t
-sv_retry_delay_ms (sv_server *sv, unsigned attempt)
-{
-  uint64_t limit = _SV_RETRY_BASE_MS;
-  while (attempt-- > 0 && limit < _SV_RETRY_MAX_MS)
-    limit *= 2;
-  return 1 + sv_random (sv) % limit;
-}
-
-/* The rollout that the settings ask for.  False when they name neither a
-   version nor a rollout.  */
-bool
-sv_query_wish (sv_server *sv, st_str service, rl_wish *out)
-{
-  (void)sv;
-  (void)service;
-  memset (out, 0, sizeof *out);
-  return false;
-}
-
-/* Time after 100% in which a version may still be taken back.  */
-uint64_t
-sv_query_watch_ms (sv_server *sv, st_str service)
-{
-  (void)sv;
-  (void)service;
-  return 0;
-}
+/* ---- upstreams ---- */
 
 /* True when requests for SERVICE wait for slots.  */
 bool
@@ -286,14 +218,6 @@
   return near_count > 0 ? near[attempt % near_count] : NULL;
 }
 
-/* Tiers 0 to N-1 that are urgent.  */
-uint32_t
-sv_query_strict_tiers (const sv_server *sv)
-{
-  (void)sv;
-  return 2;
-}
-
 /* ---- messages ---- */
 
 static void
@@ -419,6 +343,7 @@
   (void)fd;
   (void)what;
   _sv_poll_list (sv, sv_now_us (sv));
+  po_tick (sv->policy);
   cl_tick (sv->owned);
   ow_tick (sv->owner);
   rl_tick (sv->rollouts);
@@ -477,6 +402,7 @@
     return false;
   sv->up = up_make (&(up_desc){ .base = sv->base });
   sv->directory = dr_make ();
+  sv->policy = po_make (&(po_desc){ .server = sv });
   sv->cells = cm_make ();
   sv->owned = cl_make (&(cl_desc){ .server = sv });
   sv->owner = ow_make (&(ow_desc){ .server = sv });
@@ -555,6 +481,7 @@
   ow_destroy (sv->owner);
   cl_destroy (sv->owned);
   cm_destroy (sv->cells);
+  po_destroy (sv->policy);
   pf_destroy (sv->platform);
   rq_destroy (sv->requests);
   dr_destroy (sv->directory);
--- a/packages/server/sv.h
+++ b/packages/server/sv.h
@@ -20,6 +20,7 @@
 #include "mt.h"
 #include "ow.h"
 #include "pf.h"
+#include "po.h"
 #include "rl.h"
 #include "rq.h"
 #include "sb.h"
@@ -44,6 +45,7 @@
   pf_platform *platform;
   up_pool *up;
   dr_directory *directory;
+  po_policy *policy;
   cm_map *cells;
   cl_task *owned;
   ow_task *owner;
@@ -67,14 +69,6 @@
   SV_PEER_DEAD
 } sv_peer_state;
 
-/* What the settings say for a team and a model.  */
-typedef struct
-{
-  uint8_t default_tier;
-  uint8_t highest_tier; /* most urgent tier that the team may use */
-  uint64_t deadline_ms;
-} sv_policy;
-
 #ifdef __cplusplus
 extern "C"
 {
@@ -92,21 +86,13 @@
   bool sv_query_leaving (const sv_server *sv);
   bool sv_query_ready (const sv_server *sv, const char **why);
   size_t sv_query_members (sv_server *sv, cm_member *out, size_t max);
-  uint32_t sv_query_strict_tiers (const sv_server *sv);
   bool sv_send (sv_server *sv, st_str incarnation, const ms_message *m);
-  bool sv_query_policy (sv_server *sv, st_str team, st_str service,
-                        sv_policy *out, er_error *err);
   sv_peer_state sv_find_incarnation (sv_server *sv, st_str incarnation,
                                      char *address, size_t size);
   json_t *sv_addresses_json (sv_server *sv, st_str region);
-  bool sv_take_team_tokens (sv_server *sv, st_str team, uint32_t tokens);
-  bool sv_take_retry (sv_server *sv);
-  uint64_t sv_retry_delay_ms (sv_server *sv, unsigned attempt);
   const dr_entry *sv_choose_service (sv_server *sv, st_str service,
                                      unsigned attempt);
   void sv_engine_unreachable (sv_server *sv, st_str engine);
-  bool sv_query_wish (sv_server *sv, st_str service, rl_wish *out);
-  uint64_t sv_query_watch_ms (sv_server *sv, st_str service);
   bool sv_query_high_load (sv_server *sv, st_str service);
   st_str sv_tier_name (uint8_t tier);
   uint16_t sv_socket_port (evutil_socket_t fd);
