Add membership of the VMs

Cause: cell owners, incarnation look-ups and HALT need a view of the live VMs whose cost does not grow with the fleet.

--- /dev/null
+++ b/packages/decide/mb.h
@@ -0,0 +1,189 @@
+/* mb.h -- membership of the VMs, SWIM style.
+
+   An mb_state holds one VM's view of the others.  It probes one member each
+   period, asks others to probe a member that did not answer, suspects it and
+   later declares it dead.  Changes travel on probes and answers, at most
+   MB_UPDATES_MAX per message, so the cost per VM does not grow with the
+   fleet.
+
+     mb_state *mb = mb_make (&(mb_desc){ .self = record, .seed = s }, now);
+     mb_set_vm_list (mb, entries, count, now);
+     mb_on_message (mb, &message, now);
+     mb_action a;
+     while (mb_next (mb, now, &a))
+       switch (a.kind)
+         {
+         case MB_SEND:  send a.message to a.to_address
+         case MB_EVENT: a.event, a.member
+         }
+
+   Rules:
+   - An incarnation is alive, suspect or leaving until it is dead; dead is
+     final.  A VM refutes a suspicion by raising its counter.
+   - Of two incarnations of one name the one with the higher counter is
+     newer.  A VM that learns of a higher counter under its name raises its
+     own above it.  Hosts start the counter at the wall clock in ms, so that
+     this is rarely needed.
+   - The VM list makes names known and removes dead ones.  It carries no
+     incarnation and revives nothing.
+   - After MB_OWN_DEAD the host finishes its work and calls mb_rejoin.
+
+   Views in an action or a record hold until the next call that is not a
+   query.  */
+#ifndef MB_H
+#define MB_H
+
+#include "al.h"
+#include "st.h"
+
+#define MB_UPDATES_MAX 8
+#define MB_INCARNATION_MAX 96
+#define MB_ADDRESS_MAX 64
+
+typedef enum
+{
+  MB_ALIVE = 0,
+  MB_SUSPECT,
+  MB_LEAVING,
+  MB_DEAD,
+  MB_STATES
+} mb_member_state;
+
+typedef struct
+{
+  st_str name;
+  st_str incarnation;
+  st_str region;
+  st_str data_center;
+  st_str peer_address;
+  st_str callers_address;
+  mb_member_state state;
+  uint64_t counter;
+} mb_record;
+
+/* An entry of the VM list.  */
+typedef struct
+{
+  st_str name;
+  st_str region;
+  st_str data_center;
+  st_str peer_address;
+  st_str callers_address;
+  bool leaving;
+} mb_listed;
+
+typedef enum
+{
+  MB_PING = 0,
+  MB_ACK,
+  MB_PING_REQ
+} mb_message_kind;
+
+typedef struct
+{
+  mb_message_kind kind;
+  uint64_t sequence;
+  mb_record self; /* of the sender */
+  /* PING: the probed incarnation, empty when it is not known.  ACK: the one
+     that answered.  PING_REQ: the one to probe.  */
+  st_str subject;
+  uint32_t update_count;
+  mb_record updates[MB_UPDATES_MAX];
+} mb_message;
+
+typedef enum
+{
+  MB_JOINED = 0,
+  MB_SUSPECTED,
+  MB_CLEARED, /* no longer suspect */
+  MB_LEFT,    /* leaving: no new work */
+  MB_DIED,
+  MB_OWN_DEAD, /* others declared this incarnation dead */
+  MB_RESYNC    /* events were dropped; read the members again */
+} mb_event;
+
+typedef enum
+{
+  MB_SEND = 0,
+  MB_EVENT
+} mb_action_kind;
+
+typedef struct
+{
+  mb_action_kind kind;
+  /* SEND */
+  st_str to_name;
+  st_str to_address;
+  mb_message message;
+  /* EVENT: the incarnation that it is about */
+  mb_event event;
+  st_str name;
+  st_str incarnation;
+  bool by_timer; /* DIED: by this VM's own judgement */
+} mb_action;
+
+/* Test only: turns a rule off.  */
+typedef enum
+{
+  MB_FAULT_NONE = 0,
+  MB_FAULT_REVIVE_DEAD, /* takes a dead incarnation back */
+  MB_FAULT_NO_REFUTE,   /* does not answer a suspicion */
+  MB_FAULT_TRUST_TIMERS /* a paused VM acts on deadlines that it slept over */
+} mb_fault;
+
+typedef struct
+{
+  mb_record self; /* state ALIVE; counter: wall clock in ms */
+  uint64_t seed;
+  uint32_t max_members; /* 0 means 2048 */
+  uint64_t period_us;   /* 0 means 500 ms */
+  uint64_t ack_us;      /* until others are asked; 0 means 200 ms */
+  uint64_t suspect_us;  /* 0 means 2 s */
+  uint32_t helpers;     /* asked to probe; 0 means 3 */
+  mb_fault fault;
+  al_allocator allocator;
+} mb_desc;
+
+typedef struct
+{
+  uint64_t sent[3]; /* by mb_message_kind */
+  uint64_t received;
+  uint64_t suspicions; /* by own probes */
+  uint64_t deaths;     /* declared by own timer */
+  uint64_t refutations;
+  uint32_t members; /* known incarnations that are not dead, self included */
+} mb_counts;
+
+typedef struct mb_state mb_state;
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  mb_state *mb_make (const mb_desc *desc, uint64_t now_us);
+  void mb_destroy (mb_state *mb);
+  void mb_set_vm_list (mb_state *mb, const mb_listed *entries, uint32_t count,
+                       uint64_t now_us);
+  void mb_on_message (mb_state *mb, const mb_message *message,
+                      uint64_t now_us);
+  void mb_leave (mb_state *mb);
+  void mb_rejoin (mb_state *mb, st_str incarnation, uint64_t counter);
+  bool mb_next (mb_state *mb, uint64_t now_us, mb_action *action);
+  uint64_t mb_query_wake_us (const mb_state *mb, uint64_t now_us);
+  mb_record mb_query_self (const mb_state *mb);
+  bool mb_query_own_dead (const mb_state *mb);
+  bool mb_query_member (const mb_state *mb, uint32_t *cursor,
+                        mb_record *record);
+  bool mb_query_live (const mb_state *mb, st_str region, st_str data_center,
+                      uint32_t *cursor, mb_record *record);
+  bool mb_query_name (const mb_state *mb, st_str name, mb_record *record);
+  bool mb_query_incarnation (const mb_state *mb, st_str incarnation,
+                             mb_member_state *state);
+  mb_counts mb_query_counts (const mb_state *mb);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
