--- /dev/null
+++ b/packages/server/sv.c
@@ -0,0 +1,566 @@
+#include "sv.h"
+
+#include "lg.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <netinet/in.h>
+#include <sodium.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define _SV_TICK_MS 20
+#define _SV_LIST_PERIOD_US (500 * CK_MS_US)
+#define _SV_ADDRESSES_KEEP_S 5
+/* A wait for a slot above this counts as high load.  */
+#define _SV_HIGH_LOAD_WAIT_US (20 * CK_MS_US)
+#define _SV_RETRY_BASE_MS 50
+#define _SV_RETRY_MAX_MS 2000
+
+struct sv_state
+{
+  struct event *tick;
+  struct event *sigterm;
+  struct event *sigint;
+  bool leaving;
+  bool list_seen;
+  bool list_asked;
+  uint64_t next_list_us;
+  unsigned service_next;
+};
+
+/* Monotonic time in microseconds.  */
+uint64_t
+sv_now_us (const sv_server *sv)
+{
+  return ck_now_us (&sv->clock);
+}
+
+/* Wall clock in milliseconds.  */
+uint64_t
+sv_wall_ms (const sv_server *sv)
+{
+  return ck_wall_ms (&sv->clock);
+}
+
+/* 64 random bits.  */
+uint64_t
+sv_random (sv_server *sv)
+{
+  uint64_t value;
+  (void)sv;
+  randombytes_buf (&value, sizeof value);
+  return value;
+}
+
+/* Incarnation of this process.  */
+st_str
+sv_query_incarnation (const sv_server *sv)
+{
+  return st_from_cstr (sv->incarnation);
+}
+
+/* True after a drain was begun.  */
+bool
+sv_query_leaving (const sv_server *sv)
+{
+  return sv->state->leaving;
+}
+
+/* True when the VM can take work; WHY names what is missing.  */
+bool
+sv_query_ready (const sv_server *sv, const char **why)
+{
+  if (sv->state->leaving)
+    *why = "the VM is shutting down";
+  else if (!sv->state->list_seen)
+    *why = "the VM list was not read yet";
+  else
+    *why = "";
+  return (*why)[0] == 0;
+}
+
+/* Port of a bound socket, 0 when it has none.  */
+uint16_t
+sv_socket_port (evutil_socket_t fd)
+{
+  union
+  {
+    struct sockaddr any;
+    struct sockaddr_in in;
+    struct sockaddr_in6 in6;
+  } address;
+  socklen_t size = sizeof address;
+  memset (&address, 0, sizeof address);
+  if (getsockname (fd, &address.any, &size) != 0)
+    return 0;
+  return address.any.sa_family == AF_INET6 ? ntohs (address.in6.sin6_port)
+                                           : ntohs (address.in.sin_port);
+}
+
+/* Name of a tier as a metric label.  */
+st_str
+sv_tier_name (uint8_t tier)
+{
+  static const char names[SV_TIERS][2] = { "0", "1", "2", "3", "4" };
+  return st_from_cstr (names[tier < SV_TIERS ? tier : SV_TIERS - 1]);
+}
+
+/* ---- members ---- */
+
+/* Fills OUT with the VMs that take part, this one first.  */
+size_t
+sv_query_members (sv_server *sv, cm_member *out, size_t max)
+{
+  if (max == 0)
+    return 0;
+  out[0] = (cm_member){
+    .name = st_name_str (&sv->config.vm_name),
+    .incarnation = st_from_cstr (sv->incarnation),
+    .region = st_name_str (&sv->config.region),
+    .data_center = st_name_str (&sv->config.data_center),
+    .callers_address = st_name_str (&sv->config.listen_callers),
+    .leaving = sv->state->leaving,
+  };
+  return 1;
+}
+
+/* State of the process INCARNATION; fills ADDRESS with its callers' address
+   when it is alive.  */
+sv_peer_state
+sv_find_incarnation (sv_server *sv, st_str incarnation, char *address,
+                     size_t size)
+{
+  cm_member members[SV_MAX_MEMBERS];
+  size_t count = sv_query_members (sv, members, SV_MAX_MEMBERS);
+  for (size_t i = 0; i < count; i++)
+    if (st_equal (members[i].incarnation, incarnation))
+      {
+        g_snprintf (address, size, "%.*s",
+                    ST_FMT (members[i].callers_address));
+        return members[i].leaving ? SV_PEER_LEAVING : SV_PEER_ALIVE;
+      }
+  return SV_PEER_UNKNOWN;
+}
+
+/* Body of the answer to GET /v1/addresses: the VMs that take work, those of
+   REGION (this VM's when empty) with a higher weight.  */
+json_t *
+sv_addresses_json (sv_server *sv, st_str region)
+{
+  cm_member members[SV_MAX_MEMBERS];
+  size_t count = sv_query_members (sv, members, SV_MAX_MEMBERS);
+  json_t *list = json_array ();
+  if (region.len == 0)
+    region = st_name_str (&sv->config.region);
+  for (int near = 1; near >= 0; near--)
+    for (size_t i = 0; i < count; i++)
+      {
+        const cm_member *m = &members[i];
+        if (m->leaving || st_equal (m->region, region) != (near == 1))
+          continue;
+        json_array_append_new (
+            list,
+            json_pack ("{s:s%,s:s%,s:s%,s:s%,s:i}", "address",
+                       m->callers_address.ptr, m->callers_address.len,
+                       "incarnation", m->incarnation.ptr, m->incarnation.len,
+                       "region", m->region.ptr, m->region.len, "data_center",
+                       m->data_center.ptr, m->data_center.len, "weight",
+                       near == 1 ? 100 : 10));
+      }
+  return json_pack ("{s:o,s:i}", "addresses", list, "keep_s",
+                    _SV_ADDRESSES_KEEP_S);
+}
+
+/* ---- policy ---- */
+
+/* What the settings say for TEAM and SERVICE.  False when no engine serves
+   SERVICE.  */
+bool
+sv_query_policy (sv_server *sv, st_str team, st_str service, sv_policy *out,
+                 er_error *err)
+{
+  (void)team;
+  if (!dr_has_model (sv->directory, service))
+    return er_set (err, ER_NOT_FOUND,
+                   "no engine serves model '%.*s': check the name in 'model'",
+                   ST_FMT (service));
+  *out = (sv_policy){ .default_tier = 2,
+                      .highest_tier = 0,
+                      .deadline_ms = 120000 };
+  return true;
+}
+
+/* Takes one request and TOKENS from the team's rate limit.  */
+bool
+sv_take_team_tokens (sv_server *sv, st_str team, uint32_t tokens)
+{
+  (void)sv;
+  (void)team;
+  (void)tokens;
+  return true;
+}
+
+/* True when the retry budget has room.  */
+bool
+sv_take_retry (sv_server *sv)
+{
+  (void)sv;
+  return true;
+}
+
+/* Delay before retry ATTEMPT (0 is the first): exponential, full jitter.  */
+uint64_t
+sv_retry_delay_ms (sv_server *sv, unsigned attempt)
+{
+  uint64_t limit = _SV_RETRY_BASE_MS;
+  while (attempt-- > 0 && limit < _SV_RETRY_MAX_MS)
+    limit *= 2;
+  return 1 + sv_random (sv) % limit;
+}
+
+/* The rollout that the settings ask for.  False when they name neither a
+   version nor a rollout.  */
+bool
+sv_query_wish (sv_server *sv, st_str service, rl_wish *out)
+{
+  (void)sv;
+  (void)service;
+  memset (out, 0, sizeof *out);
+  return false;
+}
+
+/* Time after 100% in which a version may still be taken back.  */
+uint64_t
+sv_query_watch_ms (sv_server *sv, st_str service)
+{
+  (void)sv;
+  (void)service;
+  return 0;
+}
+
+/* True when requests for SERVICE wait for slots.  */
+bool
+sv_query_high_load (sv_server *sv, st_str service)
+{
+  return ow_query_wait_us (sv->owner, service) > _SV_HIGH_LOAD_WAIT_US;
+}
+
+/* The engine refused a connection.  */
+void
+sv_engine_unreachable (sv_server *sv, st_str engine)
+{
+  (void)sv;
+  lg_log (LG_WARNING, "", "engine %.*s cannot be reached", ST_FMT (engine));
+}
+
+/* An instance of SERVICE for try ATTEMPT: the instances of the own region
+   take turns, then those of other regions.  NULL when there is none.  */
+const dr_entry *
+sv_choose_service (sv_server *sv, st_str service, unsigned attempt)
+{
+  const dr_entry *near[SV_MAX_MEMBERS];
+  const dr_entry *far[SV_MAX_MEMBERS];
+  size_t near_count = 0;
+  size_t far_count = 0;
+  for (size_t i = 0; i < dr_query_count (sv->directory); i++)
+    {
+      const dr_entry *e = dr_query_at (sv->directory, i);
+      if (e->kind != DR_SERVICE || e->leaving
+          || !st_equal (st_name_str (&e->serves), service))
+        continue;
+      if (st_equal (st_name_str (&e->region),
+                    st_name_str (&sv->config.region)))
+        {
+          if (near_count < G_N_ELEMENTS (near))
+            near[near_count++] = e;
+        }
+      else if (far_count < G_N_ELEMENTS (far))
+        far[far_count++] = e;
+    }
+  if (attempt < near_count)
+    return near[(sv->state->service_next++ + attempt) % near_count];
+  if (far_count > 0)
+    return far[(attempt - near_count) % far_count];
+  return near_count > 0 ? near[attempt % near_count] : NULL;
+}
+
+/* Tiers 0 to N-1 that are urgent.  */
+uint32_t
+sv_query_strict_tiers (const sv_server *sv)
+{
+  (void)sv;
+  return 2;
+}
+
+/* ---- messages ---- */
+
+static void
+_sv_on_message (sv_server *sv, st_str sender, const ms_message *m)
+{
+  switch (m->type)
+    {
+    case MS_SLOT_ASK:
+    case MS_SLOT_DONE:
+    case MS_SLOT_HOLD:
+    case MS_SLOT_CANCEL:
+      cl_on_message (sv->owned, sender, m);
+      break;
+    case MS_SLOT_GRANT:
+    case MS_SLOT_REFUSE:
+    case MS_SLOT_STOP:
+      ow_on_message (sv->owner, sender, m);
+      break;
+    case MS_HALT:
+    case MS_EVIDENCE:
+      rl_on_message (sv->rollouts, sender, m);
+      break;
+    default:
+      break;
+    }
+}
+
+/* Sends M to the process INCARNATION, which may be this one.  False when
+   there is no connection; M is then lost.  */
+bool
+sv_send (sv_server *sv, st_str incarnation, const ms_message *m)
+{
+  if (!st_equal_cstr (incarnation, sv->incarnation))
+    return false;
+  _sv_on_message (sv, incarnation, m);
+  return true;
+}
+
+/* Computes the cells again after a change of the directory or the members,
+   and tells the tasks that follow them.  */
+static void
+_sv_update_cells (sv_server *sv)
+{
+  cm_member members[SV_MAX_MEMBERS];
+  size_t count = sv_query_members (sv, members, SV_MAX_MEMBERS);
+  bool changed = cm_update (sv->cells, sv->directory, members, count);
+  cl_update (sv->owned);
+  if (changed)
+    ow_update (sv->owner);
+}
+
+/* ---- VM list ---- */
+
+static dr_entry
+_sv_entry_of (const pf_vm *vm)
+{
+  dr_entry entry;
+  memset (&entry, 0, sizeof entry);
+  switch (vm->kind)
+    {
+    case PF_VM:
+      entry.kind = DR_VM;
+      break;
+    case PF_ENGINE:
+      entry.kind = DR_ENGINE;
+      st_name_set (&entry.serves, vm->model);
+      break;
+    case PF_SERVICE:
+      entry.kind = DR_SERVICE;
+      st_name_set (&entry.serves, vm->service);
+      break;
+    }
+  st_name_set (&entry.name, vm->name);
+  st_name_set (&entry.address, vm->address);
+  st_name_set (&entry.peer_address, vm->peer_address);
+  st_name_set (&entry.region, vm->region);
+  st_name_set (&entry.data_center, vm->data_center);
+  for (uint32_t i = 0; i < vm->version_count && i < DR_VERSIONS_MAX; i++)
+    st_name_set (&entry.versions[entry.version_count++], vm->versions[i]);
+  entry.slots = vm->slots;
+  entry.leaving = vm->leaving;
+  return entry;
+}
+
+static void
+_sv_on_vm_list (const pf_answer *answer, void *user)
+{
+  sv_server *sv = user;
+  sv->state->list_asked = false;
+  if (answer->result != PF_OK)
+    return;
+  if (answer->malformed > 0)
+    lg_log (LG_WARNING, "", "%u entries of the VM list are malformed",
+            answer->malformed);
+  GArray *entries = g_array_new (FALSE, TRUE, sizeof (dr_entry));
+  for (uint32_t i = 0; i < answer->vm_count; i++)
+    {
+      dr_entry entry = _sv_entry_of (&answer->vms[i]);
+      g_array_append_val (entries, entry);
+    }
+  sv->state->list_seen = true;
+  if (dr_set (sv->directory, (dr_entry *)(void *)entries->data, entries->len))
+    _sv_update_cells (sv);
+  g_array_free (entries, TRUE);
+}
+
+static void
+_sv_poll_list (sv_server *sv, uint64_t now_us)
+{
+  if (sv->state->list_asked || now_us < sv->state->next_list_us)
+    return;
+  sv->state->next_list_us = now_us + _SV_LIST_PERIOD_US;
+  sv->state->list_asked = true;
+  pf_vm_list (sv->platform, _sv_on_vm_list, sv);
+}
+
+/* ---- life ---- */
+
+static void
+_sv_on_tick (evutil_socket_t fd, short what, void *arg)
+{
+  sv_server *sv = arg;
+  (void)fd;
+  (void)what;
+  _sv_poll_list (sv, sv_now_us (sv));
+  cl_tick (sv->owned);
+  ow_tick (sv->owner);
+  rl_tick (sv->rollouts);
+  fe_tick (sv->front);
+  if (sv->state->leaving && fe_query_open (sv->front) == 0)
+    {
+      lg_log (LG_INFO, "", "drained; exiting");
+      event_base_loopbreak (sv->base);
+    }
+}
+
+/* Stops taking work.  The process ends when all requests have ended; a
+   second call changes nothing.  */
+void
+sv_begin_drain (sv_server *sv)
+{
+  if (sv->state->leaving)
+    return;
+  sv->state->leaving = true;
+  lg_log (LG_INFO, "", "draining: %u requests in progress",
+          fe_query_open (sv->front));
+}
+
+static void
+_sv_on_signal (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  sv_begin_drain (arg);
+}
+
+static const char *
+_sv_address_or_null (const st_name *address)
+{
+  return address->len > 0 ? address->text : NULL;
+}
+
+static bool
+_sv_start_tasks (sv_server *sv, er_error *err)
+{
+  char host[64];
+  uint16_t port;
+  st_str listen = st_name_str (&sv->config.listen_callers);
+  if (!up_parse_address (listen, host, sizeof host, &port))
+    return er_set (err, ER_INVALID, "listen.callers '%.*s' is not IP:PORT",
+                   ST_FMT (listen));
+  sv->platform = pf_make (
+      &(pf_desc){ .base = sv->base,
+                  .driver = PF_HTTP,
+                  .store = _sv_address_or_null (&sv->config.store),
+                  .vm_list = _sv_address_or_null (&sv->config.vm_list),
+                  .weights = _sv_address_or_null (&sv->config.weights),
+                  .seed = sv_random (sv) },
+      err);
+  if (sv->platform == NULL)
+    return false;
+  sv->up = up_make (&(up_desc){ .base = sv->base });
+  sv->directory = dr_make ();
+  sv->cells = cm_make ();
+  sv->owned = cl_make (&(cl_desc){ .server = sv });
+  sv->owner = ow_make (&(ow_desc){ .server = sv });
+  sv->rollouts = rl_make (&(rl_desc){ .server = sv });
+  sv->requests = rq_make (
+      &(rq_desc){ .incarnation = st_from_cstr (sv->incarnation),
+                  .capacity = (uint32_t)sv->config.limits.open_requests });
+  sv->front = fe_make (
+      &(fe_desc){ .server = sv,
+                  .host = host,
+                  .port = port,
+                  .max_body_bytes = sv->config.limits.body_bytes,
+                  .max_header_bytes = sv->config.limits.header_bytes,
+                  .max_buffered_bytes = sv->config.limits.answer_store_bytes },
+      err);
+  return sv->front != NULL;
+}
+
+/* Starts the server of CONFIG, which it owns from then on.  NULL, with ERR
+   set, when a listener cannot be opened.  */
+sv_server *
+sv_make (sb_config *config, er_error *err)
+{
+  sv_server *sv = g_new0 (sv_server, 1);
+  sv->state = g_new0 (struct sv_state, 1);
+  sv->config = *config;
+  memset (config, 0, sizeof *config);
+  sv->base = event_base_new ();
+  sv->metrics = mt_make (&(mt_desc){ 0 });
+  g_snprintf (sv->incarnation, sizeof sv->incarnation,
+              "%s-%016" G_GINT64_MODIFIER "x", sv->config.vm_name.text,
+              sv_random (sv));
+  if (!_sv_start_tasks (sv, err))
+    {
+      sv_destroy (sv);
+      return NULL;
+    }
+  struct timeval tick = { 0, _SV_TICK_MS * 1000 };
+  sv->state->tick = event_new (sv->base, -1, EV_PERSIST, _sv_on_tick, sv);
+  event_add (sv->state->tick, &tick);
+  sv->state->sigterm = evsignal_new (sv->base, SIGTERM, _sv_on_signal, sv);
+  sv->state->sigint = evsignal_new (sv->base, SIGINT, _sv_on_signal, sv);
+  event_add (sv->state->sigterm, NULL);
+  event_add (sv->state->sigint, NULL);
+  return sv;
+}
+
+/* Runs until drained.  Returns the exit status of the process.  */
+int
+sv_run (sv_server *sv)
+{
+  lg_log (LG_INFO, "", "incarnation %s takes requests on port %u",
+          sv->incarnation, fe_query_port (sv->front));
+  return event_base_dispatch (sv->base) < 0 ? 1 : 0;
+}
+
+static void
+_sv_free_event (struct event *ev)
+{
+  if (ev != NULL)
+    event_free (ev);
+}
+
+/* Closes all sockets and releases SV.  */
+void
+sv_destroy (sv_server *sv)
+{
+  if (sv == NULL)
+    return;
+  _sv_free_event (sv->state->tick);
+  _sv_free_event (sv->state->sigterm);
+  _sv_free_event (sv->state->sigint);
+  fe_destroy (sv->front);
+  up_destroy (sv->up);
+  rl_destroy (sv->rollouts);
+  ow_destroy (sv->owner);
+  cl_destroy (sv->owned);
+  cm_destroy (sv->cells);
+  pf_destroy (sv->platform);
+  rq_destroy (sv->requests);
+  dr_destroy (sv->directory);
+  mt_destroy (sv->metrics);
+  event_base_free (sv->base);
+  sb_free (&sv->config);
+  g_free (sv->state);
+  g_free (sv);
+}
--- /dev/null
+++ b/packages/server/sv.h
@@ -0,0 +1,118 @@
+/* sv.h -- the server of one VM: its tasks and what they share.
+
+   One event loop runs all tasks of a process.  Each task owns its sockets
+   and its state; this module starts them in order, passes events between
+   them and answers the questions that need more than one task.
+
+     sv_server *sv = sv_make (&config, &err);
+     sv_run (sv);          // until drained after SIGTERM
+     sv_destroy (sv);  */
+#ifndef SV_H
+#define SV_H
+
+#include "ck.h"
+#include "cl.h"
+#include "cm.h"
+#include "cs.h"
+#include "dr.h"
+#include "er.h"
+#include "fe.h"
+#include "mt.h"
+#include "ow.h"
+#include "pf.h"
+#include "rl.h"
+#include "rq.h"
+#include "sb.h"
+#include "up.h"
+
+#include <event2/event.h>
+#include <event2/util.h>
+#include <glib.h>
+#include <jansson.h>
+
+#define SV_TIERS 5
+#define SV_MAX_MEMBERS 64
+
+struct sv_server
+{
+  sb_config config;
+  ck_clock clock;
+  struct event_base *base;
+  char incarnation[ST_NAME_MAX + 18];
+  mt_registry *metrics;
+  rq_table *requests;
+  pf_platform *platform;
+  up_pool *up;
+  dr_directory *directory;
+  cm_map *cells;
+  cl_task *owned;
+  ow_task *owner;
+  rl_task *rollouts;
+  fe_front *front;
+  struct sv_state *state; /* private to sv.c */
+};
+
+/* Passed to one-shot timers of a request.  */
+typedef struct
+{
+  sv_server *server;
+  id_handle id;
+} sv_timer_ref;
+
+typedef enum
+{
+  SV_PEER_UNKNOWN,
+  SV_PEER_ALIVE,
+  SV_PEER_LEAVING,
+  SV_PEER_DEAD
+} sv_peer_state;
+
+/* What the settings say for a team and a model.  */
+typedef struct
+{
+  uint8_t default_tier;
+  uint8_t highest_tier; /* most urgent tier that the team may use */
+  uint64_t deadline_ms;
+} sv_policy;
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  sv_server *sv_make (sb_config *config, er_error *err);
+  void sv_destroy (sv_server *sv);
+  int sv_run (sv_server *sv);
+  void sv_begin_drain (sv_server *sv);
+
+  uint64_t sv_now_us (const sv_server *sv);
+  uint64_t sv_wall_ms (const sv_server *sv);
+  uint64_t sv_random (sv_server *sv);
+  st_str sv_query_incarnation (const sv_server *sv);
+  bool sv_query_leaving (const sv_server *sv);
+  bool sv_query_ready (const sv_server *sv, const char **why);
+  size_t sv_query_members (sv_server *sv, cm_member *out, size_t max);
+  uint32_t sv_query_strict_tiers (const sv_server *sv);
+  bool sv_send (sv_server *sv, st_str incarnation, const ms_message *m);
+  bool sv_query_policy (sv_server *sv, st_str team, st_str service,
+                        sv_policy *out, er_error *err);
+  sv_peer_state sv_find_incarnation (sv_server *sv, st_str incarnation,
+                                     char *address, size_t size);
+  json_t *sv_addresses_json (sv_server *sv, st_str region);
+  bool sv_take_team_tokens (sv_server *sv, st_str team, uint32_t tokens);
+  bool sv_take_retry (sv_server *sv);
+  uint64_t sv_retry_delay_ms (sv_server *sv, unsigned attempt);
+  const dr_entry *sv_choose_service (sv_server *sv, st_str service,
+                                     unsigned attempt);
+  void sv_engine_unreachable (sv_server *sv, st_str engine);
+  bool sv_query_wish (sv_server *sv, st_str service, rl_wish *out);
+  uint64_t sv_query_watch_ms (sv_server *sv, st_str service);
+  bool sv_query_high_load (sv_server *sv, st_str service);
+  st_str sv_tier_name (uint8_t tier);
+  uint16_t sv_socket_port (evutil_socket_t fd);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
