--- a/packages/server/cm.c
+++ b/packages/server/cm.c
@@ -137,7 +137,7 @@
   for (size_t i = 0; i < total; i++)
     if (dr_query_at (directory, i)->kind == DR_ENGINE)
       engines[count++] = dr_query_at (directory, i);
-  qsort (engines, count, sizeof *engines, _cm_compare_engines);
+  qsort (engines, count, sizeof (const dr_entry *), _cm_compare_engines);
   for (uint32_t from = 0; from < count;)
     {
       uint32_t to = from + 1;
