--- a/packages/testing/engine_main.c
+++ b/packages/testing/engine_main.c
@@ -34,6 +34,7 @@
   OPT_ORPHAN,
   OPT_FENCE,
   OPT_INSTANT,
+  OPT_STALL,
   OPT_BAD_MODE,
   OPT_BAD_VERSION,
   OPT_BAD_LOAD,
@@ -65,6 +66,8 @@
     "how long a stream without a reader goes on (30000)", 0 },
   { "check-fence", OPT_FENCE, NULL, 0, "refuse old fencing numbers", 0 },
   { "instant", OPT_INSTANT, NULL, 0, "answer without any delay", 0 },
+  { "stall-after", OPT_STALL, "N", 0,
+    "with --instant: hold each stream open after N tokens", 0 },
   { "bad-mode", OPT_BAD_MODE, "MODE", 0, "fail, slow, load or route", 0 },
   { "bad-version", OPT_BAD_VERSION, "V", 0, "version that is bad", 0 },
   { "bad-load", OPT_BAD_LOAD, "N", 0, "running streams of mode load", 0 },
@@ -165,6 +168,9 @@
     case OPT_INSTANT:
       d->instant = true;
       return 0;
+    case OPT_STALL:
+      d->stall_after = _u32 (arg);
+      return 0;
     case OPT_BAD_MODE:
       return _parse_bad_mode (d, arg, state);
     case OPT_BAD_VERSION:
--- a/packages/testing/tc.c
+++ b/packages/testing/tc.c
@@ -93,6 +93,16 @@
   _tc_deliver (user, req);
 }
 
+static int
+_tc_on_head (struct evhttp_request *req, void *user)
+{
+  tc_conn *c = user;
+  if (!c->dead && c->call.on_head != NULL)
+    c->call.on_head (evhttp_request_get_response_code (req),
+                     evhttp_request_get_input_headers (req), c->call.user);
+  return 0;
+}
+
 static void
 _tc_on_error (enum evhttp_request_error error, void *user)
 {
@@ -139,6 +149,7 @@
   c->failed = false;
   evhttp_connection_set_timeout_tv (c->http, &tv);
   req = evhttp_request_new (_tc_on_done, c);
+  evhttp_request_set_header_cb (req, _tc_on_head);
   evhttp_request_set_chunked_cb (req, _tc_on_chunk);
   evhttp_request_set_error_cb (req, _tc_on_error);
   headers = evhttp_request_get_output_headers (req);
--- a/packages/testing/tc.h
+++ b/packages/testing/tc.h
@@ -44,6 +44,7 @@
   const tc_header *headers; /* ended by a NULL name; may be NULL */
   st_str body;
   uint32_t idle_ms; /* longest silence of the other side; 0 means 30000 */
+  void (*on_head) (int status, struct evkeyvalq *headers, void *user);
   void (*on_data) (st_str data, void *user);
   void (*on_done) (const tc_result *result, void *user);
   void *user;
--- a/packages/testing/te.c
+++ b/packages/testing/te.c
@@ -803,11 +803,15 @@
   _te_attach (s, req, 0, whole);
   if (e->desc.instant)
     {
+      bool stall
+          = e->desc.stall_after > 0 && e->desc.stall_after < s->max_tokens;
       s->prefilled = s->prompt_tokens;
-      s->emitted = s->max_tokens;
-      s->state = TE_FINISHED;
+      s->emitted = stall ? e->desc.stall_after : s->max_tokens;
+      s->state = stall ? TE_STOPPED : TE_FINISHED;
       _te_push (s);
-      g_hash_table_remove (e->streams, s->id);
+      /* Measurements make many streams, so finished ones are not kept.  */
+      if (!stall)
+        g_hash_table_remove (e->streams, s->id);
     }
   else
     {
--- a/packages/testing/te.h
+++ b/packages/testing/te.h
@@ -81,6 +81,8 @@
                                   0 means 30000 */
   bool check_fence;            /* refuse orders with an old fence */
   bool instant;                /* no delays, for measurements */
+  uint32_t stall_after;        /* instant: give this many tokens, then hold the
+                                  stream open; 0 means never */
   te_bad_mode bad_mode;
   const char *bad_version; /* NULL means none */
   uint32_t bad_load;
