--- a/packages/server/sv.c
+++ b/packages/server/sv.c
@@ -12,10 +12,8 @@
 
 #define _SV_TICK_MS 20
 #define _SV_LIST_PERIOD_US (500 * CK_MS_US)
-#define _SV_ADDRESSES_KEEP_S 5
-#define _SV_MAX_MEMBERS 64
-#define _SV_RETRY_BASE_MS 50
-#define _SV_RETRY_MAX_MS 2000
+/* A wait for a slot above this counts as high load.  */
+#define _SV_HIGH_LOAD_WAIT_US (20 * CK_MS_US)
 
 struct sv_state
 {
@@ -131,8 +129,8 @@
 sv_find_incarnation (sv_server *sv, st_str incarnation, char *address,
                      size_t size)
 {
-  cm_member members[_SV_MAX_MEMBERS];
-  size_t count = sv_query_members (sv, members, _SV_MAX_MEMBERS);
+  cm_member members[SV_MAX_MEMBERS];
+  size_t count = sv_query_members (sv, members, SV_MAX_MEMBERS);
   for (size_t i = 0; i < count; i++)
     if (st_equal (members[i].incarnation, incarnation))
       {
@@ -148,8 +146,8 @@
 json_t *
 sv_addresses_json (sv_server *sv, st_str region)
 {
-  cm_member members[_SV_MAX_MEMBERS];
-  size_t count = sv_query_members (sv, members, _SV_MAX_MEMBERS);
+  cm_member members[SV_MAX_MEMBERS];
+  size_t count = sv_query_members (sv, members, SV_MAX_MEMBERS);
   json_t *list = json_array ();
   if (region.len == 0)
     region = st_name_str (&sv->config.region);
@@ -169,75 +167,16 @@
                        near == 1 ? 100 : 10));
       }
   return json_pack ("{s:o,s:i}", "addresses", list, "keep_s",
-                    _SV_ADDRESSES_KEEP_S);
+                    (int)(po_query_keep_ms (sv->policy) / 1000));
 }
 
-/* ---- policy ---- */
+/* ---- upstreams ---- */
 
-/* What the settings say for TEAM and SERVICE.  False when no engine serves
-   SERVICE.  */
+/* True when requests for SERVICE wait for slots.  */
 bool
-sv_query_policy (sv_server *sv, st_str team, st_str service, sv_policy *out,
-                 er_error *err)
+sv_query_high_load (sv_server *sv, st_str service)
 {
-  (void)team;
-  if (!dr_has_model (sv->directory, service))
-    return er_set (err, ER_NOT_FOUND,
-                   "no engine serves model '%.*s': check the name in 'model'",
-                   ST_FMT (service));
-  *out = (sv_policy){ .default_tier = 2,
-                      .highest_tier = 0,
-                      .deadline_ms = 120000 };
-  return true;
-}
-
-/* Takes one request and TOKENS from the team's rate limit.  */
-bool
-sv_take_team_tokens (sv_server *sv, st_str team, uint32_t tokens)
-{
-  (void)sv;
-  (void)team;
-  (void)tokens;
-  return true;
-}
-
-/* True when the retry budget has room.  */
-bool
-sv_take_retry (sv_server *sv)
-{
-  (void)sv;
-  return true;
-}
-
-/* Delay before retry ATTEMPT (0 is the first): exponential, full jitter.  */
-uint64_t
-sv_retry_delay_ms (sv_server *sv, unsigned attempt)
-{
-  uint64_t limit = _SV_RETRY_BASE_MS;
-  while (attempt-- > 0 && limit < _SV_RETRY_MAX_MS)
-    limit *= 2;
-  return 1 + sv_random (sv) % limit;
-}
-
-/* Version of SERVICE that the next request of ROUTE uses; an empty one means
-   any.  */
-void
-sv_choose_version (sv_server *sv, st_str service, st_str route,
-                   st_name *version, bool *is_new)
-{
-  (void)sv;
-  (void)service;
-  (void)route;
-  *is_new = false;
-  st_name_set (version, ST_LIT (""));
-}
-
-/* Adds one finished request to the evidence.  */
-void
-sv_report_evidence (sv_server *sv, const sv_evidence *evidence)
-{
-  (void)sv;
-  (void)evidence;
+  return ow_query_wait_us (sv->owner, service) > _SV_HIGH_LOAD_WAIT_US;
 }
 
 /* The engine refused a connection.  */
@@ -253,8 +192,8 @@
 const dr_entry *
 sv_choose_service (sv_server *sv, st_str service, unsigned attempt)
 {
-  const dr_entry *near[_SV_MAX_MEMBERS];
-  const dr_entry *far[_SV_MAX_MEMBERS];
+  const dr_entry *near[SV_MAX_MEMBERS];
+  const dr_entry *far[SV_MAX_MEMBERS];
   size_t near_count = 0;
   size_t far_count = 0;
   for (size_t i = 0; i < dr_query_count (sv->directory); i++)
@@ -279,14 +218,6 @@
   return near_count > 0 ? near[attempt % near_count] : NULL;
 }
 
-/* Tiers 0 to N-1 that are urgent.  */
-uint32_t
-sv_query_strict_tiers (const sv_server *sv)
-{
-  (void)sv;
-  return 2;
-}
-
 /* ---- messages ---- */
 
 static void
@@ -305,6 +236,10 @@
     case MS_SLOT_STOP:
       ow_on_message (sv->owner, sender, m);
       break;
+    case MS_HALT:
+    case MS_EVIDENCE:
+      rl_on_message (sv->rollouts, sender, m);
+      break;
     default:
       break;
     }
@@ -326,8 +261,8 @@
 static void
 _sv_update_cells (sv_server *sv)
 {
-  cm_member members[_SV_MAX_MEMBERS];
-  size_t count = sv_query_members (sv, members, _SV_MAX_MEMBERS);
+  cm_member members[SV_MAX_MEMBERS];
+  size_t count = sv_query_members (sv, members, SV_MAX_MEMBERS);
   bool changed = cm_update (sv->cells, sv->directory, members, count);
   cl_update (sv->owned);
   if (changed)
@@ -408,8 +343,10 @@
   (void)fd;
   (void)what;
   _sv_poll_list (sv, sv_now_us (sv));
+  po_tick (sv->policy);
   cl_tick (sv->owned);
   ow_tick (sv->owner);
+  rl_tick (sv->rollouts);
   fe_tick (sv->front);
   if (sv->state->leaving && fe_query_open (sv->front) == 0)
     {
@@ -465,9 +402,11 @@
     return false;
   sv->up = up_make (&(up_desc){ .base = sv->base });
   sv->directory = dr_make ();
+  sv->policy = po_make (&(po_desc){ .server = sv });
   sv->cells = cm_make ();
   sv->owned = cl_make (&(cl_desc){ .server = sv });
   sv->owner = ow_make (&(ow_desc){ .server = sv });
+  sv->rollouts = rl_make (&(rl_desc){ .server = sv });
   sv->requests = rq_make (
       &(rq_desc){ .incarnation = st_from_cstr (sv->incarnation),
                   .capacity = (uint32_t)sv->config.limits.open_requests });
@@ -538,9 +477,11 @@
   _sv_free_event (sv->state->sigint);
   fe_destroy (sv->front);
   up_destroy (sv->up);
+  rl_destroy (sv->rollouts);
   ow_destroy (sv->owner);
   cl_destroy (sv->owned);
   cm_destroy (sv->cells);
+  po_destroy (sv->policy);
   pf_destroy (sv->platform);
   rq_destroy (sv->requests);
   dr_destroy (sv->directory);
