Bound the prefill granted ahead on an engine

Cause: engines have no priorities, so urgent requests that were granted late waited behind the prefill of others in the engine's queue.

--- a/packages/bench/bn_world.c
+++ b/packages/bench/bn_world.c
@@ -559,7 +559,10 @@
     }
   if (w->tier < 2 && _bn_could_run (world, i) && _bn_lower_runs (world, r)
       && (d->reason == CS_REASON_FULL || d->reason == CS_REASON_NO_ENGINE))
-    world->urgent_shed++;
+    {
+      world->urgent_shed++;
+      _bn_trace_miss (world, i, "urgent_shed_refused");
+    }
   if (!_bn_return (world, i, d->retry_after_ms * _BN_MS))
     _bn_lose (world, i, _BN_SHED);
 }
@@ -732,7 +735,12 @@
   /* An urgent request that never got a token although lower-tier work ran
      was shed in effect.  */
   if (urgent && world->work[i].first_us == 0 && _bn_lower_runs (world, r))
-    world->urgent_shed++;
+    {
+      world->urgent_shed++;
+      _bn_trace_miss (world, i,
+                      state == _BN_SENT ? "urgent_shed_on_engine"
+                                        : "urgent_shed_in_queue");
+    }
   if (!_bn_return (world, i, 0))
     _bn_lose (world, i, _BN_GIVEN_UP);
 }
--- a/packages/decide/cs.c
+++ b/packages/decide/cs.c
@@ -14,6 +14,8 @@
 #define _CS_STOP_US 20000
 /* Prefill left below this is not worth a stop.  */
 #define _CS_STOP_PREFILL_US 50000
+/* First tokens this late are overdue; less is the length of an iteration.  */
+#define _CS_OVERDUE_US 30000
 #define _CS_REFUSED_MIN_US 20000
 #define _CS_REFUSED_MAX_US 1000000
 #define _CS_RETRY_MIN_MS 200
@@ -130,14 +132,19 @@
   uint32_t ring_next, ring_prev;
   uint64_t idle_round;
   int64_t deficit;
+  int64_t saved; /* deficit before the present turn */
+  bool changed;  /* SAVED is set */
 } _cs_queue;
 
 typedef struct
 {
   _cs_queue *teams;
   uint32_t cursor; /* team in turn, _CS_NIL when none is active */
-  uint32_t active;
+  uint32_t active; /* teams with work waiting */
+  uint32_t ready;  /* of these, the ones that are not all stashed */
   uint64_t round;
+  uint32_t saved_cursor;
+  uint64_t saved_round;
   uint32_t oldest, newest;
   uint32_t waiting;
   uint32_t running; /* with the stopping ones */
@@ -176,6 +183,8 @@
   uint64_t seq;
   uint32_t scan_at;
   bool dirty;
+  uint32_t held_tier;  /* most urgent tier held back in the present pass */
+  uint64_t wake_us;    /* when an engine has room for more prefill */
   double service_us;   /* mean time in a slot */
   double usual_tokens; /* mean prompt, long ones cut */
   double route_tokens[CS_ROUTES_MAX];
@@ -191,7 +200,7 @@
   bool found;
   bool meets;
   bool misses_deadline; /* an engine was passed over for the deadline */
-  bool held_long;       /* one was passed over for another long prefill */
+  bool held;            /* one was passed over for its prefill */
 } _cs_choice;
 
 /* Requests by handle.  */
@@ -335,7 +344,7 @@
 }
 
 static void
-_cs_ring_add (cs_cell *cs, _cs_tier *tier, uint32_t team)
+_cs_ring_add (_cs_tier *tier, uint32_t team)
 {
   _cs_queue *q = &tier->teams[team];
   if (tier->cursor == _CS_NIL)
@@ -352,7 +361,6 @@
       at->ring_prev = team;
     }
   tier->active++;
-  (void)cs;
 }
 
 static void
@@ -386,7 +394,7 @@
   _cs_queue *q = &tier->teams[r->team];
   r->child = r->next = r->prev = _CS_NIL;
   if (q->root == _CS_NIL)
-    _cs_ring_add (cs, tier, r->team);
+    tier->ready++;
   q->root = _cs_heap_merge (cs, q->root, slot);
 }
 
@@ -411,7 +419,7 @@
     }
   r->child = r->next = r->prev = _CS_NIL;
   if (q->root == _CS_NIL)
-    _cs_ring_remove (tier, r->team);
+    tier->ready--;
 }
 
 /* Adds a waiting request to its tier and team.  A team that was idle keeps
@@ -430,7 +438,8 @@
                          : (int64_t)rounds * _cs_quantum (cs, r->team);
       q->deficit = q->deficit + gain < 0 ? q->deficit + gain : 0;
     }
-  q->count++;
+  if (q->count++ == 0)
+    _cs_ring_add (tier, r->team);
   _cs_heap_add (cs, slot);
   r->state = _CS_WAITING;
   r->later = _CS_NIL;
@@ -458,6 +467,8 @@
       q->idle_round = tier->round;
       if (q->deficit > 0)
         q->deficit = 0;
+      q->changed = false;
+      _cs_ring_remove (tier, r->team);
     }
   if (r->earlier != _CS_NIL)
     cs->reqs[r->earlier].later = r->later;
@@ -471,12 +482,24 @@
   cs->waiting--;
 }
 
+static void
+_cs_give (_cs_queue *q, int64_t tokens)
+{
+  if (!q->changed)
+    {
+      q->changed = true;
+      q->saved = q->deficit;
+    }
+  q->deficit += tokens;
+}
+
 /* Team whose turn it is: deficit round robin in which a team is served while
-   its deficit is above zero and may go below by one request.  */
+   its deficit is above zero and may go below by one request.  Teams whose
+   requests are all stashed are passed over.  */
 static uint32_t
 _cs_next_team (cs_cell *cs, _cs_tier *tier)
 {
-  if (tier->cursor == _CS_NIL)
+  if (tier->ready == 0)
     return _CS_NIL;
   for (;;)
     {
@@ -484,11 +507,13 @@
         {
           uint32_t team = tier->cursor;
           _cs_queue *q = &tier->teams[team];
-          if (q->deficit > 0)
-            return team;
-          q->deficit += _cs_quantum (cs, team);
-          if (q->deficit > 0)
-            return team;
+          if (q->root != _CS_NIL)
+            {
+              if (q->deficit <= 0)
+                _cs_give (q, _cs_quantum (cs, team));
+              if (q->deficit > 0)
+                return team;
+            }
           tier->cursor = q->ring_next;
         }
       /* All teams are in debt by more than a quantum: gives all of them the
@@ -499,19 +524,45 @@
         {
           const _cs_queue *q = &tier->teams[team];
           int64_t n = -q->deficit / _cs_quantum (cs, team);
-          rounds = n < rounds ? n : rounds;
+          if (q->root != _CS_NIL && n < rounds)
+            rounds = n;
           team = q->ring_next;
         }
       for (uint32_t i = 0; i < tier->active; i++)
         {
           _cs_queue *q = &tier->teams[team];
-          q->deficit += rounds * _cs_quantum (cs, team);
+          if (q->root != _CS_NIL)
+            _cs_give (q, rounds * _cs_quantum (cs, team));
           team = q->ring_next;
         }
       tier->round += (uint64_t)rounds + 1;
     }
 }
 
+/* Keeps what _cs_next_team gave, or takes it back when no request was placed
+   since: a pass that grants nothing must not pay off the debt of a team.  */
+static void
+_cs_end_turn (_cs_tier *tier, bool keep)
+{
+  uint32_t team = tier->cursor;
+  for (uint32_t i = 0; i < tier->active; i++)
+    {
+      _cs_queue *q = &tier->teams[team];
+      if (q->changed && !keep)
+        q->deficit = q->saved;
+      q->changed = false;
+      team = q->ring_next;
+    }
+  if (!keep && tier->saved_cursor != _CS_NIL
+      && tier->teams[tier->saved_cursor].count > 0)
+    {
+      tier->cursor = tier->saved_cursor;
+      tier->round = tier->saved_round;
+    }
+  tier->saved_cursor = tier->cursor;
+  tier->saved_round = tier->round;
+}
+
 static void
 _cs_charge (cs_cell *cs, const _cs_req *r)
 {
@@ -523,6 +574,7 @@
       tier->cursor = q->ring_next;
       tier->round++;
     }
+  _cs_end_turn (tier, true);
 }
 
 /* Prefix blocks: a set-associative table that forgets the least recently
@@ -793,6 +845,34 @@
     e->long_until_us = end;
 }
 
+/* Corrects the end of the engine's prefill when SLOT leaves without a first
+   token: its part is not done, and no more is left than what the others
+   need.  */
+static void
+_cs_prefill_dropped (cs_cell *cs, uint32_t slot, uint64_t now_us)
+{
+  const _cs_req *r = &cs->reqs[slot];
+  _cs_engine *e = &cs->engines[r->engine];
+  double others_us = 0;
+  bool is_long = false;
+  for (uint32_t s = e->head; s != _CS_NIL; s = cs->reqs[s].next)
+    if (s != slot && !cs->reqs[s].has_first_token)
+      {
+        others_us += cs->reqs[s].uncached_tokens * e->us_per_token;
+        is_long = is_long || cs->reqs[s].is_long;
+      }
+  uint64_t own_us = (uint64_t)_cs_prefill_left_us (r, e, now_us);
+  uint64_t most = now_us + (uint64_t)others_us;
+  if (e->busy_until_us > now_us + own_us)
+    e->busy_until_us -= own_us;
+  else if (e->busy_until_us > now_us)
+    e->busy_until_us = now_us;
+  if (e->busy_until_us > most)
+    e->busy_until_us = most;
+  if (!is_long)
+    e->long_until_us = now_us;
+}
+
 static void
 _cs_learn_itl (_cs_engine *e, uint64_t itl_us)
 {
@@ -989,6 +1069,8 @@
 {
   _cs_choice best = { 0 };
   bool long_ok = _cs_long_allowed (cs, now_us);
+  bool urgent = r->tier < cs->desc.strict_tiers;
+  double ahead_us = (double)cs->desc.prefill_ahead_us * (urgent ? 2 : 1);
   for (uint32_t i = 0; i < cs->engine_capacity; i++)
     {
       const _cs_engine *e = &cs->engines[i];
@@ -1003,7 +1085,7 @@
       if (_cs_is_long (cs, uncached, own_us)
           && (!long_ok || e->long_until_us > now_us))
         {
-          best.held_long = true;
+          best.held = true;
           continue;
         }
       double queue_us = e->busy_until_us > now_us
@@ -1021,6 +1103,13 @@
         }
       bool meets = probe || r->first_by_us == 0 || r->late
                    || now_us + (uint64_t)first <= r->first_by_us;
+      bool exempt = urgent && meets && r->first_by_us > 0 && !r->late
+                    && cs->held_tier >= r->tier;
+      if (queue_us > ahead_us && !exempt)
+        {
+          best.held = true;
+          continue;
+        }
       if (probe || !best.found || (meets && !best.meets)
           || (meets == best.meets && finish < best.finish_us))
         {
@@ -1191,9 +1280,11 @@
     }
   if (!urgent)
     return _CS_WAIT;
+  if (c.held && r->tier < cs->held_tier)
+    cs->held_tier = r->tier;
   /* With a slot that is free but too late, or kept from a long prefill, only
      a stop of lower-tier prefill helps.  */
-  bool prefill = c.found || c.misses_deadline || c.held_long;
+  bool prefill = c.found || c.misses_deadline || c.held;
   if (_cs_claim (cs, r) || _cs_make_room (cs, r, cached, prefill, now_us)
       || !c.found)
     return _CS_WAIT;
@@ -1357,6 +1448,7 @@
   if (now_us < cs->desc.collect_until_us)
     return;
   cs->dirty = false;
+  cs->held_tier = CS_TIERS;
   for (uint32_t i = 0; i < cs->engine_capacity; i++)
     {
       _cs_engine *e = &cs->engines[i];
@@ -1365,6 +1457,11 @@
           && now_us > e->load_time_us + cs->desc.report_max_age_us)
         e->foreign = 0;
     }
+  for (uint32_t t = 0; t < CS_TIERS; t++)
+    {
+      cs->tiers[t].saved_cursor = cs->tiers[t].cursor;
+      cs->tiers[t].saved_round = cs->tiers[t].round;
+    }
   for (uint32_t t = 0; t < cs->desc.strict_tiers; t++)
     _cs_pass_urgent (cs, t, now_us);
   _cs_pass_patient (cs, now_us);
@@ -1374,6 +1471,21 @@
       _cs_heap_add (cs, cs->stash[i]);
     }
   cs->stash_len = 0;
+  for (uint32_t t = 0; t < CS_TIERS; t++)
+    if (cs->tiers[t].active > 0)
+      _cs_end_turn (&cs->tiers[t], false);
+  cs->wake_us = UINT64_MAX;
+  uint64_t ahead = cs->desc.prefill_ahead_us;
+  for (uint32_t i = 0; cs->waiting > 0 && i < cs->engine_capacity; i++)
+    {
+      const _cs_engine *e = &cs->engines[i];
+      uint64_t at = UINT64_MAX;
+      if (e->used && e->busy_until_us > now_us + 2 * ahead)
+        at = e->busy_until_us - 2 * ahead;
+      else if (e->used && e->busy_until_us > now_us + ahead)
+        at = e->busy_until_us - ahead;
+      cs->wake_us = at < cs->wake_us ? at : cs->wake_us;
+    }
 }
 
 /* Interface.  */
@@ -1396,6 +1508,7 @@
   _CS_DEFAULT (probe_us, 1000000);
   _CS_DEFAULT (report_max_age_us, 5000000);
   _CS_DEFAULT (long_prefill_us, 150000);
+  _CS_DEFAULT (prefill_ahead_us, 100000);
 #undef _CS_DEFAULT
   if (d->max_engines > CS_ENGINES_MAX)
     d->max_engines = CS_ENGINES_MAX;
@@ -1451,7 +1564,7 @@
     }
   for (uint32_t t = 0; t < CS_TIERS; t++)
     {
-      cs->tiers[t].cursor = _CS_NIL;
+      cs->tiers[t].cursor = cs->tiers[t].saved_cursor = _CS_NIL;
       cs->tiers[t].oldest = cs->tiers[t].newest = _CS_NIL;
       for (uint32_t i = 0; i < d.max_teams; i++)
         cs->tiers[t].teams[i].root = _CS_NIL;
@@ -1801,6 +1914,7 @@
   _cs_learn_first (e, r, first_token_us);
   r->has_first_token = true;
   _cs_prefill_over (cs, slot, now_us);
+  cs->dirty = true;
   return true;
 }
 
@@ -1811,19 +1925,13 @@
   _cs_engine *e = &cs->engines[r->engine];
   if (!r->has_first_token)
     {
-      double left_us = _cs_prefill_left_us (r, e, now_us);
       if (done->first_token_us > 0)
         {
           _cs_learn_first (e, r, done->first_token_us);
           _cs_prefill_over (cs, slot, now_us);
         }
-      else if (e->busy_until_us > now_us)
-        {
-          double busy = (double)(e->busy_until_us - now_us);
-          e->busy_until_us -= (uint64_t)(left_us < busy ? left_us : busy);
-          if (r->is_long)
-            e->long_until_us = now_us;
-        }
+      else
+        _cs_prefill_dropped (cs, slot, now_us);
     }
   if (done->itl_us > 0 && done->tokens > 1)
     _cs_learn_itl (e, done->itl_us);
@@ -1909,24 +2017,34 @@
     }
 }
 
-/* Raises the learned time per token of engines whose first tokens are
-   overdue: the elapsed time is a lower bound of what they need.  */
+/* Learns from first tokens that are overdue: the elapsed time is a lower
+   bound of what the engine needs, and the prefill goes on for as long again
+   as it is late.  */
 static void
 _cs_tick_engine (cs_cell *cs, _cs_engine *e, uint64_t now_us)
 {
+  double later_us = 0;
+  uint64_t end_us = 0;
   for (uint32_t s = e->head; s != _CS_NIL; s = cs->reqs[s].next)
     {
       const _cs_req *r = &cs->reqs[s];
-      if (r->has_first_token || r->sample_tokens < _CS_RATE_TOKENS)
+      if (r->has_first_token)
         continue;
       double elapsed = (double)(now_us - r->granted_us);
-      if (elapsed < 2.0 * r->first_token_us + 100000)
+      if (elapsed > r->first_token_us + (double)_CS_OVERDUE_US)
+        end_us = now_us + (uint64_t)later_us + (uint64_t)elapsed
+                 - r->first_token_us;
+      later_us += r->uncached_tokens * e->us_per_token;
+      if (r->sample_tokens < _CS_RATE_TOKENS
+          || elapsed < 1.2 * r->first_token_us + 2.0 * _CS_OVERDUE_US)
         continue;
       double bound = (elapsed - e->base_us) / r->sample_tokens;
       double high = e->prior_us_per_token * 64;
       if (bound > e->us_per_token)
         e->us_per_token = bound < high ? bound : high;
     }
+  if (end_us > e->busy_until_us)
+    e->busy_until_us = end_us;
 }
 
 /* Advances what depends on time: expiry, overdue answers, slow engines.
@@ -1962,7 +2080,7 @@
 bool
 cs_next (cs_cell *cs, uint64_t now_us, cs_decision *decision)
 {
-  if (cs->ring_len == 0 && cs->dirty)
+  if (cs->ring_len == 0 && (cs->dirty || now_us >= cs->wake_us))
     _cs_pass (cs, now_us);
   if (cs->ring_len == 0)
     return false;
@@ -2048,6 +2166,7 @@
     .prefill_tokens_s = 1e6 / e->us_per_token,
     .itl_us = (uint64_t)_cs_itl_us (e, _cs_load (e)),
     .idle_itl_us = (uint64_t)_cs_itl_us (e, 1),
+    .prefill_end_us = e->busy_until_us,
     .base_us = (uint64_t)e->base_us,
   };
   return true;
--- a/packages/decide/cs.h
+++ b/packages/decide/cs.h
@@ -29,9 +29,9 @@
    Tiers below STRICT_TIERS are urgent.  Among the patient tiers a request
    gains one tier for each AGE_STEP_US that it waits; one that has waited for
    AGE_BOUND_US is passed only by urgent requests and by older ones that can
-   be placed.  While two teams of a tier have work waiting, the tokens that
-   they were granted, each divided by its weight, differ by at most two quanta
-   and the largest request of either.  */
+   be placed.  While two teams of a tier have work waiting that can be placed,
+   the tokens that they were granted, each divided by its weight, differ by at
+   most two quanta and the largest request of either.  */
 #ifndef CS_H
 #define CS_H
 
@@ -71,6 +71,11 @@
   uint64_t report_max_age_us;   /* older load reports are ignored; 0: 5 s */
   uint64_t
       long_prefill_us; /* shorter prefill never counts as long; 0: 150 ms */
+  /* Prefill that may be granted ahead on an engine, which has no priorities
+     of its own: this much for patient work, twice as much for urgent work.
+     Urgent work that meets its first token target goes beyond, unless more
+     urgent work is held back.  0: 100 ms.  */
+  uint64_t prefill_ahead_us;
   uint64_t collect_until_us; /* no decision before this time */
   al_allocator allocator;
 } cs_desc;
@@ -180,9 +185,10 @@
   bool leaving;
   bool slow; /* found slow from observed times */
   double prefill_tokens_s;
-  uint64_t itl_us;      /* at the present batch size */
-  uint64_t idle_itl_us; /* at batch 1 */
-  uint64_t base_us;     /* first token of an empty prompt */
+  uint64_t itl_us;         /* at the present batch size */
+  uint64_t idle_itl_us;    /* at batch 1 */
+  uint64_t prefill_end_us; /* when the prefill granted so far is done */
+  uint64_t base_us;        /* first token of an empty prompt */
 } cs_engine_view;
 
 typedef struct
