Spare long prefills from stops and price crossings lower

Change: a request that loses a long prefill is stopped last, and a first token is not brought forward at the cost of more than two usual prompts; a saved second is worth a hundredth of a met deadline.

--- a/packages/bench/bn_world.c
+++ b/packages/bench/bn_world.c
@@ -382,7 +382,7 @@
   _bn_req *r = &world->reqs[i];
   r->state = state;
   world->prefill_wasted += world->work[i].prefill_done;
-  if (world->work[i].tier == 0)
+  if (world->work[i].tier == 0 || world->work[i].prefill_done > 5000)
     _bn_trace_miss (world, i,
                     state == _BN_SHED       ? "shed"
                     : state == _BN_GIVEN_UP ? "given_up"
@@ -535,13 +535,17 @@
   _bn_drain (world, cell);
 }
 
+/* True when an idle engine of the best generation could have met the
+   deadline of the request from its arrival on.  */
 static bool
 _bn_could_run (const _bn_world *world, uint32_t i)
 {
   const bn_work *w = &world->work[i];
-  uint64_t least
-      = (uint64_t)(w->prompt_tokens * _bn_generations[0].us_per_prompt_token);
-  return world->now_us + least < w->deadline_us;
+  const _bn_generation *g = &_bn_generations[0];
+  double chunks = 1 + w->prompt_tokens / BN_CHUNK_TOKENS;
+  double us = w->prompt_tokens * g->us_per_prompt_token
+              + (chunks + w->answer_tokens) * g->iteration_us;
+  return (double)w->arrival_us + us < (double)w->deadline_us;
 }
 
 static void
@@ -557,8 +561,7 @@
       _bn_submit (world, i, far);
       return;
     }
-  if (w->tier < 2 && _bn_could_run (world, i) && _bn_lower_runs (world, r)
-      && (d->reason == CS_REASON_FULL || d->reason == CS_REASON_NO_ENGINE))
+  if (w->tier < 2 && _bn_could_run (world, i) && _bn_lower_runs (world, r))
     {
       world->urgent_shed++;
       _bn_trace_miss (world, i, "urgent_shed_refused");
@@ -701,6 +704,8 @@
   if (w->tier == 0 && !r->good)
     _bn_trace_miss (world, i, "late");
   /* Prompt tokens that were computed again after a stop.  */
+  if (w->prefill_done > w->prompt_tokens + 5000)
+    _bn_trace_miss (world, i, "prefilled_again");
   if (w->prefill_done > w->prompt_tokens)
     world->prefill_wasted += w->prefill_done - w->prompt_tokens;
   if (world->policy != _BN_OURS)
@@ -734,7 +739,8 @@
     }
   /* An urgent request that never got a token although lower-tier work ran
      was shed in effect.  */
-  if (urgent && world->work[i].first_us == 0 && _bn_lower_runs (world, r))
+  if (urgent && world->work[i].first_us == 0 && _bn_could_run (world, i)
+      && _bn_lower_runs (world, r))
     {
       world->urgent_shed++;
       _bn_trace_miss (world, i,
--- a/packages/decide/cs.c
+++ b/packages/decide/cs.c
@@ -14,6 +14,11 @@
 #define _CS_STOP_US 20000
 /* Prefill left below this is not worth a stop.  */
 #define _CS_STOP_PREFILL_US 50000
+/* Prefill, in usual prompts, that is given up to bring a first token
+   forward.  */
+#define _CS_STOP_LOST 2.0
+/* A request with less slack than this is about to miss its deadline.  */
+#define _CS_NEAR_US 200000
 /* First tokens this late are overdue; less is the length of an iteration.  */
 #define _CS_OVERDUE_US 30000
 #define _CS_REFUSED_MIN_US 20000
@@ -1126,12 +1131,25 @@
   return best;
 }
 
+/* True when stopping A is better than stopping B: a request that loses a
+   long prefill goes last, then the lowest tier goes first, then the one that
+   loses the least prefill.  */
+static bool
+_cs_better_victim (const cs_cell *cs, const _cs_req *a, double a_lost,
+                   const _cs_req *b, double b_lost)
+{
+  double heavy = _CS_LONG_RATIO * cs->usual_tokens;
+  if ((a_lost > heavy) != (b_lost > heavy))
+    return b_lost > heavy;
+  return a->tier != b->tier ? a->tier > b->tier : a_lost < b_lost;
+}
+
 /* Running request of a tier below R's whose stop makes room for R on engine
-   E: lowest tier first, then the least prefill lost.  With PREFILL only
-   requests count whose prefill is still to be done.  */
+   E, in the order of _cs_better_victim; it loses at most MOST_LOST tokens.
+   With PREFILL only requests count whose prefill is still to be done.  */
 static uint32_t
 _cs_victim (const cs_cell *cs, const _cs_req *r, const _cs_engine *e,
-            bool prefill, uint64_t now_us, double *lost_out)
+            bool prefill, double most_lost, uint64_t now_us, double *lost_out)
 {
   uint32_t best = _CS_NIL;
   double best_lost = 0;
@@ -1144,8 +1162,10 @@
       if (prefill && left < _CS_STOP_PREFILL_US)
         continue;
       double lost = v->uncached_tokens - left / e->us_per_token;
-      if (best == _CS_NIL || v->tier > cs->reqs[best].tier
-          || (v->tier == cs->reqs[best].tier && lost < best_lost))
+      if (lost > most_lost)
+        continue;
+      if (best == _CS_NIL
+          || _cs_better_victim (cs, v, lost, &cs->reqs[best], best_lost))
         {
           best = s;
           best_lost = lost;
@@ -1159,18 +1179,24 @@
    would meet its target.  False when there is nothing to stop.  */
 static bool
 _cs_make_room (cs_cell *cs, const _cs_req *r, const uint32_t *cached,
-               bool prefill, uint64_t now_us)
+               bool prefill, bool near_deadline, uint64_t now_us)
 {
   uint32_t best = _CS_NIL;
   double best_lost = 0;
   bool best_meets = false;
+  /* A long prefill that is under way is only given up for a request that is
+     about to miss its deadline: stops of such prefills were most of the
+     prefill wasted in overload.  */
+  double most_lost = _CS_STOP_LOST * cs->usual_tokens;
+  if (!prefill || near_deadline)
+    most_lost = 1e30;
   for (uint32_t i = 0; i < cs->engine_capacity; i++)
     {
       const _cs_engine *e = &cs->engines[i];
       double lost;
       if (!_cs_takes (e, r))
         continue;
-      uint32_t s = _cs_victim (cs, r, e, prefill, now_us, &lost);
+      uint32_t s = _cs_victim (cs, r, e, prefill, most_lost, now_us, &lost);
       if (s == _CS_NIL)
         continue;
       const _cs_req *v = &cs->reqs[s];
@@ -1185,9 +1211,10 @@
       if (prefill && !meets)
         continue;
       const _cs_req *b = best != _CS_NIL ? &cs->reqs[best] : NULL;
-      if (b == NULL || v->tier > b->tier
-          || (v->tier == b->tier && meets && !best_meets)
-          || (v->tier == b->tier && meets == best_meets && lost < best_lost))
+      bool better = b == NULL || _cs_better_victim (cs, v, lost, b, best_lost);
+      if (b != NULL && v->tier == b->tier && meets != best_meets)
+        better = meets;
+      if (better)
         {
           best = s;
           best_lost = lost;
@@ -1285,7 +1312,9 @@
   /* With a slot that is free but too late, or kept from a long prefill, only
      a stop of lower-tier prefill helps.  */
   bool prefill = c.found || c.misses_deadline || c.held;
-  if (_cs_claim (cs, r) || _cs_make_room (cs, r, cached, prefill, now_us)
+  bool near = r->deadline_us > 0
+              && now_us + (uint64_t)finish_us + _CS_NEAR_US > r->deadline_us;
+  if (_cs_claim (cs, r) || _cs_make_room (cs, r, cached, prefill, near, now_us)
       || !c.found)
     return _CS_WAIT;
   _cs_grant (cs, slot, &c, now_us);
--- a/packages/decide/lk.c
+++ b/packages/decide/lk.c
@@ -2,7 +2,7 @@
 
 #define _LK_S_US 1e6
 /* A saved second is worth this part of a met deadline.  */
-#define _LK_SECOND_PART 0.1
+#define _LK_SECOND_PART 0.01
 /* Longest saving that counts; a near time of "never" would outweigh all.  */
 #define _LK_SAVED_MAX_S 60.0
 
--- a/packages/decide/lk.h
+++ b/packages/decide/lk.h
@@ -29,8 +29,8 @@
   double price_per_gb; /* 0: 0.05 */
   uint64_t latency_us; /* one way; 0: 5 ms */
   /* Worth of a met deadline and of a second saved, in the unit of the price,
-     by tier; 0: 2e-3, 1e-3, 5e-5, 2e-5, 1e-5 for the deadline and a tenth of
-     it for the second.  */
+     by tier; 0: 2e-3, 1e-3, 5e-5, 2e-5, 1e-5 for the deadline and a
+     hundredth of it for the second.  */
   double deadline_worth[LK_TIERS];
   double second_worth[LK_TIERS];
 } lk_desc;
