Stop no urgent prefill to bring a first token forward

Cause: urgent requests of tier 1 were stopped in their prefill for tier 0 and then refused for their deadline. Change: only patient prefill is stopped to bring a first token forward.

--- a/packages/decide/cs.c
+++ b/packages/decide/cs.c
@@ -1159,7 +1159,8 @@
       if (v->state != _CS_RUNNING || v->tier <= r->tier)
         continue;
       double left = _cs_prefill_left_us (v, e, now_us);
-      if (prefill && left < _CS_STOP_PREFILL_US)
+      if (prefill
+          && (left < _CS_STOP_PREFILL_US || v->tier < cs->desc.strict_tiers))
         continue;
       double lost = v->uncached_tokens - left / e->us_per_token;
       if (lost > most_lost)
