--- a/packages/server/fe_admit.c
+++ b/packages/server/fe_admit.c
@@ -45,56 +45,40 @@
   fe_reply_error (fe, req, &error);
 }
 
-/* Answers a request whose id names another process.  A live owner gets the
-   caller by redirect; for a dead one the outcome is unknown.  False when the
-   id is malformed.  */
+/* Sends the caller to the process that owns the id, when that is alive.
+   False when it is gone or not known.  */
 bool
-fe_answer_foreign (fe_front *fe, struct evhttp_request *req, st_str id,
-                   bool may_redirect)
+fe_redirect (fe_front *fe, struct evhttp_request *req, st_str id)
 {
   rq_id parts;
   char address[80];
+  char text[RQ_ID_MAX];
+  char location[512];
   if (!rq_parse_id (id, &parts))
     return false;
-  char text[RQ_ID_MAX];
-  g_snprintf (text, sizeof text, "%.*s", ST_FMT (id));
   switch (
       sv_find_incarnation (fe->sv, parts.incarnation, address, sizeof address))
     {
     case SV_PEER_ALIVE:
     case SV_PEER_LEAVING:
-      if (may_redirect)
-        {
-          char location[512];
-          g_snprintf (location, sizeof location, "http://%s%s", address,
-                      evhttp_request_get_uri (req));
-          evhttp_add_header (evhttp_request_get_output_headers (req),
-                             "Location", location);
-          fe_count (fe, "dotterelbend_redirects_total", NULL, ST_LIT (""));
-          fe_reply_error (fe, req,
-                          &(fe_error){ .status = 307,
-                                       .kind = ER_CONFLICT,
-                                       .name = "other_owner",
-                                       .request_id = text,
-                                       .message
-                                       = "another VM owns this id: follow the "
-                                         "Location header" });
-          return true;
-        }
       break;
     case SV_PEER_DEAD:
     case SV_PEER_UNKNOWN:
-      break;
+      return false;
     }
+  g_snprintf (text, sizeof text, "%.*s", ST_FMT (id));
+  g_snprintf (location, sizeof location, "http://%s%s", address,
+              evhttp_request_get_uri (req));
+  evhttp_add_header (evhttp_request_get_output_headers (req), "Location",
+                     location);
+  fe_count (fe, "dotterelbend_redirects_total", NULL, ST_LIT (""));
   fe_reply_error (fe, req,
-                  &(fe_error){ .status = 409,
+                  &(fe_error){ .status = 307,
                                .kind = ER_CONFLICT,
-                               .name = "owner_gone",
-                               .outcome = RQ_UNKNOWN,
+                               .name = "other_owner",
                                .request_id = text,
-                               .message = "the process that owned this id is "
-                                          "gone; the request is not sent "
-                                          "again" });
+                               .message = "another VM owns this id: follow "
+                                          "the Location header" });
   return true;
 }
 
@@ -106,7 +90,7 @@
   ow_ask (r->fe->sv->owner,
           &(ow_ask_desc){ .request = r->self,
                           .model = st_name_str (&r->model),
-                          .version = st_name_str (&r->version),
+                          .version = st_name_str (&r->choice.version),
                           .team = st_name_str (&r->team),
                           .route = st_name_str (&r->route),
                           .tier = r->tier,
@@ -118,6 +102,20 @@
                               r->resumed || r->events > 0 ? r->engine : "") });
 }
 
+/* Chooses the version of R and asks for a place.  R may be gone
+   afterwards.  */
+void
+fe_choose_version (fe_request *r)
+{
+  r->choice = rl_choose (r->fe->sv->rollouts, st_name_str (&r->model),
+                         st_name_str (&r->route));
+  if (r->choice.halted)
+    fe_end (r, RQ_NOT_RUN, "no_version",
+            "every version of the model is withdrawn: ask an operator");
+  else
+    fe_ask_place (r);
+}
+
 static bool
 _fe_take_id (fe_front *fe, struct evhttp_request *req, fe_request *r)
 {
@@ -169,8 +167,10 @@
                        fe_record_json (fe, &record));
       return;
     case RQ_OTHER_OWNER:
-      fe_answer_foreign (fe, req, id, true);
-      fe_request_free (r);
+      if (fe_redirect (fe, req, id))
+        fe_request_free (r);
+      else
+        fe_recover (r, req, 0);
       return;
     default:
       _fe_refuse_verdict (fe, req, r, verdict);
@@ -186,14 +186,14 @@
               "this VM is shutting down: use another address");
       return;
     }
-  if (!sv_take_team_tokens (fe->sv, st_name_str (&r->team), r->prompt_tokens))
+  if (!po_take_team (fe->sv->policy, st_name_str (&r->team), r->prompt_tokens,
+                     &r->retry_after_ms))
     {
       fe_end (r, RQ_NOT_RUN, "team_limit",
               "the team's rate limit is reached: send later or ask an "
-              "operator to raise limits.requests_per_s");
+              "operator to raise limit.requests_per_s");
       return;
     }
-  sv_choose_version (fe->sv, st_name_str (&r->model), st_name_str (&r->route),
-                     &r->version, &r->on_new_version);
-  fe_ask_place (r);
+  po_first_try (fe->sv->policy);
+  fe_choose_version (r);
 }
--- a/packages/server/sv.c
+++ b/packages/server/sv.c
@@ -12,11 +12,8 @@
 
 #define _SV_TICK_MS 20
 #define _SV_LIST_PERIOD_US (500 * CK_MS_US)
-#define _SV_LIST_TIMEOUT_MS 2000
-#define _SV_ADDRESSES_KEEP_S 5
-#define _SV_MAX_MEMBERS 64
-#define _SV_RETRY_BASE_MS 50
-#define _SV_RETRY_MAX_MS 2000
+/* A wait for a slot above this counts as high load.  */
+#define _SV_HIGH_LOAD_WAIT_US (20 * CK_MS_US)
 
 struct sv_state
 {
@@ -27,7 +24,6 @@
   bool list_seen;
   bool list_asked;
   uint64_t next_list_us;
-  struct evbuffer *list_body;
   unsigned service_next;
 };
 
@@ -133,8 +129,8 @@
 sv_find_incarnation (sv_server *sv, st_str incarnation, char *address,
                      size_t size)
 {
-  cm_member members[_SV_MAX_MEMBERS];
-  size_t count = sv_query_members (sv, members, _SV_MAX_MEMBERS);
+  cm_member members[SV_MAX_MEMBERS];
+  size_t count = sv_query_members (sv, members, SV_MAX_MEMBERS);
   for (size_t i = 0; i < count; i++)
     if (st_equal (members[i].incarnation, incarnation))
       {
@@ -150,8 +146,8 @@
 json_t *
 sv_addresses_json (sv_server *sv, st_str region)
 {
-  cm_member members[_SV_MAX_MEMBERS];
-  size_t count = sv_query_members (sv, members, _SV_MAX_MEMBERS);
+  cm_member members[SV_MAX_MEMBERS];
+  size_t count = sv_query_members (sv, members, SV_MAX_MEMBERS);
   json_t *list = json_array ();
   if (region.len == 0)
     region = st_name_str (&sv->config.region);
@@ -171,75 +167,16 @@
                        near == 1 ? 100 : 10));
       }
   return json_pack ("{s:o,s:i}", "addresses", list, "keep_s",
-                    _SV_ADDRESSES_KEEP_S);
+                    (int)(po_query_keep_ms (sv->policy) / 1000));
 }
 
-/* ---- policy ---- */
+/* ---- upstreams ---- */
 
-/* What the settings say for TEAM and SERVICE.  False when no engine serves
-   SERVICE.  */
+/* True when requests for SERVICE wait for slots.  */
 bool
-sv_query_policy (sv_server *sv, st_str team, st_str service, sv_policy *out,
-                 er_error *err)
+sv_query_high_load (sv_server *sv, st_str service)
 {
-  (void)team;
-  if (!dr_has_model (sv->directory, service))
-    return er_set (err, ER_NOT_FOUND,
-                   "no engine serves model '%.*s': check the name in 'model'",
-                   ST_FMT (service));
-  *out = (sv_policy){ .default_tier = 2,
-                      .highest_tier = 0,
-                      .deadline_ms = 120000 };
-  return true;
-}
-
-/* Takes one request and TOKENS from the team's rate limit.  */
-bool
-sv_take_team_tokens (sv_server *sv, st_str team, uint32_t tokens)
-{
-  (void)sv;
-  (void)team;
-  (void)tokens;
-  return true;
-}
-
-/* True when the retry budget has room.  */
-bool
-sv_take_retry (sv_server *sv)
-{
-  (void)sv;
-  return true;
-}
-
-/* Delay before retry ATTEMPT (0 is the first): exponential, full jitter.  */
-uint64_t
-sv_retry_delay_ms (sv_server *sv, unsigned attempt)
-{
-  uint64_t limit = _SV_RETRY_BASE_MS;
-  while (attempt-- > 0 && limit < _SV_RETRY_MAX_MS)
-    limit *= 2;
-  return 1 + sv_random (sv) % limit;
-}
-
-/* Version of SERVICE that the next request of ROUTE uses; an empty one means
-   any.  */
-void
-sv_choose_version (sv_server *sv, st_str service, st_str route,
-                   st_name *version, bool *is_new)
-{
-  (void)sv;
-  (void)service;
-  (void)route;
-  *is_new = false;
-  st_name_set (version, ST_LIT (""));
-}
-
-/* Adds one finished request to the evidence.  */
-void
-sv_report_evidence (sv_server *sv, const sv_evidence *evidence)
-{
-  (void)sv;
-  (void)evidence;
+  return ow_query_wait_us (sv->owner, service) > _SV_HIGH_LOAD_WAIT_US;
 }
 
 /* The engine refused a connection.  */
@@ -255,8 +192,8 @@
 const dr_entry *
 sv_choose_service (sv_server *sv, st_str service, unsigned attempt)
 {
-  const dr_entry *near[_SV_MAX_MEMBERS];
-  const dr_entry *far[_SV_MAX_MEMBERS];
+  const dr_entry *near[SV_MAX_MEMBERS];
+  const dr_entry *far[SV_MAX_MEMBERS];
   size_t near_count = 0;
   size_t far_count = 0;
   for (size_t i = 0; i < dr_query_count (sv->directory); i++)
@@ -281,14 +218,6 @@
   return near_count > 0 ? near[attempt % near_count] : NULL;
 }
 
-/* Tiers 0 to N-1 that are urgent.  */
-uint32_t
-sv_query_strict_tiers (const sv_server *sv)
-{
-  (void)sv;
-  return 2;
-}
-
 /* ---- messages ---- */
 
 static void
@@ -307,6 +236,10 @@
     case MS_SLOT_STOP:
       ow_on_message (sv->owner, sender, m);
       break;
+    case MS_HALT:
+    case MS_EVIDENCE:
+      rl_on_message (sv->rollouts, sender, m);
+      break;
     default:
       break;
     }
@@ -328,8 +261,8 @@
 static void
 _sv_update_cells (sv_server *sv)
 {
-  cm_member members[_SV_MAX_MEMBERS];
-  size_t count = sv_query_members (sv, members, _SV_MAX_MEMBERS);
+  cm_member members[SV_MAX_MEMBERS];
+  size_t count = sv_query_members (sv, members, SV_MAX_MEMBERS);
   bool changed = cm_update (sv->cells, sv->directory, members, count);
   cl_update (sv->owned);
   if (changed)
@@ -338,117 +271,67 @@
 
 /* ---- VM list ---- */
 
-static void
-_sv_get_name (json_t *object, const char *key, st_name *out)
-{
-  json_t *value = json_object_get (object, key);
-  if (json_is_string (value))
-    st_name_set (out, (st_str){ json_string_value (value),
-                                json_string_length (value) });
-}
-
-static bool
-_sv_parse_entry (json_t *item, dr_entry *out)
+static dr_entry
+_sv_entry_of (const pf_vm *vm)
 {
-  size_t index;
-  json_t *version;
-  st_name kind = { 0 };
-  st_name state = { 0 };
-  memset (out, 0, sizeof *out);
-  _sv_get_name (item, "kind", &kind);
-  _sv_get_name (item, "state", &state);
-  _sv_get_name (item, "name", &out->name);
-  _sv_get_name (item, "address", &out->address);
-  _sv_get_name (item, "peer_address", &out->peer_address);
-  _sv_get_name (item, "region", &out->region);
-  _sv_get_name (item, "data_center", &out->data_center);
-  out->leaving = st_equal (st_name_str (&state), ST_LIT ("leaving"));
-  out->slots = (uint32_t)json_integer_value (json_object_get (item, "slots"));
-  json_array_foreach (json_object_get (item, "versions"), index, version)
-  {
-    if (out->version_count < DR_VERSIONS_MAX && json_is_string (version))
-      st_name_set (&out->versions[out->version_count++],
-                   st_from_cstr (json_string_value (version)));
-  }
-  if (st_equal (st_name_str (&kind), ST_LIT ("vm")))
-    out->kind = DR_VM;
-  else if (st_equal (st_name_str (&kind), ST_LIT ("engine")))
+  dr_entry entry;
+  memset (&entry, 0, sizeof entry);
+  switch (vm->kind)
     {
-      out->kind = DR_ENGINE;
-      _sv_get_name (item, "model", &out->serves);
-    }
-  else if (st_equal (st_name_str (&kind), ST_LIT ("service")))
-    {
-      out->kind = DR_SERVICE;
-      _sv_get_name (item, "service", &out->serves);
+    case PF_VM:
+      entry.kind = DR_VM;
+      break;
+    case PF_ENGINE:
+      entry.kind = DR_ENGINE;
+      st_name_set (&entry.serves, vm->model);
+      break;
+    case PF_SERVICE:
+      entry.kind = DR_SERVICE;
+      st_name_set (&entry.serves, vm->service);
+      break;
     }
-  else
-    return false;
-  return out->name.len > 0 && out->address.len > 0;
+  st_name_set (&entry.name, vm->name);
+  st_name_set (&entry.address, vm->address);
+  st_name_set (&entry.peer_address, vm->peer_address);
+  st_name_set (&entry.region, vm->region);
+  st_name_set (&entry.data_center, vm->data_center);
+  for (uint32_t i = 0; i < vm->version_count && i < DR_VERSIONS_MAX; i++)
+    st_name_set (&entry.versions[entry.version_count++], vm->versions[i]);
+  entry.slots = vm->slots;
+  entry.leaving = vm->leaving;
+  return entry;
 }
 
 static void
-_sv_apply_list (sv_server *sv, json_t *body)
+_sv_on_vm_list (const pf_answer *answer, void *user)
 {
-  size_t index;
-  json_t *item;
-  json_t *list = json_object_get (body, "vms");
-  if (!json_is_array (list))
+  sv_server *sv = user;
+  sv->state->list_asked = false;
+  if (answer->result != PF_OK)
     return;
+  if (answer->malformed > 0)
+    lg_log (LG_WARNING, "", "%u entries of the VM list are malformed",
+            answer->malformed);
   GArray *entries = g_array_new (FALSE, TRUE, sizeof (dr_entry));
-  json_array_foreach (list, index, item)
-  {
-    dr_entry entry;
-    if (_sv_parse_entry (item, &entry))
+  for (uint32_t i = 0; i < answer->vm_count; i++)
+    {
+      dr_entry entry = _sv_entry_of (&answer->vms[i]);
       g_array_append_val (entries, entry);
-    else
-      lg_log (LG_WARNING, "", "entry %zu of the VM list is malformed", index);
-  }
+    }
   sv->state->list_seen = true;
   if (dr_set (sv->directory, (dr_entry *)(void *)entries->data, entries->len))
     _sv_update_cells (sv);
   g_array_free (entries, TRUE);
 }
 
-static void
-_sv_on_list_data (void *user, struct evbuffer *data)
-{
-  sv_server *sv = user;
-  evbuffer_add_buffer (sv->state->list_body, data);
-}
-
-static void
-_sv_on_list_done (void *user, const up_result *result)
-{
-  sv_server *sv = user;
-  struct evbuffer *data = sv->state->list_body;
-  sv->state->list_asked = false;
-  if (result->end == UP_COMPLETE && result->status == 200)
-    {
-      json_t *body = json_loadb ((const char *)evbuffer_pullup (data, -1),
-                                 evbuffer_get_length (data), 0, NULL);
-      _sv_apply_list (sv, body);
-      json_decref (body);
-    }
-  evbuffer_drain (data, evbuffer_get_length (data));
-}
-
 static void
 _sv_poll_list (sv_server *sv, uint64_t now_us)
 {
   if (sv->state->list_asked || now_us < sv->state->next_list_us)
     return;
   sv->state->next_list_us = now_us + _SV_LIST_PERIOD_US;
-  sv->state->list_asked
-      = up_send (sv->up,
-                 &(up_call_desc){ .address = st_name_str (&sv->config.vm_list),
-                                  .method = EVHTTP_REQ_GET,
-                                  .path = "/vms",
-                                  .idle_timeout_ms = _SV_LIST_TIMEOUT_MS,
-                                  .on_data = _sv_on_list_data,
-                                  .on_done = _sv_on_list_done,
-                                  .user = sv })
-        != 0;
+  sv->state->list_asked = true;
+  pf_vm_list (sv->platform, _sv_on_vm_list, sv);
 }
 
 /* ---- life ---- */
@@ -460,8 +343,10 @@
   (void)fd;
   (void)what;
   _sv_poll_list (sv, sv_now_us (sv));
+  po_tick (sv->policy);
   cl_tick (sv->owned);
   ow_tick (sv->owner);
+  rl_tick (sv->rollouts);
   fe_tick (sv->front);
   if (sv->state->leaving && fe_query_open (sv->front) == 0)
     {
@@ -490,6 +375,12 @@
   sv_begin_drain (arg);
 }
 
+static const char *
+_sv_address_or_null (const st_name *address)
+{
+  return address->len > 0 ? address->text : NULL;
+}
+
 static bool
 _sv_start_tasks (sv_server *sv, er_error *err)
 {
@@ -499,11 +390,23 @@
   if (!up_parse_address (listen, host, sizeof host, &port))
     return er_set (err, ER_INVALID, "listen.callers '%.*s' is not IP:PORT",
                    ST_FMT (listen));
+  sv->platform = pf_make (
+      &(pf_desc){ .base = sv->base,
+                  .driver = PF_HTTP,
+                  .store = _sv_address_or_null (&sv->config.store),
+                  .vm_list = _sv_address_or_null (&sv->config.vm_list),
+                  .weights = _sv_address_or_null (&sv->config.weights),
+                  .seed = sv_random (sv) },
+      err);
+  if (sv->platform == NULL)
+    return false;
   sv->up = up_make (&(up_desc){ .base = sv->base });
   sv->directory = dr_make ();
+  sv->policy = po_make (&(po_desc){ .server = sv });
   sv->cells = cm_make ();
   sv->owned = cl_make (&(cl_desc){ .server = sv });
   sv->owner = ow_make (&(ow_desc){ .server = sv });
+  sv->rollouts = rl_make (&(rl_desc){ .server = sv });
   sv->requests = rq_make (
       &(rq_desc){ .incarnation = st_from_cstr (sv->incarnation),
                   .capacity = (uint32_t)sv->config.limits.open_requests });
@@ -529,7 +432,6 @@
   memset (config, 0, sizeof *config);
   sv->base = event_base_new ();
   sv->metrics = mt_make (&(mt_desc){ 0 });
-  sv->state->list_body = evbuffer_new ();
   g_snprintf (sv->incarnation, sizeof sv->incarnation,
               "%s-%016" G_GINT64_MODIFIER "x", sv->config.vm_name.text,
               sv_random (sv));
@@ -575,13 +477,15 @@
   _sv_free_event (sv->state->sigint);
   fe_destroy (sv->front);
   up_destroy (sv->up);
+  rl_destroy (sv->rollouts);
   ow_destroy (sv->owner);
   cl_destroy (sv->owned);
   cm_destroy (sv->cells);
+  po_destroy (sv->policy);
+  pf_destroy (sv->platform);
   rq_destroy (sv->requests);
   dr_destroy (sv->directory);
   mt_destroy (sv->metrics);
-  evbuffer_free (sv->state->list_body);
   event_base_free (sv->base);
   sb_free (&sv->config);
   g_free (sv->state);
--- a/packages/testing/te.c
+++ b/packages/testing/te.c
@@ -613,7 +613,6 @@
   te_engine *e = user;
   (void)fd;
   (void)what;
-  e->step_armed = false;
   for (int n = 0; n < TE_STEPS_A_TURN && e->running->len > 0; n++)
     {
       uint64_t now_us = ck_now_us (&e->clock);
@@ -626,6 +625,7 @@
       if (e->step_due_us + 50 * CK_MS_US < now_us)
         e->step_due_us = now_us;
     }
+  e->step_armed = false;
   _te_arm (e);
 }
 
@@ -803,11 +803,15 @@
   _te_attach (s, req, 0, whole);
   if (e->desc.instant)
     {
+      bool stall
+          = e->desc.stall_after > 0 && e->desc.stall_after < s->max_tokens;
       s->prefilled = s->prompt_tokens;
-      s->emitted = s->max_tokens;
-      s->state = TE_FINISHED;
+      s->emitted = stall ? e->desc.stall_after : s->max_tokens;
+      s->state = stall ? TE_STOPPED : TE_FINISHED;
       _te_push (s);
-      g_hash_table_remove (e->streams, s->id);
+      /* Measurements make many streams, so finished ones are not kept.  */
+      if (!stall)
+        g_hash_table_remove (e->streams, s->id);
     }
   else
     {
