Carry differences of the settings head between VMs

Cause: a whole head for each change would exceed the control traffic of a VM. Change: SETTINGS_HEAD and SETTINGS_GET carry the version that the entries are newer than, refs the version that changed them; a value without bytes means that the sender lacks it. The history call is answered asynchronously.

--- a/packages/server/aa.c
+++ b/packages/server/aa.c
@@ -38,8 +38,10 @@
 {
   aa_api *aa;
   struct evhttp_request *req;
-  uint64_t ticket; /* of a change; 0: a watch */
-  uint64_t after;  /* of a watch */
+  uint64_t ticket; /* of a change or of the history; 0: a watch */
+  bool change;
+  _aa_scope scope;
+  uint64_t after; /* of a watch */
   struct event *timer;
 } _aa_waiting;
 
@@ -274,19 +276,27 @@
   _aa_waiting *w = g_new0 (_aa_waiting, 1);
   w->aa = aa;
   w->req = call->req;
+  w->scope = call->scope;
   g_ptr_array_add (aa->waiting, w);
   return w;
 }
 
+/* The call that waits with TICKET; NULL when it was answered.  */
+static _aa_waiting *
+_aa_find_waiting (const aa_api *aa, uint64_t ticket)
+{
+  for (guint i = 0; ticket != 0 && i < aa->waiting->len; i++)
+    if (((_aa_waiting *)aa->waiting->pdata[i])->ticket == ticket)
+      return aa->waiting->pdata[i];
+  return NULL;
+}
+
 /* Answers the change of TICKET.  */
 void
 aa_finish_change (aa_api *aa, uint64_t ticket, const aa_result *result)
 {
-  _aa_waiting *w = NULL;
-  for (guint i = 0; i < aa->waiting->len; i++)
-    if (((_aa_waiting *)aa->waiting->pdata[i])->ticket == ticket)
-      w = aa->waiting->pdata[i];
-  if (w == NULL || ticket == 0)
+  _aa_waiting *w = _aa_find_waiting (aa, ticket);
+  if (w == NULL)
     return;
   struct evhttp_request *req = w->req;
   _aa_free_waiting (w);
@@ -604,6 +614,7 @@
               call->scope.root ? "root" : "team:", call->scope.team.text,
               named ? "/" : "", named ? name : "");
   w->ticket = ++aa->next_ticket;
+  w->change = true;
   aa_change change = { base_version, edits, count, who };
   aa->desc.core.submit (aa->desc.core.user, w->ticket, &change);
 }
@@ -687,20 +698,42 @@
 static void
 _aa_handle_history (_aa_call *call)
 {
-  const aa_core *core = &call->aa->desc.core;
-  json_t *all = core->query_history (core->user);
+  aa_api *aa = call->aa;
+  _aa_waiting *w = _aa_wait (call);
+  if (w == NULL)
+    return;
+  w->ticket = ++aa->next_ticket;
+  aa->desc.core.query_history (aa->desc.core.user, w->ticket);
+}
+
+/* Answers the history call of TICKET: HISTORY, newest last, or ERR when
+   HISTORY is NULL.  */
+void
+aa_finish_history (aa_api *aa, uint64_t ticket, const json_t *history,
+                   const er_error *err)
+{
+  _aa_waiting *w = _aa_find_waiting (aa, ticket);
+  if (w == NULL)
+    return;
+  struct evhttp_request *req = w->req;
+  _aa_scope scope = w->scope;
+  _aa_free_waiting (w);
+  if (history == NULL)
+    {
+      _aa_reply_er (req, err);
+      return;
+    }
   json_t *out = json_array ();
   size_t i;
   json_t *item;
-  json_array_foreach (all, i, item)
+  json_array_foreach ((json_t *)history, i, item)
   {
     const char *subtree
         = json_string_value (json_object_get (item, "subtree"));
-    if (_aa_may_read (&call->scope, subtree != NULL ? subtree : "root"))
+    if (_aa_may_read (&scope, subtree != NULL ? subtree : "root"))
       json_array_append (out, item);
   }
-  json_decref (all);
-  _aa_reply (call->req, 200, json_pack ("{s:o}", "history", out));
+  _aa_reply (req, 200, json_pack ("{s:o}", "history", out));
 }
 
 /* GET /admin/moves.  */
@@ -982,7 +1015,7 @@
     {
       _aa_waiting *w = aa->waiting->pdata[i];
       struct evhttp_request *req = w->req;
-      bool change = w->ticket != 0;
+      bool change = w->change;
       _aa_free_waiting (w);
       _aa_reply_error (req, change ? 504 : 503,
                        er_kind_name (change ? ER_TIMEOUT : ER_UNAVAILABLE),
--- a/packages/server/aa.h
+++ b/packages/server/aa.h
@@ -56,7 +56,8 @@
   /* Borrowed; holds until the event loop runs again.  */
   const sx_tree *(*query_settings) (void *user, uint64_t *version);
   void (*submit) (void *user, uint64_t ticket, const aa_change *change);
-  json_t *(*query_history) (void *user); /* array, newest last */
+  /* Answered by aa_finish_history, from the event loop, exactly once.  */
+  void (*query_history) (void *user, uint64_t ticket);
   json_t *(*query_moves) (void *user);   /* array */
   json_t *(*query_members) (void *user); /* array */
   bool (*begin_drain) (void *user, er_error *err);
@@ -86,6 +87,8 @@
   uint16_t aa_query_port (const aa_api *aa);
   void aa_on_version (aa_api *aa, uint64_t version);
   void aa_finish_change (aa_api *aa, uint64_t ticket, const aa_result *result);
+  void aa_finish_history (aa_api *aa, uint64_t ticket, const json_t *history,
+                          const er_error *err);
 
 #ifdef __cplusplus
 }
--- a/packages/server/tests/aa_test.cc
+++ b/packages/server/tests/aa_test.cc
@@ -172,6 +172,18 @@
         json_decref (result.changed);
       }
     t->tickets.clear ();
+    for (uint64_t ticket : t->histories)
+      {
+        json_t *list
+            = json_pack ("[{s:s},{s:s},{s:s}]", "subtree", "root", "subtree",
+                         "team/day", "subtree", "team/night");
+        er_error err = {};
+        er_set (&err, t->answer, "the store is down");
+        aa_finish_history (t->aa, ticket, t->answer == ER_OK ? list : nullptr,
+                           &err);
+        json_decref (list);
+      }
+    t->histories.clear ();
   }
 
   static const sx_tree *
@@ -192,11 +204,10 @@
       t->tickets.push_back (ticket);
   }
 
-  static json_t *
-  History (void *)
+  static void
+  History (void *user, uint64_t ticket)
   {
-    return json_pack ("[{s:s},{s:s},{s:s}]", "subtree", "root", "subtree",
-                      "team/day", "subtree", "team/night");
+    ((Api *)user)->histories.push_back (ticket);
   }
 
   static json_t *
@@ -228,6 +239,7 @@
   std::atomic<bool> hold{ false };
   uint64_t version = 0;
   std::vector<uint64_t> tickets;
+  std::vector<uint64_t> histories;
   std::atomic<int> submitted{ 0 };
   std::atomic<int> drains{ 0 };
   std::atomic<er_kind> answer{ ER_OK };
@@ -377,6 +389,7 @@
   Answer down = Call ("POST", "/admin/changes", body);
   EXPECT_EQ (down.status, 503);
   EXPECT_NE (down.text.find ("Retry-After"), std::string::npos);
+  EXPECT_EQ (Call ("GET", "/admin/history", "").status, 503);
   answer = ER_TIMEOUT;
   EXPECT_EQ (Call ("POST", "/admin/changes", body).status, 504);
 }
--- a/packages/wire/ms.c
+++ b/packages/wire/ms.c
@@ -531,10 +531,11 @@
 {
   ms_settings_ref *m = item;
   _ms_io saved;
-  if (!_ms_enter (io, "ref", 2, &saved))
+  if (!_ms_enter (io, "ref", 3, &saved))
     return;
   _ms_str (io, "subtree", &m->subtree, MS_HASH_MAX);
   _ms_key (io, "hash", &m->hash, MS_HASH_MAX);
+  _ms_u64 (io, "changed", &m->changed, UINT64_MAX);
   _ms_leave (io, &saved);
 }
 
@@ -542,11 +543,12 @@
 _ms_io_settings_head (_ms_io *io, ms_settings_head *m)
 {
   _ms_io saved;
-  if (!_ms_enter (io, "body", 2, &saved))
+  if (!_ms_enter (io, "body", 3, &saved))
     return;
   _ms_u64 (io, "version", &m->version, UINT64_MAX);
   _MS_LIST (io, "refs", m->count, m->refs, MS_SETTINGS_MAX,
             _ms_io_settings_ref);
+  _ms_u64 (io, "since", &m->since, UINT64_MAX);
   _ms_leave (io, &saved);
 }
 
@@ -554,10 +556,11 @@
 _ms_io_settings_get (_ms_io *io, ms_settings_get *m)
 {
   _ms_io saved;
-  if (!_ms_enter (io, "body", 1, &saved))
+  if (!_ms_enter (io, "body", 2, &saved))
     return;
   _MS_LIST (io, "refs", m->count, m->refs, MS_SETTINGS_MAX,
             _ms_io_settings_ref);
+  _ms_u64 (io, "since", &m->since, UINT64_MAX);
   _ms_leave (io, &saved);
 }
 
--- a/packages/wire/ms.h
+++ b/packages/wire/ms.h
@@ -254,6 +254,7 @@
 {
   st_str subtree; /* may be empty in SETTINGS_GET */
   st_str hash;
+  uint64_t changed; /* version that last changed the subtree */
 } ms_settings_ref;
 
 typedef struct
@@ -261,14 +262,18 @@
   uint64_t version;
   size_t count;
   const ms_settings_ref *refs;
+  uint64_t since; /* REFS are what changed after it; 0: all */
 } ms_settings_head;
 
+/* Without refs it asks for the head: what changed after version SINCE.  */
 typedef struct
 {
   size_t count;
   const ms_settings_ref *refs;
+  uint64_t since;
 } ms_settings_get;
 
+/* No bytes: the sender does not have the value.  */
 typedef struct
 {
   st_str hash;
--- a/packages/wire/tests/ms_test.cc
+++ b/packages/wire/tests/ms_test.cc
@@ -54,8 +54,8 @@
   static ms_prefix prefixes[3]
       = { { 1, 16 }, { UINT64_MAX, 32 }, { 0x1234567890abcdef, 48 } };
   static ms_settings_ref refs[2]
-      = { { ST_LIT ("root"), ST_LIT ("h1") },
-          { ST_LIT ("team/night"), ST_LIT ("h2") } };
+      = { { ST_LIT ("root"), ST_LIT ("h1"), 41 },
+          { ST_LIT ("team/night"), ST_LIT ("h2"), UINT64_MAX } };
   static uint64_t counts[4] = { 0, 1, 300, UINT64_MAX };
   static ms_evidence_entry entries[2]
       = { { ST_LIT ("labels"), ST_LIT ("v2"), ST_LIT ("draft"), 2, 4, counts },
@@ -138,10 +138,10 @@
           m.u.slot_cancel = { 5 };
           break;
         case MS_SETTINGS_HEAD:
-          m.u.settings_head = { 42, 2, refs };
+          m.u.settings_head = { 42, 2, refs, 40 };
           break;
         case MS_SETTINGS_GET:
-          m.u.settings_get = { 2, refs };
+          m.u.settings_get = { 2, refs, 7 };
           break;
         case MS_SETTINGS_VALUE:
           m.u.settings_value = { str ("h1"), st_str{ "a\0b", 3 } };
