--- a/packages/wire/ms.c
+++ b/packages/wire/ms.c
@@ -746,6 +746,8 @@
   const uint8_t *at;
   size_t left;
   uint32_t objects;
+  uint32_t objects_max;
+  bool maps;
   const char *fault;
 } _ms_scan;
 
@@ -788,7 +790,7 @@
 {
   uint64_t tag;
   uint64_t n;
-  if (++scan->objects > _MS_OBJECTS_MAX)
+  if (++scan->objects > scan->objects_max)
     {
       scan->fault = "has too many objects";
       return false;
@@ -797,6 +799,8 @@
     return false;
   if (tag <= 0x7f || tag >= 0xe0) /* fixint */
     return true;
+  if (scan->maps && tag >= 0x80 && tag <= 0x8f) /* fixmap */
+    return _ms_scan_array (scan, 2 * (tag & 0x0f), depth);
   if (tag >= 0x90 && tag <= 0x9f) /* fixarray */
     return _ms_scan_array (scan, tag & 0x0f, depth);
   if (tag >= 0xa0 && tag <= 0xbf) /* fixstr */
@@ -825,6 +829,12 @@
     case 0xdd:
       return _ms_scan_take (scan, (size_t)2 << (tag - 0xdc), &n)
              && _ms_scan_array (scan, n, depth);
+    case 0xde: /* map 16, 32 */
+    case 0xdf:
+      if (scan->maps)
+        return _ms_scan_take (scan, (size_t)2 << (tag - 0xde), &n)
+               && _ms_scan_array (scan, 2 * n, depth);
+      /* fall through */
     default:
       scan->fault = "has an object of an unexpected type";
       return false;
@@ -863,8 +873,9 @@
   if (!ms_type_known (frame->type))
     return er_set (err, ER_UNSUPPORTED, "message type %u is not defined",
                    frame->type);
-  _ms_scan scan
-      = { .at = (const uint8_t *)frame->body.ptr, .left = frame->body.len };
+  _ms_scan scan = { .at = (const uint8_t *)frame->body.ptr,
+                    .left = frame->body.len,
+                    .objects_max = _MS_OBJECTS_MAX };
   if (!_ms_scan_object (&scan, 0))
     return er_set (err, ER_INVALID, "%s: body %s", name, scan.fault);
   if (scan.left != 0)
@@ -887,3 +898,21 @@
   _ms_io_message (&io, m);
   return io.ok;
 }
+
+/* Checks that a stored VALUE is one msgpack object of maps, arrays, strings,
+   byte strings, integers and booleans, with at most OBJECTS_MAX objects, so
+   that msgpack-c may unpack it.  */
+bool
+ms_check_stored (st_str value, uint32_t objects_max, er_error *err)
+{
+  _ms_scan scan = { .at = (const uint8_t *)value.ptr,
+                    .left = value.len,
+                    .objects_max = objects_max,
+                    .maps = true };
+  if (!_ms_scan_object (&scan, 0))
+    return er_set (err, ER_INVALID, "stored value %s", scan.fault);
+  if (scan.left != 0)
+    return er_set (err, ER_INVALID, "stored value has %zu bytes after its end",
+                   scan.left);
+  return true;
+}
--- a/packages/wire/ms.h
+++ b/packages/wire/ms.h
@@ -356,6 +356,7 @@
   void ms_destroy_decoder (ms_decoder *decoder);
   bool ms_decode (ms_decoder *decoder, const fr_frame *frame, ms_message *m,
                   er_error *err);
+  bool ms_check_stored (st_str value, uint32_t objects_max, er_error *err);
   bool ms_type_known (unsigned type);
   const char *ms_type_name (unsigned type);
 
