Connect the VMs: membership, messages to owners, team demand

Cause: each VM scheduled alone, so engines were over-committed and ids of other VMs could not be redirected. Change: sv_peers runs the peer task; cells follow the members; probes carry the teams' demand and share; a VM that was declared dead finishes its work and takes part again as a new incarnation.

--- a/packages/bench/capacity_main.c
+++ b/packages/bench/capacity_main.c
@@ -121,8 +121,9 @@
   for (int i = 0; i < 100000; i++)
     (void)_bn_cpu_us ();
   clock_us = (_bn_cpu_us () - clock_us) / 100000;
-  printf ("| workers | cells | granted, %% | placement, us | whole request, us "
-          "| tick, us |\n|---|---|---|---|---|---|\n");
+  printf (
+      "| workers | cells | granted, %% | placement, us | whole request, us "
+      "| tick, us |\n|---|---|---|---|---|---|\n");
   for (size_t k = 0; k < sizeof sizes / sizeof sizes[0]; k++)
     {
       uint32_t cells = ce_cells_for (sizes[k]);
--- a/packages/server/fe.h
+++ b/packages/server/fe.h
@@ -66,6 +66,7 @@
                      uint32_t retry_after_ms);
   void fe_on_stop (fe_front *fe, id_handle request);
 
+  void fe_forget_all (fe_front *fe);
   void fe_tick (fe_front *fe);
   uint32_t fe_query_open (const fe_front *fe);
   uint16_t fe_query_port (const fe_front *fe);
--- a/packages/server/fe_account.c
+++ b/packages/server/fe_account.c
@@ -150,3 +150,11 @@
   fe_end_readers (r);
   _fe_keep_answer (r);
 }
+
+/* Forgets all kept answers.  There are no open requests.  */
+void
+fe_forget_all (fe_front *fe)
+{
+  while (fe->kept.length > 0)
+    _fe_forget_answer (fe->kept.head->data);
+}
--- a/packages/server/rl.c
+++ b/packages/server/rl.c
@@ -215,8 +215,8 @@
 _rl_broadcast_halt (rl_task *rl, st_str service, st_str version, st_str reason,
                     uint64_t fence)
 {
-  cm_member members[SV_MAX_MEMBERS];
-  size_t count = sv_query_members (rl->sv, members, SV_MAX_MEMBERS);
+  size_t count;
+  const cm_member *members = sv_query_members (rl->sv, &count);
   for (size_t i = 0; i < count; i++)
     if (!st_equal (members[i].incarnation, sv_query_incarnation (rl->sv)))
       _rl_send_halt (rl, members[i].incarnation, service, version, reason,
@@ -352,11 +352,11 @@
 _rl_is_candidate (rl_task *rl, const _rl_service *s, char *candidate,
                   size_t size)
 {
-  cm_member members[SV_MAX_MEMBERS];
-  st_str names[SV_MAX_MEMBERS];
-  const cm_member *live[SV_MAX_MEMBERS];
   char key[ST_NAME_MAX + 16];
-  size_t count = sv_query_members (rl->sv, members, SV_MAX_MEMBERS);
+  size_t count;
+  const cm_member *members = sv_query_members (rl->sv, &count);
+  st_str *names = g_new (st_str, count + 1);
+  const cm_member **live = g_new (const cm_member *, count + 1);
   uint32_t found = 0;
   for (size_t i = 0; i < count; i++)
     if (!members[i].leaving)
@@ -366,9 +366,11 @@
       }
   _rl_key (key, sizeof key, "rollouts/", s);
   uint32_t owner = ce_owner (st_from_cstr (key), names, found);
-  if (owner == CE_NONE)
-    return false;
-  g_snprintf (candidate, size, "%.*s", ST_FMT (live[owner]->incarnation));
+  candidate[0] = 0;
+  if (owner != CE_NONE)
+    st_copy (candidate, size, live[owner]->incarnation);
+  g_free (live);
+  g_free (names);
   return strcmp (candidate, rl->sv->incarnation) == 0;
 }
 
@@ -830,10 +832,10 @@
 static void
 _rl_set_position (rl_task *rl)
 {
-  cm_member members[SV_MAX_MEMBERS];
   uint32_t before = 0;
   uint32_t live = 0;
-  size_t count = sv_query_members (rl->sv, members, SV_MAX_MEMBERS);
+  size_t count;
+  const cm_member *members = sv_query_members (rl->sv, &count);
   st_str own = st_name_str (&rl->sv->config.vm_name);
   for (size_t i = 0; i < count; i++)
     {
--- a/packages/server/sv.c
+++ b/packages/server/sv.c
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 
 #define _SV_TICK_MS 20
+#define _SV_MAX_INSTANCES 64
 #define _SV_LIST_PERIOD_US (500 * CK_MS_US)
 /* A wait for a slot above this counts as high load.  */
 #define _SV_HIGH_LOAD_WAIT_US (20 * CK_MS_US)
@@ -21,6 +22,7 @@
   struct event *sigterm;
   struct event *sigint;
   bool leaving;
+  bool own_dead; /* declared dead by the peers */
   bool list_seen;
   bool list_asked;
   uint64_t next_list_us;
@@ -58,11 +60,12 @@
   return st_from_cstr (sv->incarnation);
 }
 
-/* True after a drain was begun.  */
+/* True when the VM takes no new work: it drains, or its peers took it for
+   dead.  */
 bool
 sv_query_leaving (const sv_server *sv)
 {
-  return sv->state->leaving;
+  return sv->state->leaving || sv->state->own_dead;
 }
 
 /* True when the VM can take work; WHY names what is missing.  */
@@ -106,38 +109,23 @@
 
 /* ---- members ---- */
 
-/* Fills OUT with the VMs that take part, this one first.  */
-size_t
-sv_query_members (sv_server *sv, cm_member *out, size_t max)
+/* The VMs that take part, this one first; valid until the next change.  */
+const cm_member *
+sv_query_members (const sv_server *sv, size_t *count)
 {
-  if (max == 0)
-    return 0;
-  out[0] = (cm_member){
-    .name = st_name_str (&sv->config.vm_name),
-    .incarnation = st_from_cstr (sv->incarnation),
-    .region = st_name_str (&sv->config.region),
-    .data_center = st_name_str (&sv->config.data_center),
-    .callers_address = st_name_str (&sv->config.listen_callers),
-    .leaving = sv->state->leaving,
-  };
-  return 1;
+  return sv_peers_query (sv->peers, count);
 }
 
 /* State of the process INCARNATION; fills ADDRESS with its callers' address
-   when it is alive.  */
+   when it is alive or leaving.  */
 sv_peer_state
-sv_find_incarnation (sv_server *sv, st_str incarnation, char *address,
+sv_find_incarnation (const sv_server *sv, st_str incarnation, char *address,
                      size_t size)
 {
-  cm_member members[SV_MAX_MEMBERS];
-  size_t count = sv_query_members (sv, members, SV_MAX_MEMBERS);
-  for (size_t i = 0; i < count; i++)
-    if (st_equal (members[i].incarnation, incarnation))
-      {
-        st_copy (address, size, members[i].callers_address);
-        return members[i].leaving ? SV_PEER_LEAVING : SV_PEER_ALIVE;
-      }
-  return SV_PEER_UNKNOWN;
+  st_str found = { "", 0 };
+  sv_peer_state state = sv_peers_find (sv->peers, incarnation, &found);
+  st_copy (address, size, found);
+  return state;
 }
 
 /* Body of the answer to GET /v1/addresses: the VMs that take work, those of
@@ -145,8 +133,8 @@
 json_t *
 sv_addresses_json (sv_server *sv, st_str region)
 {
-  cm_member members[SV_MAX_MEMBERS];
-  size_t count = sv_query_members (sv, members, SV_MAX_MEMBERS);
+  size_t count;
+  const cm_member *members = sv_query_members (sv, &count);
   json_t *list = json_array ();
   if (region.len == 0)
     region = st_name_str (&sv->config.region);
@@ -191,8 +179,8 @@
 const dr_entry *
 sv_choose_service (sv_server *sv, st_str service, unsigned attempt)
 {
-  const dr_entry *near[SV_MAX_MEMBERS];
-  const dr_entry *far[SV_MAX_MEMBERS];
+  const dr_entry *near[_SV_MAX_INSTANCES];
+  const dr_entry *far[_SV_MAX_INSTANCES];
   size_t near_count = 0;
   size_t far_count = 0;
   for (size_t i = 0; i < dr_query_count (sv->directory); i++)
@@ -219,8 +207,9 @@
 
 /* ---- messages ---- */
 
-static void
-_sv_on_message (sv_server *sv, st_str sender, const ms_message *m)
+/* Passes a message of the process SENDER to the task it is for.  */
+void
+sv_on_message (sv_server *sv, st_str sender, const ms_message *m)
 {
   switch (m->type)
     {
@@ -250,8 +239,8 @@
 sv_send (sv_server *sv, st_str incarnation, const ms_message *m)
 {
   if (!st_equal_cstr (incarnation, sv->incarnation))
-    return false;
-  _sv_on_message (sv, incarnation, m);
+    return sv_peers_send (sv->peers, incarnation, m);
+  sv_on_message (sv, incarnation, m);
   return true;
 }
 
@@ -260,14 +249,33 @@
 static void
 _sv_update_cells (sv_server *sv)
 {
-  cm_member members[SV_MAX_MEMBERS];
-  size_t count = sv_query_members (sv, members, SV_MAX_MEMBERS);
+  size_t count;
+  const cm_member *members = sv_query_members (sv, &count);
   bool changed = cm_update (sv->cells, sv->directory, members, count);
   cl_update (sv->owned);
   if (changed)
     ow_update (sv->owner);
 }
 
+/* The set of members, or the state of one, changed.  */
+void
+sv_members_changed (sv_server *sv)
+{
+  /* Events may arrive while the tasks are being made.  */
+  if (sv->front == NULL)
+    return;
+  sv_peers_refresh (sv->peers);
+  _sv_update_cells (sv);
+}
+
+/* Version of the settings in force, 0 before there are any.  */
+uint64_t
+sv_query_settings_version (const sv_server *sv)
+{
+  (void)sv;
+  return 0;
+}
+
 /* ---- VM list ---- */
 
 static dr_entry
@@ -319,7 +327,10 @@
     }
   sv->state->list_seen = true;
   if (dr_set (sv->directory, (dr_entry *)(void *)entries->data, entries->len))
-    _sv_update_cells (sv);
+    {
+      sv_peers_set_vm_list (sv->peers, sv->directory);
+      sv_members_changed (sv);
+    }
   g_array_free (entries, TRUE);
 }
 
@@ -335,6 +346,50 @@
 
 /* ---- life ---- */
 
+static void
+_sv_draw_incarnation (sv_server *sv)
+{
+  g_snprintf (sv->incarnation, sizeof sv->incarnation,
+              "%s-%016" G_GINT64_MODIFIER "x", sv->config.vm_name.text,
+              sv_random (sv));
+}
+
+static rq_table *
+_sv_make_requests (sv_server *sv)
+{
+  return rq_make (
+      &(rq_desc){ .incarnation = st_from_cstr (sv->incarnation),
+                  .capacity = (uint32_t)sv->config.limits.open_requests });
+}
+
+/* The peers took this VM for dead, for instance because it was paused.  It
+   finishes what it holds, then takes part again as a new incarnation: the
+   ids of the old one were told "unknown" meanwhile.  */
+static void
+_sv_check_own_dead (sv_server *sv)
+{
+  if (!sv_peers_query_own_dead (sv->peers) || sv->state->leaving)
+    {
+      sv->state->own_dead = false;
+      return;
+    }
+  if (!sv->state->own_dead)
+    {
+      sv->state->own_dead = true;
+      sv_members_changed (sv);
+    }
+  if (fe_query_open (sv->front) > 0)
+    return;
+  _sv_draw_incarnation (sv);
+  fe_forget_all (sv->front);
+  rq_destroy (sv->requests);
+  sv->requests = _sv_make_requests (sv);
+  sv_peers_rejoin (sv->peers);
+  sv->state->own_dead = false;
+  sv_members_changed (sv);
+  lg_log (LG_WARNING, "", "takes part again as %s", sv->incarnation);
+}
+
 static void
 _sv_on_tick (evutil_socket_t fd, short what, void *arg)
 {
@@ -347,6 +402,7 @@
   ow_tick (sv->owner);
   rl_tick (sv->rollouts);
   fe_tick (sv->front);
+  _sv_check_own_dead (sv);
   if (sv->state->leaving && fe_query_open (sv->front) == 0)
     {
       lg_log (LG_INFO, "", "drained; exiting");
@@ -362,6 +418,8 @@
   if (sv->state->leaving)
     return;
   sv->state->leaving = true;
+  sv_peers_leave (sv->peers);
+  sv_members_changed (sv);
   lg_log (LG_INFO, "", "draining: %u requests in progress",
           fe_query_open (sv->front));
 }
@@ -406,9 +464,10 @@
   sv->owned = cl_make (&(cl_desc){ .server = sv });
   sv->owner = ow_make (&(ow_desc){ .server = sv });
   sv->rollouts = rl_make (&(rl_desc){ .server = sv });
-  sv->requests = rq_make (
-      &(rq_desc){ .incarnation = st_from_cstr (sv->incarnation),
-                  .capacity = (uint32_t)sv->config.limits.open_requests });
+  sv->requests = _sv_make_requests (sv);
+  sv->peers = sv_peers_make (sv, err);
+  if (sv->peers == NULL)
+    return false;
   sv->front = fe_make (
       &(fe_desc){ .server = sv,
                   .host = host,
@@ -444,9 +503,7 @@
   memset (config, 0, sizeof *config);
   sv->base = _sv_make_base ();
   sv->metrics = mt_make (&(mt_desc){ 0 });
-  g_snprintf (sv->incarnation, sizeof sv->incarnation,
-              "%s-%016" G_GINT64_MODIFIER "x", sv->config.vm_name.text,
-              sv_random (sv));
+  _sv_draw_incarnation (sv);
   if (!_sv_start_tasks (sv, err))
     {
       sv_destroy (sv);
@@ -488,6 +545,8 @@
   _sv_free_event (sv->state->sigterm);
   _sv_free_event (sv->state->sigint);
   fe_destroy (sv->front);
+  sv->front = NULL;
+  sv_peers_destroy (sv->peers);
   up_destroy (sv->up);
   rl_destroy (sv->rollouts);
   ow_destroy (sv->owner);
--- a/packages/server/sv.h
+++ b/packages/server/sv.h
@@ -24,6 +24,7 @@
 #include "rl.h"
 #include "rq.h"
 #include "sb.h"
+#include "sv_peers.h"
 #include "up.h"
 
 #include <event2/event.h>
@@ -32,7 +33,6 @@
 #include <jansson.h>
 
 #define SV_TIERS 5
-#define SV_MAX_MEMBERS 64
 
 struct sv_server
 {
@@ -50,6 +50,7 @@
   cl_task *owned;
   ow_task *owner;
   rl_task *rollouts;
+  sv_peers *peers;
   fe_front *front;
   struct sv_state *state; /* private to sv.c */
 };
@@ -61,14 +62,6 @@
   id_handle id;
 } sv_timer_ref;
 
-typedef enum
-{
-  SV_PEER_UNKNOWN,
-  SV_PEER_ALIVE,
-  SV_PEER_LEAVING,
-  SV_PEER_DEAD
-} sv_peer_state;
-
 #ifdef __cplusplus
 extern "C"
 {
@@ -85,9 +78,12 @@
   st_str sv_query_incarnation (const sv_server *sv);
   bool sv_query_leaving (const sv_server *sv);
   bool sv_query_ready (const sv_server *sv, const char **why);
-  size_t sv_query_members (sv_server *sv, cm_member *out, size_t max);
+  const cm_member *sv_query_members (const sv_server *sv, size_t *count);
+  void sv_members_changed (sv_server *sv);
+  uint64_t sv_query_settings_version (const sv_server *sv);
+  void sv_on_message (sv_server *sv, st_str sender, const ms_message *m);
   bool sv_send (sv_server *sv, st_str incarnation, const ms_message *m);
-  sv_peer_state sv_find_incarnation (sv_server *sv, st_str incarnation,
+  sv_peer_state sv_find_incarnation (const sv_server *sv, st_str incarnation,
                                      char *address, size_t size);
   json_t *sv_addresses_json (sv_server *sv, st_str region);
   const dr_entry *sv_choose_service (sv_server *sv, st_str service,
--- a/packages/wire/ms.c
+++ b/packages/wire/ms.c
@@ -348,10 +348,11 @@
 {
   ms_demand *m = item;
   _ms_io saved;
-  if (!_ms_enter (io, "demand", 2, &saved))
+  if (!_ms_enter (io, "demand", 3, &saved))
     return;
   _ms_key (io, "team", &m->team, MS_NAME_MAX);
   _ms_u64 (io, "demand", &m->demand, UINT64_MAX);
+  _ms_u64 (io, "share", &m->share, 1000000);
   _ms_leave (io, &saved);
 }
 
--- a/packages/wire/ms.h
+++ b/packages/wire/ms.h
@@ -136,6 +136,7 @@
 {
   st_str team;
   uint64_t demand; /* requests per second, in thousandths */
+  uint64_t share;  /* held part of the limit, in millionths */
 } ms_demand;
 
 /* PING and ACK.  SUBJECT is the incarnation that is probed (PING, may be
--- a/packages/wire/tests/ms_test.cc
+++ b/packages/wire/tests/ms_test.cc
@@ -49,8 +49,8 @@
   static ms_member updates[MS_UPDATES_MAX];
   for (auto &u : updates)
     u = member ("jamnagar-b-2");
-  static ms_demand demands[2]
-      = { { ST_LIT ("night"), 12 }, { ST_LIT ("day"), UINT64_MAX } };
+  static ms_demand demands[2] = { { ST_LIT ("night"), 12, 1000000 },
+                                  { ST_LIT ("day"), UINT64_MAX, 0 } };
   static ms_prefix prefixes[3]
       = { { 1, 16 }, { UINT64_MAX, 32 }, { 0x1234567890abcdef, 48 } };
   static ms_settings_ref refs[2]
@@ -274,6 +274,7 @@
                                             "jamnagar-b-2"));
                 EXPECT_EQ (got.u.probe.updates[7].state, MS_MEMBER_LEAVING);
                 EXPECT_EQ (got.u.probe.demands[1].demand, UINT64_MAX);
+                EXPECT_EQ (got.u.probe.demands[0].share, 1000000u);
               }
             if (m.type == MS_EVIDENCE)
               {
