Serve calls that may not be repeated

Cause: roll orders, debits and funeral orders were refused. Change: POST /v1/services/SERVICE/PATH runs through the intents task; a shutdown waits for calls whose caller is gone.

--- a/packages/server/fe.h
+++ b/packages/server/fe.h
@@ -9,7 +9,9 @@
      fe_stream.c    keep the answer and copy it to the attached callers
      fe_account.c   outcome, slot release, metrics, evidence
      fe_query.c     outcome by id, rest of an answer, cancel
-     fe_service.c   plain services
+     fe_service.c   idempotent reads of plain services
+     fe_call.c      calls of plain services that may not be repeated
+     fe_recover.c   requests whose owner is gone
      fe_reply.c     error answers
 
    A request lives in a slot of the front end's pool.  Its answer is kept
--- a/packages/server/fe_internal.h
+++ b/packages/server/fe_internal.h
@@ -163,9 +163,11 @@
 json_t *fe_record_json (fe_front *fe, const rq_record *record);
 
 /* fe_service.c */
+void fe_service (fe_front *fe, struct evhttp_request *req, st_str rest);
+
+/* fe_call.c */
 void fe_service_call (fe_front *fe, struct evhttp_request *req, st_str service,
                       st_str path);
-void fe_service (fe_front *fe, struct evhttp_request *req, st_str rest);
 
 /* fe_reply.c */
 typedef struct
--- a/packages/server/fe_service.c
+++ b/packages/server/fe_service.c
@@ -185,17 +185,3 @@
   else
     fe_service_call (fe, req, service, path);
 }
-
-/* A call that may not be repeated.  */
-void
-fe_service_call (fe_front *fe, struct evhttp_request *req, st_str service,
-                 st_str path)
-{
-  (void)service;
-  (void)path;
-  fe_reply_error (fe, req,
-                  &(fe_error){ .kind = ER_UNAVAILABLE,
-                               .outcome = RQ_NOT_RUN,
-                               .retry_after_ms = 1000,
-                               .message = "calls are not available yet" });
-}
--- a/packages/server/po.c
+++ b/packages/server/po.c
@@ -177,6 +177,14 @@
   return true;
 }
 
+/* False when the settings refuse teams that they do not name, and TEAM is
+   one.  */
+bool
+po_query_team_admitted (const po_policy *po, st_str team)
+{
+  return sx_query_team_admitted (po->tree, team);
+}
+
 /* Number of urgent tiers.  */
 uint32_t
 po_query_strict_tiers (const po_policy *po)
--- a/packages/server/po.h
+++ b/packages/server/po.h
@@ -69,6 +69,7 @@
   bool po_query_withdrawn (const po_policy *po, st_str service,
                            st_str version);
 
+  bool po_query_team_admitted (const po_policy *po, st_str team);
   bool po_take_team (po_policy *po, st_str team, uint32_t tokens,
                      uint32_t *wait_ms);
   void po_first_try (po_policy *po);
--- a/packages/server/sv.c
+++ b/packages/server/sv.c
@@ -224,6 +224,10 @@
     case MS_SLOT_STOP:
       ow_on_message (sv->owner, sender, m);
       break;
+    case MS_ABANDON_ASK:
+    case MS_ABANDON_REPLY:
+      oc_on_message (sv->calls, sender, m);
+      break;
     case MS_HALT:
     case MS_EVIDENCE:
       rl_on_message (sv->rollouts, sender, m);
@@ -362,6 +366,13 @@
                   .capacity = (uint32_t)sv->config.limits.open_requests });
 }
 
+/* True when no request and no call is in progress.  */
+static bool
+_sv_is_idle (const sv_server *sv)
+{
+  return fe_query_open (sv->front) == 0 && oc_query_waiting (sv->calls) == 0;
+}
+
 /* The peers took this VM for dead, for instance because it was paused.  It
    finishes what it holds, then takes part again as a new incarnation: the
    ids of the old one were told "unknown" meanwhile.  */
@@ -378,12 +389,13 @@
       sv->state->own_dead = true;
       sv_members_changed (sv);
     }
-  if (fe_query_open (sv->front) > 0)
+  if (!_sv_is_idle (sv))
     return;
   _sv_draw_incarnation (sv);
   fe_forget_all (sv->front);
   rq_destroy (sv->requests);
   sv->requests = _sv_make_requests (sv);
+  oc_set_incarnation (sv->calls, st_from_cstr (sv->incarnation));
   sv_peers_rejoin (sv->peers);
   sv->state->own_dead = false;
   sv_members_changed (sv);
@@ -403,7 +415,7 @@
   rl_tick (sv->rollouts);
   fe_tick (sv->front);
   _sv_check_own_dead (sv);
-  if (sv->state->leaving && fe_query_open (sv->front) == 0)
+  if (sv->state->leaving && _sv_is_idle (sv))
     {
       lg_log (LG_INFO, "", "drained; exiting");
       event_base_loopbreak (sv->base);
@@ -438,6 +450,30 @@
   return address->len > 0 ? address->text : NULL;
 }
 
+static oc_peer_state
+_sv_find_call_peer (void *user, st_str incarnation)
+{
+  const sv_server *sv = user;
+  st_str address;
+  switch (sv_peers_find (sv->peers, incarnation, &address))
+    {
+    case SV_PEER_ALIVE:
+    case SV_PEER_LEAVING:
+      return OC_PEER_ALIVE;
+    case SV_PEER_DEAD:
+      return OC_PEER_DEAD;
+    case SV_PEER_UNKNOWN:
+      break;
+    }
+  return OC_PEER_UNKNOWN;
+}
+
+static bool
+_sv_send_call_message (void *user, st_str incarnation, const ms_message *m)
+{
+  return sv_send (user, incarnation, m);
+}
+
 static bool
 _sv_start_tasks (sv_server *sv, er_error *err)
 {
@@ -468,6 +504,15 @@
   sv->peers = sv_peers_make (sv, err);
   if (sv->peers == NULL)
     return false;
+  sv->calls
+      = oc_make (&(oc_desc){ .base = sv->base,
+                             .platform = sv->platform,
+                             .metrics = sv->metrics,
+                             .incarnation = st_from_cstr (sv->incarnation),
+                             .seed = sv_random (sv),
+                             .find_peer = _sv_find_call_peer,
+                             .send = _sv_send_call_message,
+                             .user = sv });
   sv->front = fe_make (
       &(fe_desc){ .server = sv,
                   .host = host,
@@ -546,6 +591,7 @@
   _sv_free_event (sv->state->sigint);
   fe_destroy (sv->front);
   sv->front = NULL;
+  oc_destroy (sv->calls);
   sv_peers_destroy (sv->peers);
   up_destroy (sv->up);
   rl_destroy (sv->rollouts);
--- a/packages/server/sv.h
+++ b/packages/server/sv.h
@@ -18,6 +18,7 @@
 #include "er.h"
 #include "fe.h"
 #include "mt.h"
+#include "oc.h"
 #include "ow.h"
 #include "pf.h"
 #include "po.h"
@@ -51,6 +52,7 @@
   ow_task *owner;
   rl_task *rollouts;
   sv_peers *peers;
+  oc_task *calls;
   fe_front *front;
   struct sv_state *state; /* private to sv.c */
 };
