--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -152,17 +152,15 @@
     echo "demo: dotterelbendctl set failed: $(tail -1 "$work/set.out")" >&2
     return 1
   fi
+  wanted=$(sed -n 's/^accepted as version \([0-9]*\).*/\1/p' "$work/set.out")
   for ((n = 0; n < 200; n++)); do
     missing=0
-    wanted=0
     for v in 0 1 2 4 5 6 7 8; do
       now=$(version_of "${vm_admin[$v]}")
-      [ "$v" != 0 ] || wanted=${now:-1}
-      [ "${now:-0}" -ge "$wanted" ] && [ "$wanted" -gt 0 ] \
+      [ "${now:-0}" -ge "${wanted:?no version was accepted}" ] \
         || missing=$((missing + 1))
     done
-    if [ "$missing" = 0 ] && DOTTERELBEND_TOKEN=$token "$ctl" --address \
-        "${vm_admin[0]}" explain / "$1" 2>/dev/null | grep -q "$2"; then
+    if [ "$missing" = 0 ]; then
       stage "setting $1=$2 is in force on 8 of 8 running VMs after $((($(date +%s%N) - began) / 1000000)) ms"
       return 0
     fi
