Move stopped streams between engines of a cell

Cause: a stopped stream that got a slot on another engine was lost. Change: the KV state is exported, imported and the stream resumed there; the old copy is ended afterwards.

--- a/packages/server/fe.h
+++ b/packages/server/fe.h
@@ -6,6 +6,7 @@
      fe_identify.c  team, tier, model, version, request id, deadline
      fe_admit.c     duplicates, drain, limits; ask for a place
      fe_dispatch.c  send to the granted engine, resume, stop
+     fe_move.c      move a stopped stream to another engine
      fe_stream.c    keep the answer and copy it to the attached callers
      fe_account.c   outcome, slot release, metrics, evidence
      fe_query.c     outcome by id, rest of an answer, cancel
@@ -52,7 +53,6 @@
   st_str engine;
   st_str address;
   uint64_t predicted_first_token_us;
-  st_str import_from; /* address of the engine that keeps the KV state */
 } fe_place;
 
 #ifdef __cplusplus
--- a/packages/server/fe_accept.c
+++ b/packages/server/fe_accept.c
@@ -51,6 +51,8 @@
   g_free (r->body);
   if (r->prompt != NULL)
     g_string_free (r->prompt, TRUE);
+  if (r->kv != NULL)
+    g_string_free (r->kv, TRUE);
   id_destroy (&fe->ids, r->self);
 }
 
--- a/packages/server/fe_dispatch.c
+++ b/packages/server/fe_dispatch.c
@@ -120,8 +120,9 @@
     fe_ask_place (r);
 }
 
-static void
-_fe_lose (fe_request *r, const char *why)
+/* The engine may have run a part of R, which cannot be fetched any more.  */
+void
+fe_lose (fe_request *r, const char *why)
 {
   char message[160];
   if (r->foreign && r->events == 0)
@@ -183,7 +184,7 @@
   if (result->end == UP_COMPLETE && result->status == 200)
     {
       if (!r->stream && !fe_assemble_whole (r))
-        _fe_lose (r, "the resumed stream ended early");
+        fe_lose (r, "the resumed stream ended early");
       else if (r->stream && !_fe_stream_is_whole (r))
         _fe_fetch_rest (r);
       else
@@ -194,7 +195,7 @@
       return;
     }
   if (result->end == UP_COMPLETE)
-    _fe_lose (r, "stream not found");
+    fe_lose (r, "stream not found");
   else
     _fe_fetch_rest (r);
 }
@@ -279,7 +280,7 @@
   r->resumed = true;
   r->state = FE_RESUMING;
   if (_fe_call (r, EVHTTP_REQ_GET, path, ST_LIT (""), true) == 0)
-    _fe_lose (r, "no connection could be made");
+    fe_lose (r, "no connection could be made");
 }
 
 static void
@@ -302,7 +303,7 @@
 {
   if (r->resumes >= FE_MAX_RESUMES || (r->foreign && r->events == 0))
     {
-      _fe_lose (r, "resumed too often");
+      fe_lose (r, "resumed too often");
       return;
     }
   _fe_cut_to_events (r);
@@ -331,8 +332,8 @@
 }
 
 /* Continues a stopped stream on the engine that kept its state.  */
-static void
-_fe_dispatch_resume (fe_request *r)
+void
+fe_dispatch_resume (fe_request *r)
 {
   char path[RQ_ID_MAX + 48];
   g_snprintf (path, sizeof path, "/v1/streams/%s/resume?from=%u", r->id,
@@ -340,7 +341,7 @@
   r->state = FE_RESUMING;
   r->resumes = 0;
   if (_fe_call (r, EVHTTP_REQ_POST, path, ST_LIT ("{}"), true) == 0)
-    _fe_lose (r, "no connection could be made");
+    fe_lose (r, "no connection could be made");
 }
 
 /* The owner of the cell granted REQUEST a slot.  */
@@ -351,12 +352,16 @@
   if (r == NULL || r->state != FE_WAITING)
     return;
   r->placed = true;
+  st_copy (r->import_from, sizeof r->import_from, st_from_cstr (r->address));
   st_copy (r->engine, sizeof r->engine, place->engine);
   st_copy (r->address, sizeof r->address, place->address);
   rq_record record;
   rq_query (fe->sv->requests, r->record, &record);
-  if (record.state == RQ_DISPATCHED)
-    _fe_dispatch_resume (r);
+  if (record.state == RQ_DISPATCHED
+      && strcmp (r->import_from, r->address) != 0)
+    fe_move (r);
+  else if (record.state == RQ_DISPATCHED)
+    fe_dispatch_resume (r);
   else if (rl_query_halted (fe->sv->rollouts, st_name_str (&r->model),
                             st_name_str (&r->choice.version)))
     {
--- a/packages/server/fe_internal.h
+++ b/packages/server/fe_internal.h
@@ -22,6 +22,7 @@
   FE_WAITING,  /* for a place */
   FE_RUNNING,  /* a call to the engine is in progress */
   FE_STOPPING, /* the engine is told to keep the state */
+  FE_MOVING,   /* the state of the stream goes to another engine */
   FE_RESUMING, /* the rest of the stream is fetched again */
   FE_ENDED     /* has an outcome; the answer is kept */
 } fe_state;
@@ -76,9 +77,10 @@
   GString *prompt; /* text, for the prefix hashes */
   char engine[ST_NAME_MAX + 1];
   char address[80];
-  char import_from[80];
-  up_id call;    /* carries the answer */
-  up_id control; /* tells the engine to stop */
+  char import_from[80]; /* address of the engine that has the state */
+  GString *kv;          /* state on its way; NULL otherwise */
+  up_id call;           /* carries the answer */
+  up_id control;        /* tells the engine to stop */
   uint8_t stop_tries;
   int status;
   char content_type[64];
@@ -136,9 +138,14 @@
 
 /* fe_dispatch.c */
 void fe_dispatch_abort (fe_request *r);
+void fe_dispatch_resume (fe_request *r);
+void fe_lose (fe_request *r, const char *why);
 
 void fe_call_stream (fe_request *r, const char *path);
 
+/* fe_move.c */
+void fe_move (fe_request *r);
+
 /* fe_recover.c */
 void fe_recover (fe_request *r, struct evhttp_request *req, uint32_t from);
 void fe_recover_next (fe_request *r);
