--- a/packages/server/oc.c
+++ b/packages/server/oc.c
@@ -15,6 +15,9 @@
 #define _OC_ANSWER_MS 30000
 #define _OC_RETRY_AFTER_MS 1000
 
+static const char _oc_too_many[]
+    = "this VM has too many calls in progress: use another address";
+
 /* A caller that waits for its outcome.  */
 typedef struct
 {
@@ -54,6 +57,15 @@
   uint64_t op;
 } _oc_op;
 
+/* A call that was refused at once and whose caller is to be told.  */
+typedef struct
+{
+  oc_done done;
+  void *user;
+  er_kind kind;
+  const char *message;
+} _oc_refused;
+
 struct oc_task
 {
   oc_desc desc;
@@ -65,6 +77,7 @@
   _oc_caller *callers;
   GPtrArray *attempts; /* _oc_attempt */
   GPtrArray *ops;      /* _oc_op in flight */
+  GArray *refused;     /* _oc_refused */
 };
 
 static od_time
@@ -459,9 +472,7 @@
                            "the store has no room for more calls within the "
                            "retention: try again later" };
     case OD_REASON_TABLE_FULL:
-      return (_oc_reason){ ER_LIMIT,
-                           "this VM has too many calls in progress: use "
-                           "another address" };
+      return (_oc_reason){ ER_LIMIT, _oc_too_many };
     case OD_REASON_CONNECT_FAILED:
       return (_oc_reason){ ER_UNAVAILABLE,
                            "no instance of the service could be reached, so "
@@ -558,6 +569,25 @@
   _oc_caller_clear (&c);
 }
 
+static void
+_oc_tell_refused (oc_task *oc)
+{
+  while (oc->refused->len > 0)
+    {
+      _oc_refused r = g_array_index (oc->refused, _oc_refused, 0);
+      g_array_remove_index (oc->refused, 0);
+      _oc_count (oc, "order_outcomes_total", "outcome", "not_run");
+      r.done (r.user,
+              &(oc_answer){ .outcome = OC_NOT_RUN,
+                            .kind = r.kind,
+                            .message = r.message,
+                            .retry_after_ms
+                            = r.kind == ER_LIMIT ? _OC_RETRY_AFTER_MS : 0,
+                            .content_type = ST_LIT ("application/json"),
+                            .body = ST_LIT ("") });
+    }
+}
+
 /* Takes all actions, and sets the timer for the next.  */
 static void
 _oc_run (oc_task *oc)
@@ -597,9 +627,11 @@
 static void
 _oc_on_timer (evutil_socket_t fd, short what, void *arg)
 {
+  oc_task *oc = arg;
   (void)fd;
   (void)what;
-  _oc_run (arg);
+  _oc_tell_refused (oc);
+  _oc_run (oc);
 }
 
 /* Starts the task.  */
@@ -625,6 +657,7 @@
   oc->callers = g_new0 (_oc_caller, callers);
   oc->attempts = g_ptr_array_new_with_free_func (_oc_attempt_free);
   oc->ops = g_ptr_array_new ();
+  oc->refused = g_array_new (FALSE, FALSE, sizeof (_oc_refused));
   oc->timer = evtimer_new (desc->base, _oc_on_timer, oc);
   return oc;
 }
@@ -641,6 +674,7 @@
     ((_oc_op *)oc->ops->pdata[i])->oc = NULL;
   g_ptr_array_free (oc->ops, TRUE);
   g_ptr_array_free (oc->attempts, TRUE);
+  g_array_free (oc->refused, TRUE);
   for (uint32_t i = 0; i < oc->ids.capacity; i++)
     _oc_caller_clear (&oc->callers[i]);
   g_free (oc->callers);
@@ -678,17 +712,30 @@
   return true;
 }
 
-/* Makes a call.  DONE is called once, unless oc_forget comes first.  Returns 0
-   when the call is malformed (key, body or addresses out of range) or too
-   many callers wait; it was then not run and DONE is not called.  */
+static oc_id
+_oc_refuse (oc_task *oc, oc_done done, void *user, er_kind kind,
+            const char *message)
+{
+  _oc_refused r
+      = { .done = done, .user = user, .kind = kind, .message = message };
+  g_array_append_val (oc->refused, r);
+  event_active (oc->timer, EV_TIMEOUT, 0);
+  return 0;
+}
+
+/* Makes a call.  DONE is called exactly once, unless oc_forget comes first.
+   A call that is malformed or one too many is refused: it returns 0, and DONE
+   is told OC_NOT_RUN with ER_INVALID or ER_LIMIT.  */
 oc_id
 oc_call (oc_task *oc, const oc_call_desc *desc, oc_done done, void *user)
 {
   if (!_oc_validate_call (desc))
-    return 0;
+    return _oc_refuse (oc, done, user, ER_INVALID,
+                       "the Idempotency-Key must have 1 to 256 printable "
+                       "bytes and the body at most 1 MiB");
   oc_id id = id_make (&oc->ids);
   if (id == 0)
-    return 0;
+    return _oc_refuse (oc, done, user, ER_LIMIT, _oc_too_many);
   _oc_caller *c = &oc->callers[id_index (id)];
   c->key = _oc_compose_key (desc);
   c->caller_key = g_strndup (desc->key.ptr, desc->key.len);
@@ -712,7 +759,7 @@
     {
       _oc_caller_clear (c);
       id_destroy (&oc->ids, id);
-      return 0;
+      return _oc_refuse (oc, done, user, ER_LIMIT, _oc_too_many);
     }
   /* Answers come from the event loop.  */
   event_active (oc->timer, EV_TIMEOUT, 0);
--- a/packages/server/tests/oc_test.cc
+++ b/packages/server/tests/oc_test.cc
@@ -467,12 +467,49 @@
 // Guards against malformed calls that reach the store or the service.
 TEST_F (Oc, MalformedCallsAreRefused)
 {
-  Answer a;
-  EXPECT_EQ (call (vms[0].get (), "", &a), 0u);
-  EXPECT_EQ (call (vms[0].get (), "a\r\nX-Evil: 1", &a), 0u);
-  EXPECT_EQ (call (vms[0].get (), std::string (OC_KEY_MAX + 1, 'k'), &a), 0u);
-  EXPECT_NE (call (vms[0].get (), std::string (OC_KEY_MAX, 'k'), &a), 0u);
-  EXPECT_TRUE (run ([&] { return a.count == 1; }));
+  Answer a[4];
+  EXPECT_EQ (call (vms[0].get (), "", &a[0]), 0u);
+  EXPECT_EQ (call (vms[0].get (), "a\r\nX-Evil: 1", &a[1]), 0u);
+  EXPECT_EQ (call (vms[0].get (), std::string (OC_KEY_MAX + 1, 'k'), &a[2]),
+             0u);
+  EXPECT_NE (call (vms[0].get (), std::string (OC_KEY_MAX, 'k'), &a[3]), 0u);
+  EXPECT_EQ (a[0].count, 0) << "no answer from inside the call";
+  EXPECT_TRUE (run ([&] { return a[3].count == 1; }));
+  for (int i = 0; i < 3; i++)
+    {
+      EXPECT_EQ (a[i].count, 1);
+      EXPECT_EQ (a[i].outcome, OC_NOT_RUN);
+      EXPECT_EQ (a[i].kind, ER_INVALID);
+    }
+  EXPECT_EQ (a[3].outcome, OC_ANSWERED);
+  EXPECT_EQ (executed.size (), 1u);
+}
+
+// Guards against callers that wait for ever because the table is full.
+TEST_F (Oc, TooManyCallersAreRefused)
+{
+  mode = Mode::kHang;
+  std::vector<std::unique_ptr<Answer>> answers;
+  int refused_calls = 0;
+  for (int i = 0; i < 1100; i++)
+    {
+      answers.push_back (std::make_unique<Answer> ());
+      refused_calls += call (vms[0].get (), "k" + std::to_string (i % 100),
+                             answers.back ().get ())
+                               == 0
+                           ? 1
+                           : 0;
+    }
+  EXPECT_EQ (refused_calls, 1100 - 256 * 4);
+  EXPECT_TRUE (run ([&] {
+    for (auto &a : answers)
+      if (a->count != 1)
+        return false;
+    return true;
+  }));
+  EXPECT_EQ (answers.back ()->outcome, OC_NOT_RUN);
+  EXPECT_EQ (answers.back ()->kind, ER_LIMIT);
+  EXPECT_EQ (executed.size (), 100u);
 }
 
 // Guards against a damaged bucket that is overwritten, which would forget the
--- a/packages/server/tests/pe_test.cc
+++ b/packages/server/tests/pe_test.cc
@@ -560,7 +560,8 @@
   vm.name = "n";
   vm.incarnation = "n-1";
   er_error err = {};
-  pe_desc d = desc (&vm, "not-an-address");
+  std::string bad = "not-an-address"; // the desc keeps a view
+  pe_desc d = desc (&vm, bad);
   EXPECT_EQ (pe_make (&d, &err), nullptr);
   EXPECT_EQ (err.kind, ER_INVALID);
   Vm *a = start ("north-1");
