End a stopped stream of the stand-in engine without an event

Cause: a stop of a whole answer was answered with 409, which a VM took for the answer of the request, and a stop of a streamed one sent an error event that counts as an event of the answer. Change: a stop ends a streamed body without [DONE] and closes the connection of a whole answer; the demo's answers are longer, so that the killed VM has requests in flight. Conclusion: the stop no longer looks like an answer.

--- a/packages/testing/te.c
+++ b/packages/testing/te.c
@@ -370,7 +370,10 @@
       _te_reader_drop (s, i);
 }
 
-/* Ends all readers of a stream that gives no further events.  */
+/* Ends all readers of a stream that gives no further events.  One that has
+   got events sees the end of the body without [DONE].  One that has got
+   nothing gets an error STATUS of KIND; with status 0 its connection is
+   closed.  */
 static void
 _te_end_readers (_te_stream *s, int status, const char *kind)
 {
@@ -378,16 +381,9 @@
     {
       _te_reader *r = s->readers->pdata[i];
       if (r->started)
-        {
-          /* Ends the body without [DONE].  */
-          struct evbuffer *out = evbuffer_new ();
-          evbuffer_add_printf (out, "data: {\"error\":{\"kind\":\"%s\"}}\n\n",
-                               kind);
-          if (th_connected (r->req))
-            evhttp_send_reply_chunk (r->req, out);
-          evbuffer_free (out);
-          evhttp_send_reply_end (r->req);
-        }
+        evhttp_send_reply_end (r->req);
+      else if (status == 0)
+        th_abort (r->req);
       else
         th_reply_error (r->req, status, kind, "the stream has ended");
       _te_reader_drop (s, i);
@@ -438,7 +434,7 @@
         s->wasted = s->prefilled;
       _te_leave_batch (s, TE_CANCELLED);
     }
-  _te_end_readers (s, 409, keep ? "stopped" : "cancelled");
+  _te_end_readers (s, keep ? 0 : 409, "cancelled");
   _te_admit_queued (s->e);
 }
 
--- a/packages/testing/te.h
+++ b/packages/testing/te.h
@@ -15,6 +15,9 @@
    "prompt" string or the "content" strings of all messages joined by "\n".
    A prompt has one token for each 4 bytes, rounded up.
 
+   DELETE ends the body of a streamed answer without [DONE].  Who waits for a
+   whole answer gets 409 "cancelled", or, with ?keep=1, a closed connection.
+
    The prefix cache works in blocks of TE_BLOCK_TOKENS tokens.  The hash of
    block K is st_hash (bytes of the block, hash of block K-1), the one before
    the first being 0.  Only whole blocks are kept.
--- a/packages/testing/tests/e2e_standin_test.cc
+++ b/packages/testing/tests/e2e_standin_test.cc
@@ -177,6 +177,28 @@
   EXPECT_EQ (stream_call ("GET", "b?from=0").status, 410);
 }
 
+// Guards against a stop that is taken for the answer: a streamed body ends
+// without an event of its own, and a whole answer is not given.
+TEST_F (E2eStandin, StopGivesNoAnswer)
+{
+  run ({ "--decode", "100" });
+  auto streamed
+      = std::async (std::launch::async, [=] { return send ("a", 60, true); });
+  auto whole
+      = std::async (std::launch::async, [=] { return send ("b", 60, false); });
+  ASSERT_TRUE (proc::wait_until (5000, [&] {
+    return received ("a", "tokens") > 3 && received ("b", "tokens") > 3;
+  }));
+  stream_call ("DELETE", "a?keep=1");
+  stream_call ("DELETE", "b?keep=1");
+  Response r = streamed.get ();
+  EXPECT_EQ (r.body.find ("error"), std::string::npos) << r.body;
+  EXPECT_EQ (r.text (), text ("a", (int)(r.text ().size () / TE_TOKEN_LEN)));
+  EXPECT_EQ (whole.get ().status, 0);
+  EXPECT_EQ (stream_call ("POST", "b/resume?from=0", "{}").text (),
+             text ("b", 60));
+}
+
 // Guards against a stream that changes or is computed again when it moves.
 TEST_F (E2eStandin, StreamMovesByKv)
 {
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -78,7 +78,7 @@
     start "engine-$i$s" "$bin/testing/standin-engine" --platform "$platform" \
       --name "engine-${centres[$i]}-$s" --region "${regions[$i]}" \
       --data-center "${centres[$i]}" --slots 8 --decode "$decode" \
-      --prefill "$prefill" --decode-fall 0.05 --time-scale 10 \
+      --prefill "$prefill" --decode-fall 0.05 --time-scale 5 \
       --report-lag-ms 100 --cache-gap-rate 0.02
     upstreams+=("engine-$i$s")
   done
@@ -172,7 +172,7 @@
 
 seeds=$(IFS=,; echo "${vm_callers[*]}")
 start load "$bin/testing/loadclient" --vms "$seeds" --requests "$requests" \
-  --rate "$rate" --in-flight 200 --seed "$seed" --timeout-ms 20000 \
+  --rate "$rate" --in-flight 200 --max-tokens 160 --seed "$seed" --timeout-ms 20000 \
   --report "$work/report.json"
 load_pid=$pid_load
 stage "load client sends $requests requests, $rate a second, seed $seed"
