--- a/packages/server/fe_call.c
+++ b/packages/server/fe_call.c
@@ -168,15 +168,14 @@
   g_snprintf (call->path, sizeof call->path, "/%.*s", ST_FMT (path));
   evhttp_connection_set_closecb (evhttp_request_get_connection (req),
                                  _fe_call_on_closed, call);
-  call->call = oc_call (
-      fe->sv->calls,
-      &(oc_call_desc){ .team = team,
-                       .service = service,
-                       .key = key,
-                       .path = call->path,
-                       .content_type = fe_header (req, "Content-Type"),
-                       .body = { call->body, size },
-                       .addresses = addresses,
-                       .address_count = count },
-      _fe_call_on_answer, call);
+  oc_call (fe->sv->calls,
+           &(oc_call_desc){ .team = team,
+                            .service = service,
+                            .key = key,
+                            .path = call->path,
+                            .content_type = fe_header (req, "Content-Type"),
+                            .body = { call->body, size },
+                            .addresses = addresses,
+                            .address_count = count },
+           _fe_call_on_answer, call);
 }
