--- a/packages/server/fe.h
+++ b/packages/server/fe.h
@@ -9,7 +9,9 @@
      fe_stream.c    keep the answer and copy it to the attached callers
      fe_account.c   outcome, slot release, metrics, evidence
      fe_query.c     outcome by id, rest of an answer, cancel
-     fe_service.c   plain services
+     fe_service.c   idempotent reads of plain services
+     fe_call.c      calls of plain services that may not be repeated
+     fe_recover.c   requests whose owner is gone
      fe_reply.c     error answers
 
    A request lives in a slot of the front end's pool.  Its answer is kept
@@ -66,6 +68,7 @@
                      uint32_t retry_after_ms);
   void fe_on_stop (fe_front *fe, id_handle request);
 
+  void fe_forget_all (fe_front *fe);
   void fe_tick (fe_front *fe);
   uint32_t fe_query_open (const fe_front *fe);
   uint16_t fe_query_port (const fe_front *fe);
