--- a/packages/decide/sp.c
+++ b/packages/decide/sp.c
@@ -9,6 +9,12 @@
 #define _SP_STORE_RETRY_US 400000ull
 #define _SP_STORE_TIMEOUT_US 1000000ull
 #define _SP_WATCH_PACE_US 2500000ull
+/* Sizes in the store, with names of usual length.  */
+#define _SP_HEAD_BYTES 64
+#define _SP_ENTRY_BYTES 48
+#define _SP_RECORD_BYTES 120
+/* The head of 240 subtrees, the design size.  */
+#define _SP_PACED_BYTES 15000
 #define _SP_WATCH_LIMIT_US 2500000ull
 #define _SP_QUEUE 512
 /* Values asked for at the same time; the rest follows as answers come.  */
@@ -57,6 +63,7 @@
   uint64_t revision; /* newest seen */
   uint64_t call_us;  /* begin of the read or watch */
   uint64_t last_read_us;
+  uint64_t pace_us; /* until the next read, by the size of the last head */
   uint64_t store_due_us;
 
   uint64_t store_version;
@@ -438,12 +445,24 @@
 static void
 _sp_schedule_store (sp_vm *vm, uint64_t due_us, bool read)
 {
-  uint64_t paced_us = vm->last_read_us + vm->desc.watch_pace_us;
+  uint64_t paced_us = vm->last_read_us + vm->pace_us;
   vm->read_due = read;
   vm->store_due_us
       = read && vm->store_seen && due_us < paced_us ? paced_us : due_us;
 }
 
+/* Time between two reads of a head of this size, so that a watcher receives
+   at most _SP_PACED_BYTES in each watch_pace_us.  */
+static uint64_t
+_sp_pace_us (const sp_vm *vm, const sp_head *head)
+{
+  uint64_t bytes = _SP_HEAD_BYTES + _SP_ENTRY_BYTES * head->entry_count
+                   + _SP_RECORD_BYTES * head->record_count;
+  if (bytes > _SP_PACED_BYTES)
+    bytes = _SP_PACED_BYTES;
+  return vm->desc.watch_pace_us * bytes / _SP_PACED_BYTES;
+}
+
 /* Notes what a head from SOURCE means for the start and for the calls in
    progress.  */
 static void
@@ -456,6 +475,7 @@
       vm->reading = false;
       vm->store_seen = true;
       vm->last_read_us = now_us;
+      vm->pace_us = _sp_pace_us (vm, head);
       if (head->version > vm->store_version)
         vm->store_version = head->version;
       if (head->revision > vm->revision)
--- a/packages/decide/sp.h
+++ b/packages/decide/sp.h
@@ -148,8 +148,9 @@
   uint32_t max_members;    /* 0 means SP_MEMBERS_DEFAULT */
   uint64_t ask_timeout_us; /* of a peer; 0 means 300 ms */
   uint64_t store_retry_us; /* 0 means 400 ms */
-  /* Shortest time between two reads of the head by a watcher; bounds the
-     bytes that a watcher receives.  0 means 2.5 s.  */
+  /* Shortest time between two reads of a head of the design size by a
+     watcher, less for a smaller head; bounds the bytes that a watcher
+     receives.  0 means 2.5 s.  */
   uint64_t watch_pace_us;
   /* Longest time that a watch is left without an answer, so that one that
      hangs does not blind the watcher.  0 means 2.5 s.  */
--- /dev/null
+++ b/packages/server/se_serve.c
@@ -0,0 +1,262 @@
+#include "se_serve.h"
+
+#include "aa.h"
+#include "lg.h"
+#include "po.h"
+#include "se.h"
+#include "sv.h"
+
+#include <glib.h>
+
+#define _SE_MEMBERS_PERIOD_US (200 * CK_MS_US)
+
+struct se_service
+{
+  sv_server *sv;
+  se_task *se;
+  aa_api *aa; /* NULL without listen.admin */
+  uint64_t next_members_us;
+};
+
+/* --- the settings task asks ------------------------------------------- */
+
+static bool
+_se_serve_send (void *user, st_str incarnation, const ms_message *m)
+{
+  se_service *s = user;
+  return sv_send (s->sv, incarnation, m);
+}
+
+static void
+_se_serve_applied (void *user, uint64_t version)
+{
+  se_service *s = user;
+  po_set_tree (s->sv->policy, sx_ref (se_query_tree (s->se, NULL)));
+  if (s->aa != NULL)
+    aa_on_version (s->aa, version);
+}
+
+static void
+_se_serve_finished (void *user, uint64_t ticket, const aa_result *result)
+{
+  se_service *s = user;
+  aa_finish_change (s->aa, ticket, result);
+}
+
+static void
+_se_serve_history_read (void *user, uint64_t ticket, const json_t *history,
+                        const er_error *err)
+{
+  se_service *s = user;
+  aa_finish_history (s->aa, ticket, history, err);
+}
+
+/* --- the administration API asks -------------------------------------- */
+
+static const sx_tree *
+_se_serve_settings (void *user, uint64_t *version)
+{
+  const se_service *s = user;
+  return se_query_tree (s->se, version);
+}
+
+static void
+_se_serve_submit (void *user, uint64_t ticket, const aa_change *change)
+{
+  se_service *s = user;
+  se_submit (s->se, ticket, change);
+}
+
+static void
+_se_serve_history (void *user, uint64_t ticket)
+{
+  se_service *s = user;
+  se_read_history (s->se, ticket);
+}
+
+static json_t *
+_se_serve_member_json (se_service *s, const cm_member *m)
+{
+  return json_pack (
+      "{s:s%,s:s%,s:s%,s:s%,s:s%,s:s,s:I}", "name", m->name.ptr, m->name.len,
+      "incarnation", m->incarnation.ptr, m->incarnation.len, "region",
+      m->region.ptr, m->region.len, "data_center", m->data_center.ptr,
+      m->data_center.len, "address", m->callers_address.ptr,
+      m->callers_address.len, "state", m->leaving ? "leaving" : "alive",
+      "settings_version",
+      (json_int_t)se_query_member_version (s->se, m->incarnation));
+}
+
+static json_t *
+_se_serve_members (void *user)
+{
+  se_service *s = user;
+  cm_member members[SV_MAX_MEMBERS];
+  size_t count = sv_query_members (s->sv, members, SV_MAX_MEMBERS);
+  json_t *out = json_array ();
+  for (size_t i = 0; i < count; i++)
+    {
+      json_t *one = _se_serve_member_json (s, &members[i]);
+      if (one != NULL)
+        json_array_append_new (out, one);
+    }
+  return out;
+}
+
+/* Rollouts, drains and the changes that this VM was asked for.  */
+static json_t *
+_se_serve_moves (void *user)
+{
+  se_service *s = user;
+  cm_member members[SV_MAX_MEMBERS];
+  size_t count = sv_query_members (s->sv, members, SV_MAX_MEMBERS);
+  json_t *out = json_array ();
+  json_t *parts[]
+      = { rl_query_moves (s->sv->rollouts), se_query_moves (s->se) };
+  for (unsigned i = 0; i < G_N_ELEMENTS (parts); i++)
+    {
+      json_array_extend (out, parts[i]);
+      json_decref (parts[i]);
+    }
+  for (size_t i = 0; i < count; i++)
+    if (members[i].leaving)
+      json_array_append_new (
+          out, json_pack ("{s:s,s:s%,s:s,s:s}", "kind", "drain", "service",
+                          members[i].name.ptr, members[i].name.len, "state",
+                          "running", "reason", ""));
+  return out;
+}
+
+/* Counts the VMs of this data centre that leave, against the setting
+   drain.together_max.  */
+static bool
+_se_serve_drain (void *user, er_error *err)
+{
+  se_service *s = user;
+  cm_member members[SV_MAX_MEMBERS];
+  size_t count = sv_query_members (s->sv, members, SV_MAX_MEMBERS);
+  sx_where root = { .tier = SX_NO_TIER };
+  int64_t most = sx_query_int (se_query_tree (s->se, NULL), &root,
+                               SX_DRAIN_TOGETHER_MAX);
+  int64_t leaving = 0;
+  if (sv_query_leaving (s->sv))
+    return true;
+  for (size_t i = 0; i < count; i++)
+    leaving += members[i].leaving
+               && st_equal (members[i].data_center,
+                            st_name_str (&s->sv->config.data_center));
+  if (leaving >= most)
+    return er_set (err, ER_LIMIT,
+                   "%d VMs of this data centre drain already "
+                   "and drain.together_max is %d; wait until they have ended",
+                   (int)leaving, (int)most);
+  sv_begin_drain (s->sv);
+  return true;
+}
+
+/* --- life ------------------------------------------------------------- */
+
+static void
+_se_serve_update_members (se_service *s)
+{
+  cm_member members[SV_MAX_MEMBERS];
+  se_member list[SV_MAX_MEMBERS];
+  size_t count = sv_query_members (s->sv, members, SV_MAX_MEMBERS);
+  for (size_t i = 0; i < count; i++)
+    list[i] = (se_member){ members[i].name, members[i].incarnation,
+                           members[i].data_center, members[i].leaving };
+  se_set_members (s->se, list, count);
+}
+
+/* Starts the settings task and, with listen.admin, the administration API.
+   NULL with ERR when its listener cannot be opened.  */
+se_service *
+se_serve_make (sv_server *sv, er_error *err)
+{
+  se_service *s = g_new0 (se_service, 1);
+  s->sv = sv;
+  s->se = se_make (
+      &(se_desc){ .platform = sv->platform,
+                  .name = st_name_str (&sv->config.vm_name),
+                  .data_center = st_name_str (&sv->config.data_center),
+                  .seed = sv_random (sv),
+                  .user = s,
+                  .send = _se_serve_send,
+                  .on_applied = _se_serve_applied,
+                  .on_finished = _se_serve_finished,
+                  .on_history = _se_serve_history_read },
+      sv_now_us (sv));
+  if (sv->config.listen_admin.len == 0)
+    return s;
+  s->aa
+      = aa_make (&(aa_desc){ .base = sv->base,
+                             .listen = sv->config.listen_admin.text,
+                             .tokens = sv->config.tokens,
+                             .token_count = sv->config.token_count,
+                             .core = { s, _se_serve_settings, _se_serve_submit,
+                                       _se_serve_history, _se_serve_moves,
+                                       _se_serve_members, _se_serve_drain } },
+                 err);
+  if (s->aa != NULL)
+    {
+      lg_log (LG_INFO, "", "administration API on port %u",
+              aa_query_port (s->aa));
+      return s;
+    }
+  se_serve_destroy (s);
+  return NULL;
+}
+
+/* Closes the listener and releases S, which may be NULL.  */
+void
+se_serve_destroy (se_service *s)
+{
+  if (s == NULL)
+    return;
+  aa_destroy (s->aa);
+  se_destroy (s->se);
+  g_free (s);
+}
+
+/* Follows the members and repeats what got no answer.  */
+void
+se_serve_tick (se_service *s)
+{
+  uint64_t now_us = sv_now_us (s->sv);
+  if (now_us >= s->next_members_us)
+    {
+      s->next_members_us = now_us + _SE_MEMBERS_PERIOD_US;
+      _se_serve_update_members (s);
+    }
+  se_tick (s->se, now_us, sv_wall_ms (s->sv));
+}
+
+/* Handles messages about settings, and the version in probes.  */
+void
+se_serve_on_message (se_service *s, st_str sender, const ms_message *m)
+{
+  switch (m->type)
+    {
+    case MS_PING:
+    case MS_ACK:
+      se_on_version (s->se, m->u.probe.sender, m->u.probe.settings_version);
+      break;
+    default:
+      se_on_message (s->se, sender, m);
+      break;
+    }
+}
+
+/* Version in force, for probes.  */
+uint64_t
+se_serve_version (const se_service *s)
+{
+  return se_query_version (s->se);
+}
+
+/* True once settings were read.  */
+bool
+se_serve_ready (const se_service *s)
+{
+  return se_query_ready (s->se);
+}
--- a/packages/server/sv.c
+++ b/packages/server/sv.c
@@ -73,6 +73,8 @@
     *why = "the VM is shutting down";
   else if (!sv->state->list_seen)
     *why = "the VM list was not read yet";
+  else if (!se_serve_ready (sv->settings))
+    *why = "the settings were not read yet";
   else
     *why = "";
   return (*why)[0] == 0;
@@ -240,6 +242,13 @@
     case MS_EVIDENCE:
       rl_on_message (sv->rollouts, sender, m);
       break;
+    case MS_PING:
+    case MS_ACK:
+    case MS_SETTINGS_HEAD:
+    case MS_SETTINGS_GET:
+    case MS_SETTINGS_VALUE:
+      se_serve_on_message (sv->settings, sender, m);
+      break;
     default:
       break;
     }
@@ -343,6 +352,7 @@
   (void)fd;
   (void)what;
   _sv_poll_list (sv, sv_now_us (sv));
+  se_serve_tick (sv->settings);
   po_tick (sv->policy);
   cl_tick (sv->owned);
   ow_tick (sv->owner);
@@ -403,6 +413,9 @@
   sv->up = up_make (&(up_desc){ .base = sv->base });
   sv->directory = dr_make ();
   sv->policy = po_make (&(po_desc){ .server = sv });
+  sv->settings = se_serve_make (sv, err);
+  if (sv->settings == NULL)
+    return false;
   sv->cells = cm_make ();
   sv->owned = cl_make (&(cl_desc){ .server = sv });
   sv->owner = ow_make (&(ow_desc){ .server = sv });
@@ -481,6 +494,7 @@
   ow_destroy (sv->owner);
   cl_destroy (sv->owned);
   cm_destroy (sv->cells);
+  se_serve_destroy (sv->settings);
   po_destroy (sv->policy);
   pf_destroy (sv->platform);
   rq_destroy (sv->requests);
--- a/packages/server/sv.h
+++ b/packages/server/sv.h
@@ -24,6 +24,7 @@
 #include "rl.h"
 #include "rq.h"
 #include "sb.h"
+#include "se_serve.h"
 #include "up.h"
 
 #include <event2/event.h>
@@ -46,6 +47,7 @@
   up_pool *up;
   dr_directory *directory;
   po_policy *policy;
+  se_service *settings;
   cm_map *cells;
   cl_task *owned;
   ow_task *owner;
