--- a/packages/bench/bn_world.c
+++ b/packages/bench/bn_world.c
@@ -542,7 +542,7 @@
 {
   const bn_work *w = &world->work[i];
   const _bn_generation *g = &_bn_generations[0];
-  double chunks = 1 + w->prompt_tokens / BN_CHUNK_TOKENS;
+  double chunks = 1 + w->prompt_tokens / (double)BN_CHUNK_TOKENS;
   double us = w->prompt_tokens * g->us_per_prompt_token
               + (chunks + w->answer_tokens) * g->iteration_us;
   return (double)w->arrival_us + us < (double)w->deadline_us;
--- a/packages/bench/capacity_main.c
+++ b/packages/bench/capacity_main.c
@@ -2,8 +2,10 @@
    the figures in docs/CAPACITY.md come from here.  */
 #include "ce.h"
 #include "cs.h"
+#include "ms.h"
 #include "tl.h"
 
+#include <event2/buffer.h>
 #include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -47,8 +49,9 @@
 
 typedef struct
 {
-  uint64_t placed; /* next request number */
-  uint64_t done;   /* the oldest that still runs */
+  cs_cell *cs;
+  uint64_t placed; /* last request number */
+  uint64_t done;   /* the last that has ended */
 } _bn_flow;
 
 static cs_cell *
@@ -74,8 +77,9 @@
 /* One request through a cell: a prompt with eight prefix blocks.  Returns
    the time of submit and grant.  */
 static double
-_bn_place (cs_cell *cs, _bn_flow *flow, uint64_t now_us)
+_bn_place (_bn_flow *flow, uint64_t now_us)
 {
+  cs_cell *cs = flow->cs;
   cs_prefix prefixes[CS_PREFIX_MAX];
   uint64_t number = ++flow->placed;
   for (uint32_t i = 0; i < CS_PREFIX_MAX; i++)
@@ -98,8 +102,9 @@
 }
 
 static void
-_bn_finish (cs_cell *cs, _bn_flow *flow, uint64_t now_us)
+_bn_finish (_bn_flow *flow, uint64_t now_us)
 {
+  cs_cell *cs = flow->cs;
   cs_decision d;
   uint64_t number = ++flow->done;
   cs_first_token (cs, number, 40000, now_us);
@@ -121,29 +126,29 @@
   for (int i = 0; i < 100000; i++)
     (void)_bn_cpu_us ();
   clock_us = (_bn_cpu_us () - clock_us) / 100000;
-  printf ("| workers | cells | granted, %% | placement, us | whole request, us "
-          "| tick, us |\n|---|---|---|---|---|---|\n");
+  printf (
+      "\n| workers | cells | granted, %% | placement, us | whole request, us "
+      "| tick, us |\n|---|---|---|---|---|---|\n");
   for (size_t k = 0; k < sizeof sizes / sizeof sizes[0]; k++)
     {
       uint32_t cells = ce_cells_for (sizes[k]);
-      cs_cell **cs = calloc (cells, sizeof *cs);
       _bn_flow *flows = calloc (cells, sizeof *flows);
-      if (cs == NULL || flows == NULL)
+      if (flows == NULL)
         abort ();
       for (uint32_t c = 0; c < cells; c++)
-        cs[c] = _bn_make_cell (sizes[k] / cells);
+        flows[c].cs = _bn_make_cell (sizes[k] / cells);
       uint64_t now_us = 1000000;
       /* Eight requests run in each cell.  */
       for (uint32_t i = 0; i < 8; i++)
         for (uint32_t c = 0; c < cells; c++)
-          _bn_place (cs[c], &flows[c], now_us);
+          _bn_place (&flows[c], now_us);
       double place_us = 0, start = _bn_cpu_us ();
       uint32_t c = 0;
       for (uint32_t i = 0; i < _BN_PLACEMENTS; i++)
         {
           now_us += c == 0 ? 100000 : 0;
-          _bn_finish (cs[c], &flows[c], now_us);
-          place_us += _bn_place (cs[c], &flows[c], now_us) - clock_us;
+          _bn_finish (&flows[c], now_us);
+          place_us += _bn_place (&flows[c], now_us) - clock_us;
           c = (c + 1) % cells;
         }
       double all_us = _bn_cpu_us () - start - 2 * clock_us * _BN_PLACEMENTS;
@@ -152,21 +157,20 @@
       cs_decision d;
       for (uint32_t i = 0; i < ticks; i++)
         {
-          cs_tick (cs[i % cells], now_us);
-          while (cs_next (cs[i % cells], now_us, &d))
+          cs_tick (flows[i % cells].cs, now_us);
+          while (cs_next (flows[i % cells].cs, now_us, &d))
             ;
         }
       double tick_us = (_bn_cpu_us () - start) / ticks;
       uint64_t granted = 0;
       for (uint32_t i = 0; i < cells; i++)
-        granted += cs_query_counts (cs[i]).granted;
+        granted += cs_query_counts (flows[i].cs).granted;
       printf ("| %u | %u | %.1f | %.2f | %.2f | %.2f |\n", sizes[k], cells,
               100.0 * (double)granted / (_BN_PLACEMENTS + 8.0 * cells),
               place_us / _BN_PLACEMENTS, all_us / _BN_PLACEMENTS, tick_us);
       for (uint32_t i = 0; i < cells; i++)
-        cs_destroy (cs[i]);
+        cs_destroy (flows[i].cs);
       free (flows);
-      free (cs);
     }
 }
 
@@ -277,9 +281,64 @@
     }
 }
 
+static void
+_bn_print_message (const char *name, const ms_message *m)
+{
+  struct evbuffer *out = evbuffer_new ();
+  er_error err = { 0 };
+  if (out == NULL)
+    abort ();
+  if (ms_encode (out, m, &err))
+    printf ("| %s | %zu |\n", name, evbuffer_get_length (out));
+  else
+    printf ("| %s | %s |\n", name, err.message);
+  evbuffer_free (out);
+}
+
+/* Frames of one request that is placed through another VM.  */
+static void
+_bn_measure_messages (void)
+{
+  ms_prefix prefixes[CS_PREFIX_MAX];
+  for (uint32_t i = 0; i < CS_PREFIX_MAX; i++)
+    prefixes[i] = (ms_prefix){ 0xfedcba9876543210ull + i, 500 * (i + 1) };
+  printf ("| message | bytes with frame |\n|---|---|\n");
+  _bn_print_message (
+      "SLOT_ASK, 8 prefix hashes",
+      &(ms_message){ .type = MS_SLOT_ASK,
+                     .u.slot_ask
+                     = { .handle = 1ull << 32 | 70000,
+                         .cell = ST_LIT ("rajkot-a/label-draft/12"),
+                         .tier = 1,
+                         .team = ST_LIT ("market-day"),
+                         .version = ST_LIT ("label-draft-2026-11"),
+                         .route = ST_LIT ("/v1/chat/completions"),
+                         .prompt_tokens = 4100,
+                         .expected_tokens = 300,
+                         .prefix_count = CS_PREFIX_MAX,
+                         .prefixes = prefixes,
+                         .deadline_ms = 10000 } });
+  _bn_print_message (
+      "SLOT_GRANT",
+      &(ms_message){ .type = MS_SLOT_GRANT,
+                     .u.slot_grant = { .handle = 1ull << 32 | 70000,
+                                       .engine = ST_LIT ("rajkot-a-w117"),
+                                       .grant_id = 1ull << 32 | 70000,
+                                       .first_token_us = 90000 } });
+  _bn_print_message (
+      "SLOT_DONE",
+      &(ms_message){ .type = MS_SLOT_DONE,
+                     .u.slot_done = { .handle = 1ull << 32 | 70000,
+                                      .grant_id = 1ull << 32 | 70000,
+                                      .first_token_us = 90000,
+                                      .tokens = 300,
+                                      .inter_token_us = 21000 } });
+}
+
 int
 main (void)
 {
+  _bn_measure_messages ();
   _bn_measure_placement ();
   _bn_measure_memory ();
   _bn_measure_split ();
