--- a/models/dispatch.pml
+++ b/models/dispatch.pml
@@ -66,6 +66,10 @@
   if
   :: incarnation != 0 -> resolve_dead ()
   :: incarnation == 0 && record == none && !old -> record = queued
+#ifdef NOT_RUN_WITHOUT_RECORD
+  /* The table is full or the id is in the future: no record is kept.  */
+  :: incarnation == 0 && record == none && !old -> tell (not_run)
+#endif
   :: incarnation == 0 && record == none && old ->
 #ifdef OLD_ID_IS_NOT_RUN
      tell (not_run)
@@ -106,6 +110,7 @@
 /* SEEDED FAULT: OLD_ID_IS_NOT_RUN */
 /* SEEDED FAULT: OLD_LOOKUP_IS_NOT_SEEN */
 /* SEEDED FAULT: CLOCK_STEPS_BACK */
+/* SEEDED FAULT: NOT_RUN_WITHOUT_RECORD */
 active proctype owner ()
 {
   byte e;
--- a/tools/model.sh
+++ b/tools/model.sh
@@ -28,7 +28,7 @@
   states=$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' "$work/pan.out")
   depth=$(sed -n 's/.*depth reached \([0-9]*\).*/\1/p' "$work/pan.out")
   errors=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' "$work/pan.out")
-  kind=$(sed -n 's/^pan:1: \([^(]*\)\( (.*\|$\)/\1/p' "$work/pan.out" | head -1)
+  kind=$(sed -n 's/^pan:1: \(.*\) (at depth.*/\1/p' "$work/pan.out" | head -1)
   printf '%-20s %-28s states %-9s depth %-6s errors %-2s %3d s  %s\n' \
     "$(basename "$1")" "${2:-as designed}" "$states" "$depth" "$errors" \
     $((SECONDS - start)) "$kind"
