Measure rollouts and send evidence to both candidates

Cause: a paused or replaced controller lost the evidence that it had merged; bad versions at high shares had too few old requests to compare with. Change: ev_ keeps two streams of deltas, so that both candidates for the lease merge all evidence and either may halt; strata close after 0.5 s when they hold both versions; 5% of the requests stay on the old version after 100%; 30 s are kept free before the deadline.

--- a/packages/bench/bn_table.c
+++ b/packages/bench/bn_table.c
@@ -1,4 +1,5 @@
 #include "bn.h"
+#include "rollout_sim.h"
 
 #include <stddef.h>
 
@@ -13,5 +14,13 @@
   { "link_cut", bn_run_placement },
   { "callers_back_at_once", bn_run_placement },
   { "prefix_heavy", bn_run_placement },
+  { "rollout_bad_at_once", bn_run_rollout },
+  { "rollout_slow_at_once", bn_run_rollout },
+  { "rollout_bad_later", bn_run_rollout },
+  { "rollout_bad_under_load", bn_run_rollout },
+  { "rollout_bad_one_route", bn_run_rollout },
+  { "rollout_good", bn_run_rollout },
+  { "rollout_good_burst", bn_run_rollout },
+  { "rollout_good_slow_engine", bn_run_rollout },
   { NULL, NULL },
 };
--- a/packages/decide/ev.c
+++ b/packages/decide/ev.c
@@ -10,15 +10,17 @@
 #define _EV_DEFAULT_SENDERS 64
 #define _EV_ODDS 3
 
-/* A stratum closes when it holds this many requests or reaches this age.
-   Both depend on the traffic only, never on the fate of the requests, which
-   keeps the split of the failures hypergeometric.  The age bounds the delay
-   of a verdict.  */
+/* A stratum closes when it holds this many requests, or at this age when it
+   holds both versions, or at the longest age.  All three depend on the
+   traffic only, never on the fate of the requests, which keeps the split of
+   the failures hypergeometric.  The ages bound the delay of a verdict; a
+   stratum with one version only tells nothing, so it may stay open.  */
 #define _EV_STRATUM_REQUESTS 64
-#define _EV_STRATUM_MAX_US 1000000
+#define _EV_STRATUM_US 500000
+#define _EV_STRATUM_MAX_US 8000000
 
 /* Old-version samples before the slowness threshold of a cell is used.  */
-#define _EV_WARM_SAMPLES 50
+#define _EV_WARM_SAMPLES 10
 /* Quantile of the old version's times above which a request is slow.  */
 #define _EV_QUANTILE 0.9
 /* Step of the threshold for each sample, as a fraction.  0.05 follows a
@@ -54,7 +56,8 @@
   _ev_cell local[EV_LOADS];
   _ev_cell merged[EV_LOADS];
   _ev_speed speed[EV_LOADS];
-  ev_counts sent[EV_LOADS][2]; /* part of the local counts already sent */
+  /* Part of the local counts already sent on each stream.  */
+  ev_counts sent[EV_STREAMS][EV_LOADS][2];
 } _ev_route;
 
 typedef struct
@@ -63,6 +66,14 @@
   uint64_t seq;
 } _ev_sender;
 
+/* Deltas to one receiver.  */
+typedef struct
+{
+  uint64_t term; /* 0 when free */
+  uint64_t seq;
+  uint64_t last_use;
+} _ev_stream;
+
 struct ev_tracker
 {
   al_allocator allocator;
@@ -75,9 +86,9 @@
   uint32_t sender_count;
   uint32_t step;
   uint64_t step_began_us;
-  uint64_t term;    /* of the merged book */
-  uint64_t to_term; /* that deltas were sent to */
-  uint64_t seq;
+  uint64_t term; /* of the merged book */
+  _ev_stream streams[EV_STREAMS];
+  uint64_t stream_uses;
   ev_result local;
   ev_result merged;
   _ev_route *routes;
@@ -222,7 +233,8 @@
       {
         _ev_reset_counts (&t->routes[i].local[l]);
         _ev_reset_counts (&t->routes[i].merged[l]);
-        memset (t->routes[i].sent[l], 0, sizeof t->routes[i].sent[l]);
+        for (int m = 0; m < EV_STREAMS; m++)
+          memset (t->routes[i].sent[m][l], 0, sizeof t->routes[i].sent[m][l]);
       }
 }
 
@@ -289,29 +301,40 @@
     }
 }
 
+/* Learns the first threshold from the largest of the first old samples, about
+   their 90th percentile.  Any threshold that both versions share keeps the
+   test exact, so a rough one costs sensitivity only.  */
 static void
-_ev_record_time (_ev_speed *speed, ev_counts *counts, ev_kind kind,
-                 uint64_t time_us, bool old)
+_ev_warm_up (_ev_speed *speed, ev_kind kind, uint64_t time_us)
+{
+  if (speed->threshold_us[kind] < (double)time_us)
+    speed->threshold_us[kind] = (double)time_us;
+  speed->warm[kind]++;
+}
+
+/* Adds one time to COUNTS.  Until the load level's own threshold is known,
+   FALLBACK (the other level's) is used.  */
+static void
+_ev_record_time (_ev_speed *speed, const _ev_speed *fallback,
+                 ev_counts *counts, ev_kind kind, uint64_t time_us, bool old)
 {
   if (time_us == 0)
     return;
-  if (speed->warm[kind] < _EV_WARM_SAMPLES)
+  double threshold_us = speed->threshold_us[kind];
+  bool warm = speed->warm[kind] >= _EV_WARM_SAMPLES;
+  if (!warm)
     {
-      if (!old)
+      if (old)
+        _ev_warm_up (speed, kind, time_us);
+      if (fallback->warm[kind] < _EV_WARM_SAMPLES)
         return;
-      /* Start high and let the tracker come down: too high a threshold costs
-         sensitivity, never a false alarm.  */
-      double start = (double)time_us * 1.5;
-      if (speed->threshold_us[kind] < start)
-        speed->threshold_us[kind] = start;
-      speed->warm[kind]++;
-      return;
+      threshold_us = fallback->threshold_us[kind];
     }
-  bool slow = (double)time_us > speed->threshold_us[kind];
+  bool slow = (double)time_us > threshold_us;
   counts->seen[kind]++;
   counts->hits[kind] += slow;
   counts->sum_us[kind] += time_us;
-  if (old)
+  if (warm && old)
     {
       if (slow)
         speed->above[kind]++;
@@ -361,10 +384,11 @@
   if (!sample->failed)
     {
       _ev_speed *speed = &route->speed[sample->load];
+      const _ev_speed *other = &route->speed[!sample->load];
       bool old = !sample->new_version;
-      _ev_record_time (speed, counts, EV_SLOW_FIRST_TOKEN,
+      _ev_record_time (speed, other, counts, EV_SLOW_FIRST_TOKEN,
                        sample->first_token_us, old);
-      _ev_record_time (speed, counts, EV_SLOW_INTER_TOKEN,
+      _ev_record_time (speed, other, counts, EV_SLOW_INTER_TOKEN,
                        sample->inter_token_us, old);
     }
   return true;
@@ -404,12 +428,15 @@
   return sum - log (_EV_ODDS);
 }
 
-/* ln of the boundary for the route at INDEX: 2 books, 3 kinds, 2 levels, and
-   1 / ((i + 1) (i + 2)) for the i-th route, which sums to at most 1.  */
+/* ln of the boundary for the route at INDEX.  Half of alpha is for the local
+   books and a quarter for the merged book of each receiver; then 3 kinds,
+   2 levels, and 1 / ((i + 1) (i + 2)) for the i-th route, which sums to at
+   most 1.  */
 static double
 _ev_boundary (const ev_tracker *t, uint32_t index, bool local)
 {
-  return t->log_alpha + log (2.0 * EV_KINDS * EV_LOADS)
+  return t->log_alpha
+         + log ((local ? 2.0 : 2.0 * EV_STREAMS) * EV_KINDS * EV_LOADS)
          + log ((index + 1.0) * (index + 2.0)) + (local ? t->log_vms : 0);
 }
 
@@ -461,9 +488,12 @@
 {
   if (cell->opened_us == 0)
     return false;
-  return cell->open[0].seen[EV_FAILURE] + cell->open[1].seen[EV_FAILURE]
-             >= _EV_STRATUM_REQUESTS
-         || now_us >= cell->opened_us + _EV_STRATUM_MAX_US;
+  uint32_t old = cell->open[0].seen[EV_FAILURE];
+  uint32_t new = cell->open[1].seen[EV_FAILURE];
+  uint64_t age_us = now_us - cell->opened_us;
+  return (old > 0 && new > 0
+          && (old + new >= _EV_STRATUM_REQUESTS || age_us >= _EV_STRATUM_US))
+         || age_us >= _EV_STRATUM_MAX_US;
 }
 
 /* Closes the strata that are due and updates the verdicts.  Call it every
@@ -485,19 +515,39 @@
       }
 }
 
+/* Stream of TERM; a new term takes the stream that was unused longest.  */
+static int
+_ev_find_stream (ev_tracker *t, uint64_t term)
+{
+  int oldest = 0;
+  for (int i = 0; i < EV_STREAMS; i++)
+    {
+      if (t->streams[i].term == term)
+        {
+          oldest = i;
+          break;
+        }
+      if (t->streams[i].last_use < t->streams[oldest].last_use)
+        oldest = i;
+    }
+  _ev_stream *stream = &t->streams[oldest];
+  stream->last_use = ++t->stream_uses;
+  if (stream->term == term)
+    return oldest;
+  stream->term = term;
+  stream->seq = 0;
+  for (uint32_t i = 0; i < t->route_count; i++)
+    memset (t->routes[i].sent[oldest], 0, sizeof t->routes[i].sent[oldest]);
+  return oldest;
+}
+
 /* Fills OUT with what was recorded since the last call for the same TERM, or
-   with all counts of the current step when TERM is new.  False when there is
-   nothing to send.  */
+   with all counts of the current step when TERM is new.  Up to EV_STREAMS
+   terms are kept.  False when there is nothing to send.  */
 bool
 ev_take_delta (ev_tracker *t, uint64_t sender, uint64_t term, ev_delta *out)
 {
-  if (term != t->to_term)
-    {
-      t->to_term = term;
-      t->seq = 0;
-      for (uint32_t i = 0; i < t->route_count; i++)
-        memset (t->routes[i].sent, 0, sizeof t->routes[i].sent);
-    }
+  int m = _ev_find_stream (t, term);
   out->sender = sender;
   out->term = term;
   out->step = t->step;
@@ -513,19 +563,19 @@
         _ev_add (&now[1], &cell->open[1]);
         row->old_counts = now[0];
         row->new_counts = now[1];
-        _ev_sub (&row->old_counts, &route->sent[l][0]);
-        _ev_sub (&row->new_counts, &route->sent[l][1]);
+        _ev_sub (&row->old_counts, &route->sent[m][l][0]);
+        _ev_sub (&row->new_counts, &route->sent[m][l][1]);
         if (row->old_counts.seen[EV_FAILURE] == 0
             && row->new_counts.seen[EV_FAILURE] == 0)
           continue;
         row->route = route->name;
         row->load = l;
-        memcpy (route->sent[l], now, sizeof now);
+        memcpy (route->sent[m][l], now, sizeof now);
         out->row_count++;
       }
   if (out->row_count == 0)
     return false;
-  out->seq = ++t->seq;
+  out->seq = ++t->streams[m].seq;
   return true;
 }
 
--- a/packages/decide/ev.h
+++ b/packages/decide/ev.h
@@ -3,7 +3,9 @@
    One tracker holds the evidence of one rollout on one VM.  It has two
    books: the local book of the requests that this VM finished, and the
    merged book, which the service's controller fills from the EVIDENCE
-   messages of all VMs (its own included).
+   messages of all VMs (its own included).  Each VM sends to both candidates
+   for the lease, so that a paused or replaced controller delays no verdict:
+   a candidate that finds the version bad sends HALT without the lease.
 
      ev_tracker *t = ev_make_tracker (&(ev_desc){ .vms = 9 });
      ev_begin_step (t, step, now_us);
@@ -11,8 +13,8 @@
      ev_tick (t, now_us);                      // every 100 to 500 ms
      if (ev_query_local (t).verdict == EV_BAD)
        halt ();                                // local rule, asks nobody
-     ev_take_delta (t, controller_fence, &delta); // every 500 ms, send it
-     ev_merge (t, &delta, now_us);             // on the controller
+     ev_take_delta (t, sender, candidate, &delta); // every 500 ms, send it
+     ev_merge (t, &delta, now_us);             // on the candidate
 
    Test for a bad version.  Requests are put into strata: one route, one load
    level, at most a second.  Within a stratum the share of the new version is
@@ -24,7 +26,7 @@
    and over the stratum at which the fault began.  The mixture is a
    non-negative martingale under "alike", so it exceeds 1/a with a
    probability of at most a at any time.  ALPHA is divided among the merged
-   book (half), the local books of all VMs (half), routes, load levels and
+   books (half), the local books of all VMs (half), routes, load levels and
    kinds, so it bounds the false alarms of a whole rollout.  A burst or an
    engine problem changes the number of failures but not their split.  The
    same test runs on "slower than the old version's 90th percentile" for the
@@ -44,6 +46,8 @@
 #include <stdint.h>
 
 #define EV_MAX_ROUTES 64
+/* Receivers of a VM's deltas at a time: the candidates for the lease.  */
+#define EV_STREAMS 2
 
 typedef enum
 {
@@ -125,8 +129,9 @@
   ev_counts new_counts;
 } ev_row;
 
-/* Body of EVIDENCE.  SENDER is a hash of the sender's incarnation.  TERM is
-   the fencing number of the controller that it is meant for.  */
+/* Body of EVIDENCE.  SENDER is a hash of the sender's incarnation.  TERM
+   names the receiver's merged book: a hash of the receiver's incarnation, or
+   its fencing number when only the holder of the lease receives.  */
 typedef struct
 {
   uint64_t sender;
--- a/packages/decide/ro.c
+++ b/packages/decide/ro.c
@@ -5,7 +5,7 @@
 #define _RO_DEFAULT_SERVICES 32
 #define _RO_DEFAULT_ROUTES 32
 #define _RO_DEFAULT_HALTS 16
-#define _RO_DEFAULT_CONTROL 20
+#define _RO_DEFAULT_CONTROL 50
 #define _RO_ALL 1000u
 
 /* A halt is repeated until it is stored: a peer may miss one message.  */
@@ -414,7 +414,7 @@
   c->allocator = desc->allocator;
   c->service = desc->service;
   c->min_rung_us = desc->min_rung_us > 0 ? desc->min_rung_us : 10000000;
-  c->reserve_us = desc->reserve_us > 0 ? desc->reserve_us : 10000000;
+  c->reserve_us = desc->reserve_us > 0 ? desc->reserve_us : 30000000;
   c->watch_ms = desc->watch_ms > 0 ? desc->watch_ms : 600000;
   c->write_margin_us
       = desc->write_margin_us > 0 ? desc->write_margin_us : 1000000;
--- a/packages/decide/ro.h
+++ b/packages/decide/ro.h
@@ -44,7 +44,7 @@
    - A version with ample evidence that is neither good nor bad by the latest
      start, or whose weights are not loaded by then, is taken back: its
      deadline cannot be met.
-   - At 100% and during the watch period after it, control_permille (2%) of
+   - At 100% and during the watch period after it, control_permille (5%) of
      the requests stay on the old version, so that a version that turns bad
      later is still told from a burst.  */
 #ifndef RO_H
@@ -107,7 +107,7 @@
   uint32_t max_services;     /* 0 means 32 */
   uint32_t max_routes;       /* for each service; 0 means 32 */
   uint32_t max_halts;        /* for each service; 0 means 16 */
-  uint16_t control_permille; /* at 100%; 0 means 20 */
+  uint16_t control_permille; /* at 100%; 0 means 50 */
   al_allocator allocator;
 } ro_follower_desc;
 
@@ -131,9 +131,10 @@
 typedef struct
 {
   st_name service;
-  uint64_t min_rung_us;     /* shortest time on a share; 0 means 10 s */
-  uint64_t reserve_us;      /* kept free before the deadline; 0 means 10 s */
-  uint64_t watch_ms;        /* after 100%; 0 means 10 min */
+  uint64_t min_rung_us; /* shortest time on a share; 0 means 10 s */
+  uint64_t reserve_us;  /* kept free for changes of the controller, some 7 s
+                           each (lease and claim); 0 means 30 s */
+  uint64_t watch_ms;    /* after 100%; 0 means 10 min */
   uint64_t write_margin_us; /* of the lease, for a write; 0 means 1 s */
   uint64_t renew_before_us; /* 0 means 3 s */
   al_allocator allocator;
--- a/packages/decide/tests/ro_test.cc
+++ b/packages/decide/tests/ro_test.cc
@@ -147,7 +147,7 @@
       low += vm.picks_new ("a", EV_LOAD_LOW);
       high += vm.picks_new ("a", EV_LOAD_HIGH);
     }
-  EXPECT_NEAR (low, 980, 1);
+  EXPECT_NEAR (low, 950, 1);
   EXPECT_NEAR (high, 20, 1);
   for (int i = 0; i < 1000; i++)
     ASSERT_TRUE (vm.picks_new ("a", EV_LOAD_HIGH, 1000));
