Count the waiting prefill in the estimate of a cell

Change: the estimate adds the prefill that waits in the request's tier and above; a stop of a long prefill is allowed from 0.5 s before a deadline.

--- a/packages/decide/cs.c
+++ b/packages/decide/cs.c
@@ -18,7 +18,7 @@
    forward.  */
 #define _CS_STOP_LOST 2.0
 /* A request with less slack than this is about to miss its deadline.  */
-#define _CS_NEAR_US 200000
+#define _CS_NEAR_US 500000
 /* First tokens this late are overdue; less is the length of an iteration.  */
 #define _CS_OVERDUE_US 30000
 #define _CS_REFUSED_MIN_US 20000
@@ -152,7 +152,8 @@
   uint64_t saved_round;
   uint32_t oldest, newest;
   uint32_t waiting;
-  uint32_t running; /* with the stopping ones */
+  uint64_t waiting_tokens; /* prompts of these */
+  uint32_t running;        /* with the stopping ones */
 } _cs_tier;
 
 typedef struct
@@ -455,6 +456,7 @@
     tier->oldest = slot;
   tier->newest = slot;
   tier->waiting++;
+  tier->waiting_tokens += r->prompt_tokens;
   cs->waiting++;
 }
 
@@ -484,6 +486,7 @@
   else
     tier->newest = r->earlier;
   tier->waiting--;
+  tier->waiting_tokens -= r->prompt_tokens;
   cs->waiting--;
 }
 
@@ -2163,20 +2166,32 @@
     return UINT64_MAX;
   uint32_t cached[CS_ENGINES_MAX];
   _cs_cached (cs, &r, cached);
-  _cs_choice c = _cs_choose (cs, &r, cached, now_us);
-  if (c.found)
-    return (uint64_t)c.first_us;
-  if (r.tier < cs->desc.strict_tiers
-      && _cs_replaceable (cs, r.tier, r.version))
-    return (uint64_t)first_us + _CS_STOP_US;
+  /* The prefill that waits here and goes first, spread over the engines.  */
+  double tokens = 0, tokens_per_us = 0;
   uint32_t ahead = 1, slots = 0;
   for (uint32_t t = 0; t <= r.tier; t++)
-    ahead += cs->tiers[t].waiting;
+    {
+      tokens += (double)cs->tiers[t].waiting_tokens;
+      ahead += cs->tiers[t].waiting;
+    }
   for (uint32_t i = 0; i < cs->engine_capacity; i++)
     if (_cs_takes (&cs->engines[i], &r))
-      slots += cs->engines[i].slots;
-  return (uint64_t)(first_us
-                    + ahead * cs->service_us / (slots > 0 ? slots : 1));
+      {
+        tokens_per_us += 1 / cs->engines[i].us_per_token;
+        slots += cs->engines[i].slots;
+      }
+  double wait_us = tokens / tokens_per_us;
+  cs->held_tier = CS_TIERS;
+  _cs_choice c = _cs_choose (cs, &r, cached, now_us);
+  if (c.found)
+    return (uint64_t)(c.first_us + wait_us);
+  if (c.held)
+    return (uint64_t)(first_us + wait_us + (double)cs->desc.prefill_ahead_us);
+  if (r.tier < cs->desc.strict_tiers
+      && _cs_replaceable (cs, r.tier, r.version))
+    return (uint64_t)(first_us + wait_us + _CS_STOP_US);
+  double turn_us = ahead * cs->service_us / (slots > 0 ? slots : 1);
+  return (uint64_t)(first_us + (wait_us > turn_us ? wait_us : turn_us));
 }
 
 /* Fills VIEW.  False when ENGINE is not in the cell.  */
