--- a/packages/server/rl.c
+++ b/packages/server/rl.c
@@ -35,6 +35,7 @@
   uint64_t fence;
   uint64_t lease_sent_us;
   uint64_t lease_until_us;
+  bool absent;   /* the store was read and has no state */
   bool starting; /* the first state is being written */
   ro_state start;
   bool halt_logged;
@@ -267,6 +268,7 @@
       return;
     }
   _rl_service *s = _rl_service_get (rl, st_name_str (&state.service));
+  s->absent = false;
   ro_on_state (s->controller, &state, revision);
   if (ro_apply_state (rl->follower, &state) == RO_APPLIED)
     lg_log (LG_INFO, "", "rollout of %s to %s: %s, share %u/1000, step %u",
@@ -292,7 +294,10 @@
   if (answer->result == PF_OK)
     _rl_apply (rl, answer->value, answer->revision);
   else if (s != NULL && answer->result == PF_NOT_FOUND)
-    ro_on_state (s->controller, NULL, 0);
+    {
+      s->absent = true;
+      ro_on_state (s->controller, NULL, 0);
+    }
   if (s != NULL && answer->result != PF_OK && answer->result != PF_NOT_FOUND)
     ro_on_read_failed (s->controller);
   g_free (read);
@@ -609,6 +614,7 @@
   s->starting = false;
   if (answer->result == PF_OK)
     {
+      s->absent = false;
       ro_on_state (s->controller, &s->start, answer->revision);
       ro_apply_state (s->rl->follower, &s->start);
     }
@@ -633,7 +639,7 @@
   bool exists = have && known.service.len > 0;
   bool active
       = exists && (known.phase == RO_LOADING || known.phase == RO_RUNNING);
-  if (!have || s->starting || wish->to.len == 0 || wish->start_ms > wall_ms
+  if ((!have && !s->absent) || s->starting || wish->to.len == 0 || wish->start_ms > wall_ms
       || active
       || (exists
           && st_equal (st_name_str (&known.to), st_name_str (&wish->to)))
