Test each new version with clean evidence

Cause: the tracker of a service kept the verdict on a version that was taken back, so the next version would have been halted at once. Change: ev_begin_rollout, called by the server with the stored version. Conclusion: a service can have a second rollout in one process.

--- a/packages/decide/ev.c
+++ b/packages/decide/ev.c
@@ -89,6 +89,7 @@
   uint64_t term; /* of the merged book */
   _ev_stream streams[EV_STREAMS];
   uint64_t stream_uses;
+  st_name version; /* under test */
   ev_result local;
   ev_result merged;
   _ev_route *routes;
@@ -218,6 +219,31 @@
   cell->opened_us = 0;
 }
 
+/* Starts the test of VERSION.  Does nothing when it is under test already;
+   else verdicts and counts are forgotten.  The old version's speed is kept,
+   and so are the sequence numbers, since a VM may start later than others.  */
+void
+ev_begin_rollout (ev_tracker *t, st_str version)
+{
+  if (st_equal (st_name_str (&t->version), version))
+    return;
+  st_name_set (&t->version, version);
+  memset (&t->local, 0, sizeof t->local);
+  memset (&t->merged, 0, sizeof t->merged);
+  t->step_began_us = 0;
+  for (uint32_t i = 0; i < t->route_count; i++)
+    for (int l = 0; l < EV_LOADS; l++)
+      {
+        _ev_route *route = &t->routes[i];
+        _ev_reset_counts (&route->local[l]);
+        _ev_reset_counts (&route->merged[l]);
+        _ev_reset_mixture (&route->local[l]);
+        _ev_reset_mixture (&route->merged[l]);
+        for (int m = 0; m < EV_STREAMS; m++)
+          memset (route->sent[m][l], 0, sizeof route->sent[m][l]);
+      }
+}
+
 /* Starts STEP: the counts and the test for good start anew, the test for bad
    goes on.  Requests dispatched in an earlier step are left out from now on:
    the share differed, and with it the split of requests that are alike.  */
--- a/packages/decide/ev.h
+++ b/packages/decide/ev.h
@@ -1,6 +1,6 @@
 /* ev.h -- evidence on a new version against the old one.
 
-   One tracker holds the evidence of one rollout on one VM.  It has two
+   One tracker holds the evidence of one service on one VM.  It has two
    books: the local book of the requests that this VM finished, and the
    merged book, which the service's controller fills from the EVIDENCE
    messages of all VMs (its own included).  Each VM sends to both candidates
@@ -8,6 +8,7 @@
    a candidate that finds the version bad sends HALT without the lease.
 
      ev_tracker *t = ev_make_tracker (&(ev_desc){ .vms = 9 });
+     ev_begin_rollout (t, version);            // each new version
      ev_begin_step (t, step, now_us);
      ev_record (t, &(ev_sample){ .route = route, .step = step, ... }, now_us);
      ev_tick (t, now_us);                      // every 100 to 500 ms
@@ -178,6 +179,7 @@
 
   ev_tracker *ev_make_tracker (const ev_desc *desc);
   void ev_destroy_tracker (ev_tracker *t);
+  void ev_begin_rollout (ev_tracker *t, st_str version);
   void ev_begin_step (ev_tracker *t, uint32_t step, uint64_t now_us);
   void ev_begin_term (ev_tracker *t, uint64_t term, uint64_t now_us);
   void ev_set_vms (ev_tracker *t, uint32_t vms);
--- a/packages/decide/tests/ev_test.cc
+++ b/packages/decide/tests/ev_test.cc
@@ -163,6 +163,50 @@
   EXPECT_TRUE (ev_record (tr.t, &s, 10));
 }
 
+// Guards against a new version that inherits the verdict on the one before.
+TEST (Ev, NewRolloutStartsClean)
+{
+  Tracker tr (1);
+  ev_begin_rollout (tr.t, st_from_cstr ("v2"));
+  ev_begin_step (tr.t, 1, 1);
+  uint64_t now = 1000;
+  for (int i = 0; i < 2000; i++)
+    {
+      bool is_new = i % 20 == 10;
+      ev_sample s = sample ("a", is_new, is_new, 100000);
+      ev_record (tr.t, &s, now);
+      now += 10 * kMs;
+      ev_tick (tr.t, now);
+    }
+  ASSERT_EQ (ev_query_local (tr.t).verdict, EV_BAD);
+  ev_begin_rollout (tr.t, st_from_cstr ("v2"));
+  EXPECT_EQ (ev_query_local (tr.t).verdict, EV_BAD);
+  ev_begin_rollout (tr.t, st_from_cstr ("v3"));
+  EXPECT_EQ (ev_query_local (tr.t).verdict, EV_UNDECIDED);
+  ev_begin_step (tr.t, 2, now);
+  ev_sample s = sample ("a", false, false, 100000, EV_LOAD_LOW, 2);
+  ASSERT_TRUE (ev_record (tr.t, &s, now));
+  auto d = std::make_unique<ev_delta> ();
+  ASSERT_TRUE (ev_take_delta (tr.t, 5, 7, d.get ()));
+  EXPECT_EQ (d->rows[0].old_counts.seen[EV_FAILURE], 1u);
+}
+
+// Guards against evidence that is split between two receivers.
+TEST (Ev, BothCandidatesGetAllEvidence)
+{
+  Tracker from;
+  ev_begin_step (from.t, 1, 1);
+  auto d = std::make_unique<ev_delta> ();
+  ev_sample s = sample ("a", false, false, 1000);
+  for (uint64_t term : { 7, 8, 7, 8 })
+    {
+      ev_record (from.t, &s, 10);
+      ASSERT_TRUE (ev_take_delta (from.t, 5, term, d.get ()));
+    }
+  EXPECT_EQ (d->seq, 2u);
+  EXPECT_EQ (d->rows[0].old_counts.seen[EV_FAILURE], 2u);
+}
+
 // Guards against a table that callers grow by inventing route names.
 TEST (Ev, RoutesAreBounded)
 {
--- a/packages/server/rl.c
+++ b/packages/server/rl.c
@@ -656,6 +656,7 @@
 static void
 _rl_follow_step (_rl_service *s, const ro_state *state, uint64_t now_us)
 {
+  ev_begin_rollout (s->evidence, st_name_str (&state->to));
   if (state->share_step != s->step)
     {
       s->step = state->share_step;
