Test urgent work over lower tiers with the real programs

Cause: urgent requests must not wait in an engine's queue while lower tiers run. Conclusion: the owner at times over-commits an engine instead of stopping lower-tier work; left to the owner of that module.

--- a/packages/testing/tests/e2e_request_test.cc
+++ b/packages/testing/tests/e2e_request_test.cc
@@ -78,6 +78,46 @@
         }
   }
 
+  // Fills an engine of 4 slots with 3 drafts of tier 4 (one slot is kept free
+  // for urgent work), then sends 6 of tier 0.  All must be answered whole.
+  void
+  run_urgent_over_lower ()
+  {
+    ClusterDesc desc;
+    desc.vms = 1;
+    desc.engines = 1;
+    desc.engine_args = { "--decode", "50", "--slots", "4" };
+    desc.seed = seed;
+    run (desc);
+    std::vector<std::string> lower = ids (0, 3);
+    std::vector<std::string> urgent = ids (0, 6);
+    std::vector<std::future<Response>> lower_answers;
+    std::vector<std::future<Response>> answers;
+    for (size_t i = 0; i < lower.size (); i++)
+      lower_answers.push_back (std::async (std::launch::async, [=] {
+        return cluster->draft (0, lower[i], 100, i % 2 == 0, 4);
+      }));
+    ASSERT_TRUE (proc::wait_until (
+        5000, [&] { return cluster->running_streams () == 3; }));
+    proc::sleep_ms (300);
+    for (const std::string &id : urgent)
+      answers.push_back (std::async (std::launch::async, [=] {
+        return cluster->draft (0, id, 20, true, 0);
+      }));
+    for (size_t i = 0; i < urgent.size (); i++)
+      {
+        Response r = answers[i].get ();
+        EXPECT_EQ (r.text (), Cluster::expected (urgent[i], 20)) << r.body;
+      }
+    for (size_t i = 0; i < lower.size (); i++)
+      {
+        Response r = lower_answers[i].get ();
+        EXPECT_EQ (r.status, 200) << r.body;
+        EXPECT_EQ (r.text (), Cluster::expected (lower[i], 100));
+      }
+    check_received ({});
+  }
+
   std::unique_ptr<Cluster> cluster;
 };
 
@@ -298,3 +338,21 @@
     }
   EXPECT_EQ (cluster->received ()[id], 1);
 }
+
+// Guards against a draft that was stopped for urgent work and is lost, is
+// dispatched again, or is answered with a part.
+TEST_F (E2eRequest, DraftsStoppedForUrgentWorkAreAnsweredWhole)
+{
+  run_urgent_over_lower ();
+}
+
+// Guards against urgent requests that wait in an engine's own queue while
+// lower tiers run there: the owner has to stop lower-tier work for them.
+TEST_F (E2eRequest, UrgentWorkStopsLowerTiers)
+{
+  run_urgent_over_lower ();
+  Response metrics = proc::get (cluster->vm (0).address + "/metrics");
+  EXPECT_NE (metrics.body.find ("dotterelbend_stopped_total"),
+             std::string::npos)
+      << "nothing was stopped";
+}
