--- a/packages/server/sv.h
+++ b/packages/server/sv.h
@@ -25,6 +25,7 @@
 #include "rl.h"
 #include "rq.h"
 #include "sb.h"
+#include "se_serve.h"
 #include "sv_peers.h"
 #include "up.h"
 
@@ -47,6 +48,7 @@
   up_pool *up;
   dr_directory *directory;
   po_policy *policy;
+  se_service *settings;
   cm_map *cells;
   cl_task *owned;
   ow_task *owner;
