--- a/packages/server/fe.h
+++ b/packages/server/fe.h
@@ -6,10 +6,13 @@
      fe_identify.c  team, tier, model, version, request id, deadline
      fe_admit.c     duplicates, drain, limits; ask for a place
      fe_dispatch.c  send to the granted engine, resume, stop
+     fe_move.c      move a stopped stream to another engine
      fe_stream.c    keep the answer and copy it to the attached callers
      fe_account.c   outcome, slot release, metrics, evidence
      fe_query.c     outcome by id, rest of an answer, cancel
-     fe_service.c   plain services
+     fe_service.c   idempotent reads of plain services
+     fe_call.c      calls of plain services that may not be repeated
+     fe_recover.c   requests whose owner is gone
      fe_reply.c     error answers
 
    A request lives in a slot of the front end's pool.  Its answer is kept
@@ -50,7 +53,6 @@
   st_str engine;
   st_str address;
   uint64_t predicted_first_token_us;
-  st_str import_from; /* address of the engine that keeps the KV state */
 } fe_place;
 
 #ifdef __cplusplus
@@ -66,6 +68,7 @@
                      uint32_t retry_after_ms);
   void fe_on_stop (fe_front *fe, id_handle request);
 
+  void fe_forget_all (fe_front *fe);
   void fe_tick (fe_front *fe);
   uint32_t fe_query_open (const fe_front *fe);
   uint16_t fe_query_port (const fe_front *fe);
--- a/packages/server/fe_internal.h
+++ b/packages/server/fe_internal.h
@@ -22,6 +22,7 @@
   FE_WAITING,  /* for a place */
   FE_RUNNING,  /* a call to the engine is in progress */
   FE_STOPPING, /* the engine is told to keep the state */
+  FE_MOVING,   /* the state of the stream goes to another engine */
   FE_RESUMING, /* the rest of the stream is fetched again */
   FE_ENDED     /* has an outcome; the answer is kept */
 } fe_state;
@@ -76,9 +77,10 @@
   GString *prompt; /* text, for the prefix hashes */
   char engine[ST_NAME_MAX + 1];
   char address[80];
-  char import_from[80];
-  up_id call;    /* carries the answer */
-  up_id control; /* tells the engine to stop */
+  char import_from[80]; /* address of the engine that has the state */
+  GString *kv;          /* state on its way; NULL otherwise */
+  up_id call;           /* carries the answer */
+  up_id control;        /* tells the engine to stop */
   uint8_t stop_tries;
   int status;
   char content_type[64];
@@ -94,6 +96,13 @@
   uint32_t candidate;    /* engines that were asked for the stream */
 };
 
+/* Histograms of one team, by tier.  */
+typedef struct
+{
+  mt_id total[SV_TIERS];
+  mt_id first_token[SV_TIERS];
+} fe_team_metrics;
+
 struct fe_front
 {
   sv_server *sv;
@@ -101,12 +110,14 @@
   struct evhttp *http;
   uint16_t port;
   id_pool ids;
-  fe_request **requests;
+  fe_request *requests; /* by slot index */
   uint32_t open;
   uint32_t service_calls;
   size_t buffered_bytes;
   GQueue kept; /* ended requests with an answer, oldest first */
   uint64_t next_expire_us;
+  GHashTable *team_metrics; /* team -> fe_team_metrics */
+  mt_id outcomes[RQ_UNKNOWN + 1][SV_TIERS];
 };
 
 fe_request *fe_request_of (fe_front *fe, id_handle id);
@@ -127,9 +138,14 @@
 
 /* fe_dispatch.c */
 void fe_dispatch_abort (fe_request *r);
+void fe_dispatch_resume (fe_request *r);
+void fe_lose (fe_request *r, const char *why);
 
 void fe_call_stream (fe_request *r, const char *path);
 
+/* fe_move.c */
+void fe_move (fe_request *r);
+
 /* fe_recover.c */
 void fe_recover (fe_request *r, struct evhttp_request *req, uint32_t from);
 void fe_recover_next (fe_request *r);
@@ -154,9 +170,11 @@
 json_t *fe_record_json (fe_front *fe, const rq_record *record);
 
 /* fe_service.c */
+void fe_service (fe_front *fe, struct evhttp_request *req, st_str rest);
+
+/* fe_call.c */
 void fe_service_call (fe_front *fe, struct evhttp_request *req, st_str service,
                       st_str path);
-void fe_service (fe_front *fe, struct evhttp_request *req, st_str rest);
 
 /* fe_reply.c */
 typedef struct
--- a/packages/server/se_serve.c
+++ b/packages/server/se_serve.c
@@ -74,32 +74,22 @@
   se_read_history (s->se, ticket);
 }
 
-static json_t *
-_se_serve_member_json (se_service *s, const cm_member *m)
-{
-  return json_pack (
-      "{s:s%,s:s%,s:s%,s:s%,s:s%,s:s,s:I}", "name", m->name.ptr, m->name.len,
-      "incarnation", m->incarnation.ptr, m->incarnation.len, "region",
-      m->region.ptr, m->region.len, "data_center", m->data_center.ptr,
-      m->data_center.len, "address", m->callers_address.ptr,
-      m->callers_address.len, "state", m->leaving ? "leaving" : "alive",
-      "settings_version",
-      (json_int_t)se_query_member_version (s->se, m->incarnation));
-}
-
 static json_t *
 _se_serve_members (void *user)
 {
   se_service *s = user;
-  cm_member members[SV_MAX_MEMBERS];
-  size_t count = sv_query_members (s->sv, members, SV_MAX_MEMBERS);
-  json_t *out = json_array ();
-  for (size_t i = 0; i < count; i++)
-    {
-      json_t *one = _se_serve_member_json (s, &members[i]);
-      if (one != NULL)
-        json_array_append_new (out, one);
-    }
+  json_t *out = sv_peers_json (s->sv->peers);
+  size_t i;
+  json_t *one;
+  json_array_foreach (out, i, one)
+  {
+    const char *incarnation
+        = json_string_value (json_object_get (one, "incarnation"));
+    uint64_t version
+        = se_query_member_version (s->se, st_from_cstr (incarnation));
+    json_object_set_new (one, "settings_version",
+                         json_integer ((json_int_t)version));
+  }
   return out;
 }
 
@@ -108,8 +98,8 @@
 _se_serve_moves (void *user)
 {
   se_service *s = user;
-  cm_member members[SV_MAX_MEMBERS];
-  size_t count = sv_query_members (s->sv, members, SV_MAX_MEMBERS);
+  size_t count;
+  const cm_member *members = sv_query_members (s->sv, &count);
   json_t *out = json_array ();
   json_t *parts[]
       = { rl_query_moves (s->sv->rollouts), se_query_moves (s->se) };
@@ -133,8 +123,8 @@
 _se_serve_drain (void *user, er_error *err)
 {
   se_service *s = user;
-  cm_member members[SV_MAX_MEMBERS];
-  size_t count = sv_query_members (s->sv, members, SV_MAX_MEMBERS);
+  size_t count;
+  const cm_member *members = sv_query_members (s->sv, &count);
   sx_where root = { .tier = SX_NO_TIER };
   int64_t most = sx_query_int (se_query_tree (s->se, NULL), &root,
                                SX_DRAIN_TOGETHER_MAX);
@@ -159,13 +149,14 @@
 static void
 _se_serve_update_members (se_service *s)
 {
-  cm_member members[SV_MAX_MEMBERS];
-  se_member list[SV_MAX_MEMBERS];
-  size_t count = sv_query_members (s->sv, members, SV_MAX_MEMBERS);
+  size_t count;
+  const cm_member *members = sv_query_members (s->sv, &count);
+  se_member *list = g_new0 (se_member, count + 1);
   for (size_t i = 0; i < count; i++)
     list[i] = (se_member){ members[i].name, members[i].incarnation,
                            members[i].data_center, members[i].leaving };
   se_set_members (s->se, list, count);
+  g_free (list);
 }
 
 /* Starts the settings task and, with listen.admin, the administration API.
--- a/packages/testing/tests/e2e_settings_test.cc
+++ b/packages/testing/tests/e2e_settings_test.cc
@@ -210,6 +210,22 @@
   EXPECT_EQ (value (3, "team/night/share.weight"), "8");
 }
 
+// Guards against a VM that cannot start, or that serves with the defaults,
+// while the store is down and its peers have the settings.
+TEST_F (E2eSettings, StartsFromPeersWhileTheStoreIsDown)
+{
+  ASSERT_TRUE (cluster->wait_members (0, 4));
+  Response r = change (0, version (0), "root", "deadline_ms", "45000");
+  ASSERT_EQ (r.status, 200) << r.body;
+  ASSERT_TRUE (everywhere ("deadline_ms", "45000"));
+  cluster->faults (cluster->platform (), "{\"outage\":true}");
+  cluster->vm (2).process.kill ();
+  ASSERT_TRUE (cluster->start_vm (2));
+  ASSERT_TRUE (cluster->wait_ready (2));
+  EXPECT_EQ (value (2, "deadline_ms"), "45000");
+  EXPECT_EQ (version (2), version (0));
+}
+
 // Guards against a tool and a server that do not understand each other.
 TEST_F (E2eSettings, OperatorsTool)
 {
--- a/packages/wire/ms.h
+++ b/packages/wire/ms.h
@@ -136,6 +136,7 @@
 {
   st_str team;
   uint64_t demand; /* requests per second, in thousandths */
+  uint64_t share;  /* held part of the limit, in millionths */
 } ms_demand;
 
 /* PING and ACK.  SUBJECT is the incarnation that is probed (PING, may be
@@ -361,6 +362,7 @@
   void ms_destroy_decoder (ms_decoder *decoder);
   bool ms_decode (ms_decoder *decoder, const fr_frame *frame, ms_message *m,
                   er_error *err);
+  bool ms_check_stored (st_str value, uint32_t objects_max, er_error *err);
   bool ms_type_known (unsigned type);
   const char *ms_type_name (unsigned type);
 
