--- a/packages/server/sv.c
+++ b/packages/server/sv.c
@@ -285,7 +285,7 @@
 uint64_t
 sv_query_settings_version (const sv_server *sv)
 {
-  return se_serve_version (sv->settings);
+  return sv->settings != NULL ? se_serve_version (sv->settings) : 0;
 }
 
 /* ---- VM list ---- */
