Check the stored head before it is unpacked

Cause: msgpack-c allocates by the length that an array claims; a malformed head made it ask for 128 GiB (found by the address sanitizer in se_test). Change: ms_check_stored runs first; a test with a claim of 2^32 - 1 items. Conclusion: a damaged head is refused without a large allocation.

--- a/packages/server/se_head.c
+++ b/packages/server/se_head.c
@@ -11,6 +11,9 @@
    with hashes as 16 bytes, or none.  */
 #define _SE_FORM 1
 #define _SE_HASH_BYTES (SP_HASH_LEN / 2)
+/* Objects in the longest head; msgpack-c allocates by the lengths that the
+   bytes claim, so they are checked first.  */
+#define _SE_OBJECTS_MAX (8 + 4 * SP_ENTRIES_DEFAULT + 8 * SP_RECORDS_MAX)
 
 static void
 _se_pack_name (msgpack_packer *pk, const st_name *name)
@@ -166,6 +169,10 @@
   uint64_t form = 0;
   bool ok = false;
   memset (out, 0, sizeof *out);
+  out->entries = entries;
+  out->records = records;
+  if (!ms_check_stored (bytes, _SE_OBJECTS_MAX, NULL))
+    return false;
   msgpack_unpacked_init (&unpacked);
   if (msgpack_unpack_next (&unpacked, bytes.ptr, bytes.len, &offset)
           == MSGPACK_UNPACK_SUCCESS
@@ -179,7 +186,5 @@
            && _se_decode_records (&f[3], records, &out->record_count);
     }
   msgpack_unpacked_destroy (&unpacked);
-  out->entries = entries;
-  out->records = records;
   return ok;
 }
--- a/packages/server/tests/se_test.cc
+++ b/packages/server/tests/se_test.cc
@@ -482,5 +482,8 @@
       EXPECT_TRUE (!ok || got.entry_count <= 4);
     }
   EXPECT_FALSE (se_decode_head ({ bytes, len }, entries, 0, records, &got));
+  // An array that claims 2^32 - 1 items must not be allocated.
+  EXPECT_FALSE (se_decode_head (ST_LIT ("\x94\x01\x03\xdd\xff\xff\xff\xff"),
+                                entries, 4, records, &got));
   g_free (bytes);
 }
