--- a/packages/server/se_serve.c
+++ b/packages/server/se_serve.c
@@ -74,32 +74,22 @@
   se_read_history (s->se, ticket);
 }
 
-static json_t *
-_se_serve_member_json (se_service *s, const cm_member *m)
-{
-  return json_pack (
-      "{s:s%,s:s%,s:s%,s:s%,s:s%,s:s,s:I}", "name", m->name.ptr, m->name.len,
-      "incarnation", m->incarnation.ptr, m->incarnation.len, "region",
-      m->region.ptr, m->region.len, "data_center", m->data_center.ptr,
-      m->data_center.len, "address", m->callers_address.ptr,
-      m->callers_address.len, "state", m->leaving ? "leaving" : "alive",
-      "settings_version",
-      (json_int_t)se_query_member_version (s->se, m->incarnation));
-}
-
 static json_t *
 _se_serve_members (void *user)
 {
   se_service *s = user;
-  size_t count;
-  const cm_member *members = sv_query_members (s->sv, &count);
-  json_t *out = json_array ();
-  for (size_t i = 0; i < count; i++)
-    {
-      json_t *one = _se_serve_member_json (s, &members[i]);
-      if (one != NULL)
-        json_array_append_new (out, one);
-    }
+  json_t *out = sv_peers_json (s->sv->peers);
+  size_t i;
+  json_t *one;
+  json_array_foreach (out, i, one)
+  {
+    const char *incarnation
+        = json_string_value (json_object_get (one, "incarnation"));
+    uint64_t version
+        = se_query_member_version (s->se, st_from_cstr (incarnation));
+    json_object_set_new (one, "settings_version",
+                         json_integer ((json_int_t)version));
+  }
   return out;
 }
 
@@ -161,7 +151,7 @@
 {
   size_t count;
   const cm_member *members = sv_query_members (s->sv, &count);
-  se_member *list = g_new (se_member, count);
+  se_member *list = g_new0 (se_member, count + 1);
   for (size_t i = 0; i < count; i++)
     list[i] = (se_member){ members[i].name, members[i].incarnation,
                            members[i].data_center, members[i].leaving };
