Learn from overdue first tokens of the oldest prefill only

Change: only the oldest prefill of an engine counts, from the last first token on, and one sample raises the learned time at most four times.

--- a/packages/bench/bn_world.c
+++ b/packages/bench/bn_world.c
@@ -356,21 +356,21 @@
   const bn_work *w = &world->work[i];
   if (_bn_trace == NULL)
     return;
-  fprintf (_bn_trace,
-           "%s %s t=%.3f req=%u tier=%u region=%u prompt=%u answer=%u "
-           "engine=%u sent=%.3f first=%.3f %s waiting=%u,%u running=%u,%u\n",
-           world->config->name, _bn_policy_names[world->policy],
-           (double)world->now_us / 1e6, i, w->tier, w->region,
-           w->prompt_tokens, w->answer_tokens, r->engine,
-           r->sent_us > 0 ? ((double)r->sent_us - (double)w->arrival_us) / 1e6
-                          : -1.0,
-           w->first_us > 0
-               ? ((double)w->first_us - (double)w->arrival_us) / 1e6
-               : -1.0,
-           what, world->cells[0] ? cs_query_waiting (world->cells[0], 0) : 0,
-           world->cells[1] ? cs_query_waiting (world->cells[1], 0) : 0,
-           world->cells[0] ? cs_query_running (world->cells[0], 0) : 0,
-           world->cells[1] ? cs_query_running (world->cells[1], 0) : 0);
+  fprintf (
+      _bn_trace,
+      "%s %s t=%.3f arrived=%.3f req=%u tier=%u region=%u prompt=%u answer=%u "
+      "engine=%u sent=%.3f first=%.3f %s waiting=%u,%u running=%u,%u\n",
+      world->config->name, _bn_policy_names[world->policy],
+      (double)world->now_us / 1e6, (double)w->arrival_us / 1e6, i, w->tier,
+      w->region, w->prompt_tokens, w->answer_tokens, r->engine,
+      r->sent_us > 0 ? ((double)r->sent_us - (double)w->arrival_us) / 1e6
+                     : -1.0,
+      w->first_us > 0 ? ((double)w->first_us - (double)w->arrival_us) / 1e6
+                      : -1.0,
+      what, world->cells[0] ? cs_query_waiting (world->cells[0], 0) : 0,
+      world->cells[1] ? cs_query_waiting (world->cells[1], 0) : 0,
+      world->cells[0] ? cs_query_running (world->cells[0], 0) : 0,
+      world->cells[1] ? cs_query_running (world->cells[1], 0) : 0);
 }
 
 static bool _bn_lower_runs (const _bn_world *world, const _bn_req *r);
--- a/packages/decide/cs.c
+++ b/packages/decide/cs.c
@@ -33,6 +33,8 @@
 #define _CS_SLOW_RATIO 2.0
 /* Samples with less prefill say more about the base than the rate.  */
 #define _CS_RATE_TOKENS 64.0
+/* Most that one sample may say, as a multiple of the learned time.  */
+#define _CS_RATE_RISE 4.0
 
 enum
 {
@@ -117,7 +119,7 @@
   uint64_t refused_until_us;
   uint64_t refused_step_us;
   uint64_t probe_at_us;
-  uint64_t last_grant_us;
+  uint64_t first_token_at_us; /* of the last one seen */
   uint64_t load_time_us;
   uint32_t foreign;
   uint32_t foreign_last;
@@ -824,6 +826,9 @@
   double seen = (us > 1 ? us : 1) / r->sample_tokens;
   double low = e->prior_us_per_token / 8, high = e->prior_us_per_token * 64;
   seen = seen < low ? low : seen > high ? high : seen;
+  /* One sample may be wrong about the prefill that was ahead of it.  */
+  if (seen > _CS_RATE_RISE * e->us_per_token)
+    seen = _CS_RATE_RISE * e->us_per_token;
   double weight = r->cached_part ? 0.05 : 0.2;
   e->us_per_token += weight * (seen - e->us_per_token);
 }
@@ -1271,7 +1276,6 @@
   r->cached_part = c->uncached < r->prompt_tokens;
   r->first_token_us = c->first_us < 4e9 ? (uint32_t)c->first_us : UINT32_MAX;
   r->granted_us = now_us;
-  e->last_grant_us = now_us;
   e->probe_at_us = now_us + cs->desc.probe_us;
   _cs_run_add (cs, slot, c->engine, now_us);
   for (uint32_t i = 0; i < r->prefix_count; i++)
@@ -1946,6 +1950,7 @@
   e->reports_first_token = true;
   _cs_learn_first (e, r, first_token_us);
   r->has_first_token = true;
+  e->first_token_at_us = now_us;
   _cs_prefill_over (cs, slot, now_us);
   cs->dirty = true;
   return true;
@@ -2058,6 +2063,7 @@
 {
   double later_us = 0;
   uint64_t end_us = 0;
+  const _cs_req *first = NULL;
   for (uint32_t s = e->head; s != _CS_NIL; s = cs->reqs[s].next)
     {
       const _cs_req *r = &cs->reqs[s];
@@ -2068,12 +2074,20 @@
         end_us = now_us + (uint64_t)later_us + (uint64_t)elapsed
                  - r->first_token_us;
       later_us += r->uncached_tokens * e->us_per_token;
-      if (r->sample_tokens < _CS_RATE_TOKENS
-          || elapsed < 1.2 * r->first_token_us + 2.0 * _CS_OVERDUE_US)
-        continue;
-      double bound = (elapsed - e->base_us) / r->sample_tokens;
+      first = r;
+    }
+  /* Only the oldest prefill is evidence: the later ones wait for it.  */
+  if (first != NULL && first->uncached_tokens >= _CS_RATE_TOKENS)
+    {
+      uint64_t from_us = first->granted_us > e->first_token_at_us
+                             ? first->granted_us
+                             : e->first_token_at_us;
+      double own_us = e->base_us + first->uncached_tokens * e->us_per_token;
+      double elapsed = (double)(now_us - from_us);
+      double bound = (elapsed - e->base_us) / first->uncached_tokens;
       double high = e->prior_us_per_token * 64;
-      if (bound > e->us_per_token)
+      if (elapsed > 1.2 * own_us + 2.0 * _CS_OVERDUE_US
+          && bound > e->us_per_token)
         e->us_per_token = bound < high ? bound : high;
     }
   if (end_us > e->busy_until_us)
