--- a/packages/wire/ms.h
+++ b/packages/wire/ms.h
@@ -136,6 +136,7 @@
 {
   st_str team;
   uint64_t demand; /* requests per second, in thousandths */
+  uint64_t share;  /* held part of the limit, in millionths */
 } ms_demand;
 
 /* PING and ACK.  SUBJECT is the incarnation that is probed (PING, may be
@@ -254,6 +255,7 @@
 {
   st_str subtree; /* may be empty in SETTINGS_GET */
   st_str hash;
+  uint64_t changed; /* version that last changed the subtree */
 } ms_settings_ref;
 
 typedef struct
@@ -261,14 +263,18 @@
   uint64_t version;
   size_t count;
   const ms_settings_ref *refs;
+  uint64_t since; /* REFS are what changed after it; 0: all */
 } ms_settings_head;
 
+/* Without refs it asks for the head: what changed after version SINCE.  */
 typedef struct
 {
   size_t count;
   const ms_settings_ref *refs;
+  uint64_t since;
 } ms_settings_get;
 
+/* No bytes: the sender does not have the value.  */
 typedef struct
 {
   st_str hash;
@@ -356,6 +362,7 @@
   void ms_destroy_decoder (ms_decoder *decoder);
   bool ms_decode (ms_decoder *decoder, const fr_frame *frame, ms_message *m,
                   er_error *err);
+  bool ms_check_stored (st_str value, uint32_t objects_max, er_error *err);
   bool ms_type_known (unsigned type);
   const char *ms_type_name (unsigned type);
 
