--- a/packages/server/rl.c
+++ b/packages/server/rl.c
@@ -641,8 +641,8 @@
   bool exists = have && known.service.len > 0;
   bool active
       = exists && (known.phase == RO_LOADING || known.phase == RO_RUNNING);
-  if ((!have && !s->absent) || s->starting || wish->to.len == 0 || wish->start_ms > wall_ms
-      || active
+  if ((!have && !s->absent) || s->starting || wish->to.len == 0
+      || wish->start_ms > wall_ms || active
       || (exists
           && st_equal (st_name_str (&known.to), st_name_str (&wish->to)))
       || ro_query_halted (s->rl->follower, st_name_str (&s->name),
--- a/packages/testing/tests/e2e_rollout_test.cc
+++ b/packages/testing/tests/e2e_rollout_test.cc
@@ -172,8 +172,8 @@
          "--bad-mode", "fail", "--bad-version", "v2" });
   start_callers ();
   begin_rollout (600);
-  ASSERT_TRUE (proc::wait_until (
-      60000, [&] { return move ().first == "taken_back"; }))
+  ASSERT_TRUE (
+      proc::wait_until (60000, [&] { return move ().first == "taken_back"; }))
       << "state " << move ().first << " after " << sent << " requests";
   int at_halt = dispatched ("v2");
   int total = sent;
