Keep taking requests when the request table is full of ended ones

Cause: a test with 700 requests/s filled the table within a minute; every later request was refused. A refusal before the record was told as not run although a late copy of the message could still be admitted (found by the model of dispatch). Change: a full table raises the time below which unseen ids are refused and drops what lies below; a refusal of a caller's id is recorded, or told as unknown. Contexts of polls and reads are released on shutdown. Conclusion: bursts shorten the memory and break no promise.

--- a/packages/decide/rq.c
+++ b/packages/decide/rq.c
@@ -7,6 +7,9 @@
 #define _RQ_DEFAULT_CAPACITY 16384
 #define _RQ_DEFAULT_RETENTION_MS (10 * 60 * 1000ull)
 #define _RQ_DEFAULT_MAX_FUTURE_MS (60 * 1000ull)
+#define _RQ_DEFAULT_MIN_RETENTION_MS (5 * 1000ull)
+/* Part of the records that a full table drops at a time.  */
+#define _RQ_DROP_FRACTION 8
 
 typedef struct
 {
@@ -26,7 +29,9 @@
   size_t incarnation_len;
   uint64_t retention_ms;
   uint64_t max_future_ms;
-  uint64_t wall_ms; /* highest time seen */
+  uint64_t min_retention_ms;
+  uint64_t wall_ms;  /* highest time seen */
+  uint64_t floor_ms; /* unseen ids issued up to here are refused */
   bool disable_duplicate_check;
   uint32_t open;
   uint32_t expire_at; /* record at which the next sweep begins */
@@ -55,6 +60,9 @@
       = desc->retention_ms > 0 ? desc->retention_ms : _RQ_DEFAULT_RETENTION_MS;
   t->max_future_ms = desc->max_future_ms > 0 ? desc->max_future_ms
                                              : _RQ_DEFAULT_MAX_FUTURE_MS;
+  t->min_retention_ms = desc->min_retention_ms > 0
+                            ? desc->min_retention_ms
+                            : _RQ_DEFAULT_MIN_RETENTION_MS;
   t->disable_duplicate_check = desc->disable_duplicate_check;
   t->bucket_mask = buckets - 1;
   t->buckets = al_alloc (&t->allocator, buckets * sizeof (uint32_t));
@@ -162,7 +170,7 @@
 static bool
 _rq_is_too_old (const rq_table *t, uint64_t issued_ms)
 {
-  return issued_ms + t->retention_ms < t->wall_ms;
+  return issued_ms <= t->floor_ms || issued_ms + t->retention_ms < t->wall_ms;
 }
 
 static rq_verdict
@@ -178,9 +186,77 @@
   return RQ_ADMITTED;
 }
 
+static void
+_rq_unlink (rq_table *t, uint32_t index)
+{
+  _rq_entry *e = &t->entries[index];
+  uint32_t *at = _rq_bucket (t, (st_str){ e->id, e->id_len });
+  while (*at != index + 1)
+    at = &t->entries[*at - 1].next;
+  *at = e->next;
+}
+
+/* Oldest and newest time of issue among the finished records of the next
+   sweep.  False when none of them may be dropped.  */
+static bool
+_rq_find_range (const rq_table *t, uint32_t sweep, uint64_t *oldest,
+                uint64_t *newest)
+{
+  bool found = false;
+  for (uint32_t n = 0; n < sweep; n++)
+    {
+      const _rq_entry *e = &t->entries[(t->expire_at + n) % t->pool.capacity];
+      if (e->state != RQ_FINISHED
+          || e->issued_ms + t->min_retention_ms >= t->wall_ms)
+        continue;
+      if (!found || e->issued_ms < *oldest)
+        *oldest = e->issued_ms;
+      if (!found || e->issued_ms > *newest)
+        *newest = e->issued_ms;
+      found = true;
+    }
+  return found;
+}
+
+/* Makes room in a full table: raises the floor below which unseen ids are
+   refused, then drops finished records that lie below it.  */
+static void
+_rq_make_room (rq_table *t)
+{
+  uint64_t oldest = 0;
+  uint64_t newest = 0;
+  uint32_t sweep = t->pool.capacity < RQ_SWEEP_RECORDS ? t->pool.capacity
+                                                       : RQ_SWEEP_RECORDS;
+  if (!_rq_find_range (t, sweep, &oldest, &newest))
+    {
+      t->expire_at = (t->expire_at + sweep) % t->pool.capacity;
+      return;
+    }
+  uint64_t floor = oldest + (newest - oldest) / _RQ_DROP_FRACTION;
+  if (floor > t->floor_ms)
+    t->floor_ms = floor;
+  for (uint32_t n = 0; n < sweep; n++)
+    {
+      uint32_t i = t->expire_at;
+      rq_handle h = id_at (&t->pool, i);
+      t->expire_at = (i + 1) % t->pool.capacity;
+      if (h == 0 || t->entries[i].state != RQ_FINISHED
+          || t->entries[i].issued_ms > t->floor_ms)
+        continue;
+      _rq_unlink (t, i);
+      id_destroy (&t->pool, h);
+    }
+}
+
 static rq_verdict
 _rq_insert (rq_table *t, st_str text, uint64_t issued_ms, rq_handle *out)
 {
+  if (t->pool.free_count == 0 && !t->disable_duplicate_check)
+    {
+      _rq_make_room (t);
+      if (_rq_is_too_old (t, issued_ms))
+        return RQ_TOO_OLD;
+    }
   rq_handle h = id_make (&t->pool);
   if (h == 0)
     return RQ_FULL;
@@ -292,8 +368,9 @@
         return RQ_TOO_OLD;
       if (!refuse_if_unseen)
         return RQ_ADMITTED;
-      if (_rq_insert (t, text, id.issued_ms, &h) == RQ_FULL)
-        return RQ_FULL;
+      verdict = _rq_insert (t, text, id.issued_ms, &h);
+      if (verdict != RQ_ADMITTED)
+        return verdict;
       rq_finish (t, h, RQ_NOT_RUN);
       e = _rq_entry_of (t, h);
     }
@@ -324,16 +401,6 @@
   return true;
 }
 
-static void
-_rq_unlink (rq_table *t, uint32_t index)
-{
-  _rq_entry *e = &t->entries[index];
-  uint32_t *at = _rq_bucket (t, (st_str){ e->id, e->id_len });
-  while (*at != index + 1)
-    at = &t->entries[*at - 1].next;
-  *at = e->next;
-}
-
 /* Drops finished records whose ids are too old to be admitted again, after
    a call of ON_DROP (which may be NULL) for each.  One call looks at no more
    than RQ_SWEEP_RECORDS records and goes on where the last one ended.
--- a/packages/decide/rq.h
+++ b/packages/decide/rq.h
@@ -18,6 +18,11 @@
      rq_undo_dispatch (t, h);       // ... unless it provably did not run
      rq_finish (t, h, RQ_ANSWERED);
 
+   A full table drops its oldest finished records and from then on refuses
+   every id that was issued no later than the newest of them, as if the
+   retention were shorter.  So a burst shortens the memory and never lets an
+   id run twice.
+
    Times are wall clock milliseconds because ids carry the caller's wall
    clock.  The table never lets its own notion of time go back, so a clock
    step cannot make a forgotten id admissible.  */
@@ -38,10 +43,11 @@
 
 typedef struct
 {
-  st_str incarnation;     /* of this process; copied */
-  uint32_t capacity;      /* records; 0 means 16384 */
-  uint64_t retention_ms;  /* 0 means 10 minutes */
-  uint64_t max_future_ms; /* 0 means 60 s */
+  st_str incarnation;        /* of this process; copied */
+  uint32_t capacity;         /* records; 0 means 16384 */
+  uint64_t retention_ms;     /* 0 means 10 minutes */
+  uint64_t min_retention_ms; /* of a full table; 0 means 5 s */
+  uint64_t max_future_ms;    /* 0 means 60 s */
   al_allocator allocator;
   /* For tests that show what the duplicate check prevents.  */
   bool disable_duplicate_check;
--- a/packages/decide/tests/rq_test.cc
+++ b/packages/decide/tests/rq_test.cc
@@ -32,6 +32,7 @@
   desc.capacity = capacity;
   desc.retention_ms = 1000;
   desc.max_future_ms = 100;
+  desc.min_retention_ms = 200;
   desc.disable_duplicate_check = disable;
   return rq_make (&desc);
 }
@@ -142,6 +143,29 @@
   rq_destroy (t);
 }
 
+// Guards against a table that stops taking requests once it holds as many
+// finished ones as fit, and against running a dropped id again.
+TEST (Rq, FullTableDropsOldestAndRefusesTheirIds)
+{
+  rq_table *t = make_table (64);
+  std::vector<std::string> ids;
+  for (uint64_t i = 0; i < 1000; i++)
+    {
+      uint64_t wall = 5000 + i * 10;
+      rq_handle h;
+      ids.push_back (make_id (wall, i));
+      ASSERT_EQ (rq_admit (t, str (ids.back ()), wall, &h), RQ_ADMITTED) << i;
+      ASSERT_TRUE (rq_begin_dispatch (t, h));
+      ASSERT_TRUE (rq_finish (t, h, RQ_ANSWERED));
+    }
+  for (const std::string &id : ids)
+    {
+      rq_handle h;
+      EXPECT_NE (rq_admit (t, str (id), 5000 + 999 * 10, &h), RQ_ADMITTED);
+    }
+  rq_destroy (t);
+}
+
 static uint64_t
 env_number (const char *name, uint64_t fallback)
 {
--- a/packages/server/cl.c
+++ b/packages/server/cl.c
@@ -74,11 +74,14 @@
   GHashTable *teams;   /* name -> index + 1 */
   GHashTable *routes;  /* name -> index + 1 */
   GHashTable *holders; /* incarnation -> index + 1 */
+  GHashTable *polls;   /* _cl_poll in progress, a set */
   uint64_t next_number;
   uint64_t next_expiry_us;
   bool deciding;
 };
 
+static void _cl_poll_free (gpointer data);
+
 static void
 _cl_cell_free (gpointer data)
 {
@@ -123,6 +126,7 @@
   cl->by_key = g_hash_table_new (_cl_key_hash, _cl_key_equal);
   cl->teams = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   cl->routes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  cl->polls = g_hash_table_new_full (NULL, NULL, _cl_poll_free, NULL);
   cl->holders = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return cl;
 }
@@ -139,6 +143,7 @@
   g_hash_table_destroy (cl->teams);
   g_hash_table_destroy (cl->routes);
   g_hash_table_destroy (cl->holders);
+  g_hash_table_destroy (cl->polls);
   g_free (cl);
 }
 
@@ -189,6 +194,14 @@
   struct evbuffer *body;
 } _cl_poll;
 
+static void
+_cl_poll_free (gpointer data)
+{
+  _cl_poll *poll = data;
+  evbuffer_free (poll->body);
+  g_free (poll);
+}
+
 static _cl_engine *
 _cl_find_engine (_cl_cell *cell, st_str name)
 {
@@ -270,8 +283,7 @@
         _cl_apply_load (e, body);
       json_decref (body);
     }
-  evbuffer_free (poll->body);
-  g_free (poll);
+  g_hash_table_remove (poll->cl->polls, poll);
 }
 
 static void
@@ -299,10 +311,9 @@
                                       .user = poll });
   *(cache ? &e->cache_asked : &e->load_asked) = call != 0;
   if (call == 0)
-    {
-      evbuffer_free (poll->body);
-      g_free (poll);
-    }
+    _cl_poll_free (poll);
+  else
+    g_hash_table_add (e->cl->polls, poll);
 }
 
 static void
--- a/packages/server/fe_accept.c
+++ b/packages/server/fe_accept.c
@@ -65,7 +65,7 @@
       fe_reply_error (fe, req,
                       &(fe_error){ .status = 405,
                                    .kind = ER_INVALID,
-                                   .outcome = RQ_NOT_RUN,
+                                   .outcome = fe_refusal_outcome (fe, req),
                                    .message = "use POST" });
       return;
     }
@@ -75,7 +75,7 @@
       fe_reply_error (fe, req,
                       &(fe_error){ .kind = ER_UNAVAILABLE,
                                    .name = "vm_full",
-                                   .outcome = RQ_NOT_RUN,
+                                   .outcome = fe_refusal_outcome (fe, req),
                                    .retry_after_ms = 1000,
                                    .message = "this VM holds too many "
                                               "requests: use another "
@@ -87,7 +87,7 @@
     {
       fe_reply_error (fe, req,
                       &(fe_error){ .kind = err.kind,
-                                   .outcome = RQ_NOT_RUN,
+                                   .outcome = fe_refusal_outcome (fe, req),
                                    .message = err.message });
       fe_request_free (r);
       return;
--- a/packages/server/fe_admit.c
+++ b/packages/server/fe_admit.c
@@ -7,6 +7,28 @@
 
 #define _FE_DRAIN_RETRY_MS 1000
 
+/* Outcome that may be stated for a request that is refused before it has a
+   record.  With an id of the caller's the refusal is recorded first: a late
+   copy of the same message could otherwise be admitted after "not run" was
+   told.  */
+rq_outcome
+fe_refusal_outcome (fe_front *fe, struct evhttp_request *req)
+{
+  rq_record record;
+  st_str id = fe_header (req, "Dotterelbend-Request-Id");
+  if (id.len == 0)
+    return RQ_NOT_RUN;
+  switch (rq_lookup (fe->sv->requests, id, sv_wall_ms (fe->sv), true, &record))
+    {
+    case RQ_SEEN:
+      return record.outcome == RQ_NOT_RUN ? RQ_NOT_RUN : RQ_UNKNOWN;
+    case RQ_MALFORMED:
+      return RQ_NOT_RUN;
+    default:
+      return RQ_UNKNOWN;
+    }
+}
+
 static void
 _fe_refuse_verdict (fe_front *fe, struct evhttp_request *req,
                     const fe_request *r, rq_verdict verdict)
@@ -33,12 +55,14 @@
     case RQ_IN_FUTURE:
       error.kind = ER_INVALID;
       error.name = "request_id_in_future";
+      error.outcome = RQ_UNKNOWN;
       error.message = "issued_ms of the request id is ahead of this VM's "
                       "clock: set the caller's clock";
       break;
     default:
       error.kind = ER_UNAVAILABLE;
       error.name = "request_table_full";
+      error.outcome = r->own_id ? RQ_UNKNOWN : RQ_NOT_RUN;
       error.retry_after_ms = _FE_DRAIN_RETRY_MS;
       error.message = "this VM holds too many requests: use another address";
     }
--- a/packages/server/fe_internal.h
+++ b/packages/server/fe_internal.h
@@ -131,6 +131,7 @@
 bool fe_parse_tier (st_str text, uint8_t *tier, er_error *err);
 
 /* fe_admit.c */
+rq_outcome fe_refusal_outcome (fe_front *fe, struct evhttp_request *req);
 void fe_admit (fe_front *fe, struct evhttp_request *req, fe_request *r);
 void fe_ask_place (fe_request *r);
 void fe_choose_version (fe_request *r);
--- a/packages/server/rl.c
+++ b/packages/server/rl.c
@@ -46,6 +46,7 @@
   sv_server *sv;
   ro_follower *follower;
   GHashTable *services; /* name -> _rl_service */
+  GHashTable *reads;    /* _rl_read in progress, a set */
   uint64_t watch;
   bool listed;
   bool listing;
@@ -70,6 +71,7 @@
   rl_task *rl = g_new0 (rl_task, 1);
   rl->sv = desc->server;
   rl->follower = ro_make_follower (&(ro_follower_desc){ 0 });
+  rl->reads = g_hash_table_new_full (NULL, NULL, g_free, NULL);
   rl->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                         _rl_service_free);
   return rl;
@@ -84,6 +86,7 @@
   if (rl->watch != 0)
     pf_unwatch (rl->sv->platform, rl->watch);
   g_hash_table_destroy (rl->services);
+  g_hash_table_destroy (rl->reads);
   ro_destroy_follower (rl->follower);
   g_free (rl);
 }
@@ -302,7 +305,7 @@
     }
   if (s != NULL && answer->result != PF_OK && answer->result != PF_NOT_FOUND)
     ro_on_read_failed (s->controller);
-  g_free (read);
+  g_hash_table_remove (rl->reads, read);
 }
 
 static void
@@ -312,6 +315,7 @@
   read->rl = rl;
   if (service != NULL)
     read->service = *service;
+  g_hash_table_add (rl->reads, read);
   pf_get (rl->sv->platform, key, _rl_on_read, read);
 }
 
--- a/packages/server/sv.c
+++ b/packages/server/sv.c
@@ -12,6 +12,8 @@
 
 #define _SV_TICK_MS 20
 #define _SV_MAX_INSTANCES 64
+/* Records of ended requests that are kept beside the open ones.  */
+#define _SV_RECORDS_PER_REQUEST 4
 #define _SV_LIST_PERIOD_US (500 * CK_MS_US)
 /* A wait for a slot above this counts as high load.  */
 #define _SV_HIGH_LOAD_WAIT_US (20 * CK_MS_US)
@@ -371,7 +373,8 @@
 {
   return rq_make (
       &(rq_desc){ .incarnation = st_from_cstr (sv->incarnation),
-                  .capacity = (uint32_t)sv->config.limits.open_requests });
+                  .capacity = (uint32_t)sv->config.limits.open_requests
+                              * _SV_RECORDS_PER_REQUEST });
 }
 
 /* True when no request and no call is in progress.  */
@@ -529,6 +532,7 @@
       &(fe_desc){ .server = sv,
                   .host = host,
                   .port = port,
+                  .max_requests = (uint32_t)sv->config.limits.open_requests,
                   .max_body_bytes = sv->config.limits.body_bytes,
                   .max_header_bytes = sv->config.limits.header_bytes,
                   .max_buffered_bytes = sv->config.limits.answer_store_bytes },
--- a/packages/testing/tests/e2e_rollout_test.cc
+++ b/packages/testing/tests/e2e_rollout_test.cc
@@ -5,6 +5,7 @@
 #include <ctime>
 #include <future>
 #include <gtest/gtest.h>
+#include <mutex>
 #include <thread>
 
 using proc::Cluster;
@@ -27,6 +28,7 @@
   std::atomic<int> sent{ 0 };
   std::atomic<int> wrong{ 0 };
   std::vector<std::thread> callers;
+  std::mutex ids;
 
   void
   run (std::vector<std::string> engine_args)
@@ -50,20 +52,25 @@
   start_callers ()
   {
     for (int c = 0; c < 8; c++)
-      {
-        std::vector<std::string> ids;
-        for (int i = 0; i < 3000; i++)
-          ids.push_back (cluster->new_id (c % 3));
-        callers.emplace_back ([this, c, ids] {
-          for (size_t i = 0; i < ids.size () && !stop; i++)
-            {
-              Response r = cluster->draft (c % 3, ids[i], 2, false);
-              sent++;
-              if (r.status != 200 && r.outcome () != "unknown")
-                wrong++;
-            }
-        });
-      }
+      callers.emplace_back ([this, c] {
+        while (!stop)
+          {
+            Response r = cluster->draft (c % 3, next_id (c % 3), 2, false);
+            sent++;
+            if (r.status == 200 || r.outcome () == "unknown")
+              continue;
+            if (wrong++ == 0)
+              printf ("status %d %s%s\n", r.status, r.body.c_str (),
+                      r.error.c_str ());
+          }
+      });
+  }
+
+  std::string
+  next_id (int vm)
+  {
+    std::lock_guard<std::mutex> lock (ids);
+    return cluster->new_id (vm);
   }
 
   void
