Stop lower-tier work also beside whole answers

Cause: the scheduler waited for the first token of a whole answer, which nobody reports, took the engine's prefill as overdue and held a free slot back from urgent work. The same held for holders on other VMs. Ruled out: more grants than slots (a trace of the decisions shows no grant). Change: a request says whether its first token is reported; without a report its prefill ends at the predicted time.

--- a/packages/decide/cs.c
+++ b/packages/decide/cs.c
@@ -83,6 +83,7 @@
   bool late;    /* the first token target has passed */
   bool stashed; /* out of its heap for the rest of the pass */
   bool has_first_token;
+  bool unreported; /* no cs_first_token will come */
   bool is_long;
   bool cached_part; /* part of the prompt was expected in the cache */
 } _cs_req;
@@ -815,6 +816,15 @@
   return left < own ? left : own;
 }
 
+/* True when R's prefill has to be counted.  Without a report it is taken as
+   done at the predicted time.  */
+static bool
+_cs_in_prefill (const _cs_req *r, uint64_t now_us)
+{
+  return !r->has_first_token
+         && (!r->unreported || now_us < r->granted_us + r->first_token_us);
+}
+
 /* Learns the prefill rate from one first token time.  A part expected in
    the cache may have been evicted, so such samples weigh less.  */
 static void
@@ -844,7 +854,7 @@
   double left_us = 0;
   bool is_long = false;
   for (uint32_t s = e->head; s != slot; s = cs->reqs[s].next)
-    if (!cs->reqs[s].has_first_token)
+    if (_cs_in_prefill (&cs->reqs[s], now_us))
       {
         left_us += cs->reqs[s].uncached_tokens * e->us_per_token;
         is_long = is_long || cs->reqs[s].is_long;
@@ -869,7 +879,7 @@
   double others_us = 0;
   bool is_long = false;
   for (uint32_t s = e->head; s != _CS_NIL; s = cs->reqs[s].next)
-    if (s != slot && !cs->reqs[s].has_first_token)
+    if (s != slot && _cs_in_prefill (&cs->reqs[s], now_us))
       {
         others_us += cs->reqs[s].uncached_tokens * e->us_per_token;
         is_long = is_long || cs->reqs[s].is_long;
@@ -1825,6 +1835,7 @@
   r->deadline_us = q->deadline_us;
   r->first_by_us = q->first_token_by_us;
   r->resume_of = q->resume_of;
+  r->unreported = q->first_token_unreported;
   r->submit_us = now_us;
   r->key = r->first_by_us > 0   ? r->first_by_us
            : r->deadline_us > 0 ? r->deadline_us
@@ -2031,6 +2042,8 @@
   _cs_map_add (cs, slot);
   _cs_req *r = &cs->reqs[slot];
   r->granted_us = granted_us < now_us ? granted_us : now_us;
+  /* Its first token may have come before this owner was there.  */
+  r->unreported = true;
   r->uncached_tokens = r->prompt_tokens;
   double first = e->base_us + r->prompt_tokens * e->us_per_token;
   r->first_token_us = first < 4e9 ? (uint32_t)first : UINT32_MAX;
@@ -2067,7 +2080,7 @@
   for (uint32_t s = e->head; s != _CS_NIL; s = cs->reqs[s].next)
     {
       const _cs_req *r = &cs->reqs[s];
-      if (r->has_first_token)
+      if (r->has_first_token || r->unreported)
         continue;
       double elapsed = (double)(now_us - r->granted_us);
       if (elapsed > r->first_token_us + (double)_CS_OVERDUE_US)
--- a/packages/decide/cs.h
+++ b/packages/decide/cs.h
@@ -125,6 +125,9 @@
   uint64_t deadline_us;       /* whole answer; 0: none */
   uint64_t first_token_by_us; /* target of the first token; 0: none */
   id_handle resume_of; /* engine that keeps the stopped stream; 0: none */
+  /* The holder does not call cs_first_token for this request: a whole answer,
+     or a holder on another VM.  Its first token is then never overdue.  */
+  bool first_token_unreported;
 } cs_request;
 
 typedef enum
--- a/packages/decide/tests/cs_test.cc
+++ b/packages/decide/tests/cs_test.cc
@@ -116,6 +116,39 @@
   cs_destroy (cs);
 }
 
+/* Guards against urgent work that waits at a free slot because the first
+   token of a whole answer, which nobody reports, was taken as overdue.  */
+TEST (Cs, UnreportedFirstTokenIsNotOverdue)
+{
+  for (bool unreported : { true, false })
+    {
+      cs_desc desc = {};
+      cs_cell *cs = cs_make (&desc);
+      engine (cs, "a", 4);
+      cs_decision d;
+      for (uint64_t i = 1; i <= 3; i++)
+        {
+          cs_request low = request (i, 4, 5, 100);
+          low.first_token_unreported = unreported && i == 2;
+          cs_submit (cs, &low, 0);
+        }
+      while (cs_next (cs, 0, &d))
+        EXPECT_EQ (d.kind, CS_GRANT);
+      cs_first_token (cs, 1, 60000, 60000);
+      cs_first_token (cs, 3, 60000, 60000);
+      for (uint64_t now_us = 100000; now_us <= 600000; now_us += 50000)
+        {
+          cs_tick (cs, now_us);
+          EXPECT_FALSE (cs_next (cs, now_us, &d));
+        }
+      cs_request urgent = request (10, 0, 5, 20);
+      cs_submit (cs, &urgent, 600000);
+      /* With the wrong flag the same request is held back.  */
+      EXPECT_EQ (cs_next (cs, 600000, &d), unreported);
+      cs_destroy (cs);
+    }
+}
+
 /* Guards against prefill spent on an answer that comes too late.  */
 TEST (Cs, RefusesADeadlineThatCannotBeMet)
 {
--- a/packages/server/cl.c
+++ b/packages/server/cl.c
@@ -570,6 +570,7 @@
           .prefix_count = (uint32_t)ask->prefix_count,
           .deadline_us
           = ask->deadline_ms > 0 ? now_us + ask->deadline_ms * CK_MS_US : 0,
+          .first_token_unreported = ask->first_token_unreported,
           .resume_of = resume != NULL ? resume->cs_engine : 0 },
       now_us);
   /* When the decisions of earlier events fill the ring, the holder's next
@@ -753,6 +754,12 @@
                  sv_now_us (cl->sv));
       return;
     }
+  lg_log (LG_DEBUG, "", "cell %s: %s handle %" G_GINT64_MODIFIER "x tier %u",
+          cell->name.text,
+          d->kind == CS_GRANT    ? "grant"
+          : d->kind == CS_REFUSE ? "refuse"
+                                 : "stop",
+          entry->handle, d->tier);
   switch (d->kind)
     {
     case CS_GRANT:
--- a/packages/server/fe_admit.c
+++ b/packages/server/fe_admit.c
@@ -122,6 +122,7 @@
                           .expected_tokens = r->expected_tokens,
                           .prompt = { r->prompt->str, r->prompt->len },
                           .deadline_us = r->deadline_us,
+                          .stream = r->stream && !r->resumed,
                           .resume_engine = st_from_cstr (
                               r->resumed || r->events > 0 ? r->engine : "") });
 }
--- a/packages/server/ow.c
+++ b/packages/server/ow.c
@@ -40,6 +40,7 @@
   uint32_t prompt_tokens;
   uint32_t expected_tokens;
   uint64_t deadline_us;
+  bool stream;
   st_name resume_engine;
   st_name cell;
   char owner[CM_INCARNATION_MAX]; /* that was asked */
@@ -244,6 +245,8 @@
     .prefixes = t->prefixes,
     .deadline_ms = _ow_ms_left (ow, t),
     .resume_engine = st_name_str (&t->resume_engine),
+    .first_token_unreported
+    = !t->stream || strcmp (t->owner, ow->sv->incarnation) != 0,
   };
   t->repeat_us = sv_now_us (ow->sv) + _OW_REPEAT_US;
   g_strlcpy (owner, t->owner, sizeof owner);
@@ -351,6 +354,7 @@
   t->prompt_tokens = desc->prompt_tokens;
   t->expected_tokens = desc->expected_tokens;
   t->deadline_us = desc->deadline_us;
+  t->stream = desc->stream;
   st_name_set (&t->model, desc->model);
   st_name_set (&t->version, desc->version);
   st_name_set (&t->team, desc->team);
--- a/packages/server/ow.h
+++ b/packages/server/ow.h
@@ -42,6 +42,7 @@
   uint32_t expected_tokens;
   st_str prompt; /* text, for the prefix hashes */
   uint64_t deadline_us;
+  bool stream;          /* the first token can be seen */
   st_str resume_engine; /* engine that keeps a stopped stream; may be empty */
 } ow_ask_desc;
 
--- a/packages/wire/ms.c
+++ b/packages/wire/ms.c
@@ -427,7 +427,7 @@
 _ms_io_slot_ask (_ms_io *io, ms_slot_ask *m)
 {
   _ms_io saved;
-  if (!_ms_enter (io, "body", 11, &saved))
+  if (!_ms_enter (io, "body", 12, &saved))
     return;
   _ms_u64 (io, "handle", &m->handle, UINT64_MAX);
   _ms_key (io, "cell", &m->cell, MS_ROUTE_MAX);
@@ -441,6 +441,7 @@
             _ms_io_prefix);
   _ms_u64 (io, "deadline_ms", &m->deadline_ms, UINT64_MAX / 1000);
   _ms_str (io, "resume_engine", &m->resume_engine, MS_NAME_MAX);
+  _ms_bool (io, "first_token_unreported", &m->first_token_unreported);
   _ms_leave (io, &saved);
 }
 
--- a/packages/wire/ms.h
+++ b/packages/wire/ms.h
@@ -194,8 +194,9 @@
   uint32_t expected_tokens;
   size_t prefix_count;
   const ms_prefix *prefixes;
-  uint64_t deadline_ms; /* from now */
-  st_str resume_engine; /* may be empty */
+  uint64_t deadline_ms;        /* from now */
+  st_str resume_engine;        /* may be empty */
+  bool first_token_unreported; /* see cs_request */
 } ms_slot_ask;
 
 typedef struct
--- a/packages/wire/tests/ms_test.cc
+++ b/packages/wire/tests/ms_test.cc
@@ -106,7 +106,8 @@
                            str ("v1"), str ("draft"),
                            4096,       300,
                            3,          prefixes,
-                           30000,      str ("engine-3") };
+                           30000,      str ("engine-3"),
+                           true };
           break;
         case MS_SLOT_GRANT:
           m.u.slot_grant = { 5, str ("engine-3"), 6, 310000 };
