Share the mapping of errors to HTTP statuses

Cause: the front end and the administration API had the same tables. Change: hx_ holds both. Conclusion: one place.

--- a/packages/server/aa.c
+++ b/packages/server/aa.c
@@ -1,5 +1,7 @@
 #include "aa.h"
 
+#include "hx.h"
+
 #include "lg.h"
 
 #include <event2/buffer.h>
@@ -66,70 +68,6 @@
   struct evkeyvalq query;
 } _aa_call;
 
-static int
-_aa_status_of (er_kind kind)
-{
-  switch (kind)
-    {
-    case ER_OK:
-      return 200;
-    case ER_INVALID:
-    case ER_UNSUPPORTED:
-      return 400;
-    case ER_DENIED:
-      return 403;
-    case ER_NOT_FOUND:
-      return 404;
-    case ER_CONFLICT:
-      return 409;
-    case ER_TOO_LARGE:
-      return 413;
-    case ER_LIMIT:
-      return 429;
-    case ER_UNAVAILABLE:
-      return 503;
-    case ER_TIMEOUT:
-      return 504;
-    case ER_INTERNAL:
-      break;
-    }
-  return 500;
-}
-
-static const char *
-_aa_reason_of (int status)
-{
-  switch (status)
-    {
-    case 200:
-      return "OK";
-    case 202:
-      return "Accepted";
-    case 400:
-      return "Bad Request";
-    case 401:
-      return "Unauthorized";
-    case 403:
-      return "Forbidden";
-    case 404:
-      return "Not Found";
-    case 405:
-      return "Method Not Allowed";
-    case 409:
-      return "Conflict";
-    case 413:
-      return "Content Too Large";
-    case 429:
-      return "Too Many Requests";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return "Internal Server Error";
-    }
-}
-
 /* Answers REQ with BODY, which is consumed.  */
 static void
 _aa_reply (struct evhttp_request *req, int status, json_t *body)
@@ -144,7 +82,7 @@
   if (status == 503 || status == 429)
     evhttp_add_header (headers, "Retry-After", "1");
   evbuffer_add_printf (out, "%s\n", text != NULL ? text : "{}");
-  evhttp_send_reply (req, status, _aa_reason_of (status), out);
+  evhttp_send_reply (req, status, hx_reason_of (status), out);
   evbuffer_free (out);
   free (text);
   json_decref (body);
@@ -175,7 +113,7 @@
 static void
 _aa_reply_er (struct evhttp_request *req, const er_error *err)
 {
-  _aa_reply_error (req, _aa_status_of (err->kind), er_kind_name (err->kind),
+  _aa_reply_error (req, hx_status_of (err->kind), er_kind_name (err->kind),
                    err->message, NULL);
 }
 
@@ -310,7 +248,7 @@
     }
   if (result->changed != NULL)
     json_object_set (more, "changed", result->changed);
-  _aa_reply_error (req, _aa_status_of (result->err.kind),
+  _aa_reply_error (req, hx_status_of (result->err.kind),
                    er_kind_name (result->err.kind), result->err.message, more);
 }
 
--- a/packages/server/fe_call.c
+++ b/packages/server/fe_call.c
@@ -1,4 +1,5 @@
 #include "fe_internal.h"
+#include "hx.h"
 #include "oc.h"
 
 #include <event2/buffer.h>
@@ -45,8 +46,8 @@
     evhttp_add_header (headers, "Dotterelbend-Replayed",
                        answer->body_cut ? "cut" : "whole");
   evbuffer_add (out, answer->body.ptr, answer->body.len);
-  evhttp_send_reply (call->http, answer->status,
-                     fe_status_text (answer->status), out);
+  evhttp_send_reply (call->http, answer->status, hx_reason_of (answer->status),
+                     out);
   evbuffer_free (out);
 }
 
--- a/packages/server/fe_internal.h
+++ b/packages/server/fe_internal.h
@@ -193,6 +193,5 @@
                      const fe_error *error);
 void fe_reply_json (struct evhttp_request *req, int status, json_t *body);
 char *fe_error_text (const fe_error *error);
-const char *fe_status_text (int status);
 
 #endif
--- a/packages/server/fe_reply.c
+++ b/packages/server/fe_reply.c
@@ -1,77 +1,9 @@
 #include "fe_internal.h"
+#include "hx.h"
 
 #include <event2/buffer.h>
 #include <string.h>
 
-static int
-_fe_status_of (er_kind kind)
-{
-  switch (kind)
-    {
-    case ER_OK:
-      return 200;
-    case ER_INVALID:
-    case ER_UNSUPPORTED:
-      return 400;
-    case ER_DENIED:
-      return 403;
-    case ER_NOT_FOUND:
-      return 404;
-    case ER_CONFLICT:
-      return 409;
-    case ER_TOO_LARGE:
-      return 413;
-    case ER_LIMIT:
-      return 429;
-    case ER_UNAVAILABLE:
-      return 503;
-    case ER_TIMEOUT:
-      return 504;
-    case ER_INTERNAL:
-      break;
-    }
-  return 500;
-}
-
-/* Reason phrase of an HTTP status.  */
-const char *
-fe_status_text (int status)
-{
-  switch (status)
-    {
-    case 200:
-      return "OK";
-    case 202:
-      return "Accepted";
-    case 307:
-      return "Temporary Redirect";
-    case 400:
-      return "Bad Request";
-    case 403:
-      return "Forbidden";
-    case 404:
-      return "Not Found";
-    case 405:
-      return "Method Not Allowed";
-    case 409:
-      return "Conflict";
-    case 410:
-      return "Gone";
-    case 413:
-      return "Payload Too Large";
-    case 429:
-      return "Too Many Requests";
-    case 502:
-      return "Bad Gateway";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return status < 400 ? "OK" : "Error";
-    }
-}
-
 /* JSON text of an error answer; the caller frees it with g_free.  */
 char *
 fe_error_text (const fe_error *error)
@@ -106,7 +38,7 @@
   evbuffer_add (out, text, strlen (text));
   evhttp_add_header (evhttp_request_get_output_headers (req), "Content-Type",
                      "application/json");
-  evhttp_send_reply (req, status, fe_status_text (status), out);
+  evhttp_send_reply (req, status, hx_reason_of (status), out);
   evbuffer_free (out);
   free (text);
   json_decref (body);
@@ -118,8 +50,7 @@
                 const fe_error *error)
 {
   struct evkeyvalq *headers = evhttp_request_get_output_headers (req);
-  int status
-      = error->status != 0 ? error->status : _fe_status_of (error->kind);
+  int status = error->status != 0 ? error->status : hx_status_of (error->kind);
   char *text = fe_error_text (error);
   struct evbuffer *out = evbuffer_new ();
   evbuffer_add (out, text, strlen (text));
@@ -139,7 +70,7 @@
   fe_count (fe, "dotterelbend_errors_total", "kind",
             st_from_cstr (error->name != NULL ? error->name
                                               : er_kind_name (error->kind)));
-  evhttp_send_reply (req, status, fe_status_text (status), out);
+  evhttp_send_reply (req, status, hx_reason_of (status), out);
   evbuffer_free (out);
   g_free (text);
 }
--- a/packages/server/fe_service.c
+++ b/packages/server/fe_service.c
@@ -1,4 +1,5 @@
 #include "fe_internal.h"
+#include "hx.h"
 
 #include "lg.h"
 
@@ -111,7 +112,7 @@
                                                 : "application/json");
   evhttp_connection_set_closecb (evhttp_request_get_connection (http), NULL,
                                  NULL);
-  evhttp_send_reply (http, result->status, fe_status_text (result->status),
+  evhttp_send_reply (http, result->status, hx_reason_of (result->status),
                      read->answer);
   read->http = NULL;
   _fe_read_free (read);
--- a/packages/server/fe_stream.c
+++ b/packages/server/fe_stream.c
@@ -1,4 +1,5 @@
 #include "fe_internal.h"
+#include "hx.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -239,7 +240,7 @@
     evhttp_add_header (headers, "Dotterelbend-Engine", r->engine);
   struct evbuffer *out = evbuffer_new ();
   evbuffer_add (out, r->answer->str, r->answer->len);
-  evhttp_send_reply (http, status, fe_status_text (status), out);
+  evhttp_send_reply (http, status, hx_reason_of (status), out);
   evbuffer_free (out);
 }
 
