Report the teams' demand to every VM of the region each second

Cause: demand and share rode on membership probes, which reach a given VM every few seconds; the limits took the others as silent and lowered the share.

--- a/packages/server/sv.c
+++ b/packages/server/sv.c
@@ -422,6 +422,7 @@
   _sv_poll_list (sv, sv_now_us (sv));
   se_serve_tick (sv->settings);
   po_tick (sv->policy);
+  sv_peers_tick (sv->peers);
   cl_tick (sv->owned);
   ow_tick (sv->owner);
   rl_tick (sv->rollouts);
--- a/packages/server/sv_peers.c
+++ b/packages/server/sv_peers.c
@@ -7,7 +7,9 @@
 #include <glib.h>
 #include <string.h>
 
-#define _SV_MAX_DEMANDS MS_DEMANDS_MAX
+/* Teams that one VM reports; po_ knows no more.  */
+#define _SV_MAX_DEMANDS 256
+#define _SV_REPORT_PERIOD_US CK_S_US
 
 /* Owned copy of a member's record.  */
 typedef struct
@@ -26,6 +28,7 @@
   pe_task *pe;     /* NULL when the VM is alone */
   GArray *records; /* _sv_record, this VM first */
   GArray *members; /* cm_member, views into RECORDS */
+  uint64_t next_report_us;
 };
 
 static void
@@ -86,42 +89,76 @@
     }
 }
 
-/* Takes the reports of the teams' demand that ride on a probe.  */
 static void
-_sv_take_probe (sv_peers *p, const ms_probe *probe)
+_sv_take_report (sv_peers *p, st_str sender, const ms_demand_report *report)
 {
-  for (size_t i = 0; i < probe->demand_count; i++)
-    po_on_report (p->sv->policy, probe->self.name, probe->demands[i].team,
-                  (double)probe->demands[i].demand / 1000,
-                  (double)probe->demands[i].share / 1e6);
+  for (size_t i = 0; i < report->count; i++)
+    po_on_report (p->sv->policy, sender, report->demands[i].team,
+                  (double)report->demands[i].demand / 1000,
+                  (double)report->demands[i].share / 1e6);
 }
 
 static void
 _sv_on_peer_message (void *user, const pe_sender *sender, const ms_message *m)
 {
   sv_peers *p = user;
-  if (m->type == MS_PING || m->type == MS_ACK)
-    _sv_take_probe (p, &m->u.probe);
+  if (m->type == MS_DEMAND)
+    _sv_take_report (p, sender->name, &m->u.demand_report);
   sv_on_message (p->sv, sender->incarnation, m);
 }
 
 static void
 _sv_on_probe (void *user, ms_probe *probe)
 {
-  static ms_demand demands[_SV_MAX_DEMANDS];
-  static st_name teams[_SV_MAX_DEMANDS];
+  const sv_peers *p = user;
+  probe->settings_version = sv_query_settings_version (p->sv);
+}
+
+static void
+_sv_send_to_region (sv_peers *p, const ms_demand_report *report)
+{
+  ms_message m = { .type = MS_DEMAND };
+  m.u.demand_report = *report;
+  for (guint i = 1; i < p->members->len; i++)
+    {
+      const cm_member *member = &g_array_index (p->members, cm_member, i);
+      if (st_equal (member->region, st_name_str (&p->sv->config.region)))
+        sv_peers_send (p, member->incarnation, &m);
+    }
+}
+
+/* Reports the teams' demand to the other VMs of the region.  A report each
+   second is what the stated error of the limits is based on.  */
+static void
+_sv_send_reports (sv_peers *p)
+{
+  ms_demand demands[_SV_MAX_DEMANDS];
+  st_name teams[_SV_MAX_DEMANDS];
   double demand[_SV_MAX_DEMANDS];
   double share[_SV_MAX_DEMANDS];
-  sv_peers *p = user;
   size_t count = po_query_reports (p->sv->policy, teams, demand, share,
                                    _SV_MAX_DEMANDS);
   for (size_t i = 0; i < count; i++)
     demands[i] = (ms_demand){ .team = st_name_str (&teams[i]),
                               .demand = (uint64_t)(demand[i] * 1000),
                               .share = (uint64_t)(share[i] * 1e6) };
-  probe->settings_version = sv_query_settings_version (p->sv);
-  probe->demand_count = count;
-  probe->demands = demands;
+  for (size_t from = 0; from < count; from += MS_DEMANDS_MAX)
+    {
+      size_t part
+          = count - from < MS_DEMANDS_MAX ? count - from : MS_DEMANDS_MAX;
+      _sv_send_to_region (p, &(ms_demand_report){ part, demands + from });
+    }
+}
+
+/* Periodic work.  */
+void
+sv_peers_tick (sv_peers *p)
+{
+  uint64_t now_us = sv_now_us (p->sv);
+  if (now_us < p->next_report_us)
+    return;
+  p->next_report_us = now_us + _SV_REPORT_PERIOD_US;
+  _sv_send_reports (p);
 }
 
 static bool
--- a/packages/server/sv_peers.h
+++ b/packages/server/sv_peers.h
@@ -37,6 +37,7 @@
   void sv_peers_destroy (sv_peers *p);
   void sv_peers_set_vm_list (sv_peers *p, const dr_directory *directory);
   void sv_peers_refresh (sv_peers *p);
+  void sv_peers_tick (sv_peers *p);
   void sv_peers_leave (sv_peers *p);
   void sv_peers_rejoin (sv_peers *p);
   bool sv_peers_query_own_dead (const sv_peers *p);
--- a/packages/wire/ms.c
+++ b/packages/wire/ms.c
@@ -49,6 +49,7 @@
   [MS_EVIDENCE] = "EVIDENCE",
   [MS_ABANDON_ASK] = "ABANDON_ASK",
   [MS_ABANDON_REPLY] = "ABANDON_REPLY",
+  [MS_DEMAND] = "DEMAND",
 };
 
 /* True when TYPE is an ms_type.  */
@@ -636,6 +637,17 @@
   _ms_leave (io, &saved);
 }
 
+static void
+_ms_io_demand_report (_ms_io *io, ms_demand_report *m)
+{
+  _ms_io saved;
+  if (!_ms_enter (io, "body", 1, &saved))
+    return;
+  _MS_LIST (io, "demands", m->count, m->demands, MS_DEMANDS_MAX,
+            _ms_io_demand);
+  _ms_leave (io, &saved);
+}
+
 static void
 _ms_io_abandon_reply (_ms_io *io, ms_abandon_reply *m)
 {
@@ -711,6 +723,9 @@
     case MS_ABANDON_REPLY:
       _ms_io_abandon_reply (io, &m->u.abandon_reply);
       return;
+    case MS_DEMAND:
+      _ms_io_demand_report (io, &m->u.demand_report);
+      return;
     case MS_TYPE_END:
       break;
     }
--- a/packages/wire/ms.h
+++ b/packages/wire/ms.h
@@ -46,6 +46,7 @@
   MS_EVIDENCE,
   MS_ABANDON_ASK,
   MS_ABANDON_REPLY,
+  MS_DEMAND,
   MS_TYPE_END /* one past the last type */
 } ms_type;
 
@@ -323,6 +324,13 @@
   bool abandoned;
 } ms_abandon_reply;
 
+/* What a VM reports to the VMs of its region for the teams' limits.  */
+typedef struct
+{
+  size_t count;
+  const ms_demand *demands;
+} ms_demand_report;
+
 typedef struct
 {
   ms_type type;
@@ -348,6 +356,7 @@
     ms_evidence evidence;
     ms_abandon_ask abandon_ask;
     ms_abandon_reply abandon_reply;
+    ms_demand_report demand_report;
   } u;
 } ms_message;
 
--- a/packages/wire/tests/ms_test.cc
+++ b/packages/wire/tests/ms_test.cc
@@ -159,6 +159,9 @@
         case MS_ABANDON_REPLY:
           m.u.abandon_reply = { str ("night/orders/k1"), 99, true };
           break;
+        case MS_DEMAND:
+          m.u.demand_report = { 2, demands };
+          break;
         case MS_TYPE_END:
           break;
         }
