--- a/packages/testing/tests/e2e_request_test.cc
+++ b/packages/testing/tests/e2e_request_test.cc
@@ -121,6 +121,29 @@
   std::unique_ptr<Cluster> cluster;
 };
 
+// Invariant 5.  Guards against a request that runs after it was told "not
+// run", because the refusal left no record and a later copy was admitted.
+TEST_F (E2eRequest, RefusedIdIsNotAdmittedLater)
+{
+  ClusterDesc desc;
+  desc.vms = 1;
+  desc.engines = 1;
+  desc.services = 0;
+  desc.seed = seed;
+  run (desc);
+  std::string id = cluster->new_id (0);
+  proc::Request first;
+  first.method = "POST";
+  first.url = cluster->vm (0).address + "/v1/completions";
+  first.headers = { "Dotterelbend-Request-Id: " + id };
+  first.body = "{\"model\":\"none\",\"prompt\":\"x\"}";
+  EXPECT_EQ (proc::call (first).outcome (), "not_run");
+  Response second = cluster->draft (0, id, 4);
+  EXPECT_NE (second.status, 200) << second.body;
+  EXPECT_EQ (cluster->outcome (0, id), "not_run");
+  check_received ({ { id, "not_run" } });
+}
+
 } // namespace
 
 // Guards against a second dispatch of requests whose VM was killed, and
