Remove what the server no longer uses

Cause: a read of the whole change found fields and queries without a reader: the head mark of a request, a default deadline that the settings replaced, the number of owned cells and the tree of the policy module. Change: they are gone. Behaviour is the same. Conclusion: share.weight is read by no task either; noted, not changed.

--- a/packages/server/cl.c
+++ b/packages/server/cl.c
@@ -854,10 +854,3 @@
   _cl_expire_entries (cl, now_us);
   _cl_decide (cl);
 }
-
-/* Number of owned cells.  */
-size_t
-cl_query_owned (const cl_task *cl)
-{
-  return g_hash_table_size (cl->cells);
-}
--- a/packages/server/cl.h
+++ b/packages/server/cl.h
@@ -38,7 +38,6 @@
   void cl_on_first_token (cl_task *cl, st_str holder, uint64_t handle,
                           uint64_t first_token_us);
   void cl_tick (cl_task *cl);
-  size_t cl_query_owned (const cl_task *cl);
 
 #ifdef __cplusplus
 }
--- a/packages/server/fe.h
+++ b/packages/server/fe.h
@@ -39,12 +39,11 @@
   sv_server *server;
   const char *host;
   uint16_t port;
-  uint32_t max_requests;        /* open and kept; 0 means 16384 */
-  size_t max_body_bytes;        /* 0 means 1 MiB */
-  size_t max_header_bytes;      /* 0 means 16 KiB */
-  size_t max_answer_bytes;      /* of one request; 0 means 4 MiB */
-  size_t max_buffered_bytes;    /* of all answers; 0 means 64 MiB */
-  uint64_t default_deadline_ms; /* 0 means 120 s */
+  uint32_t max_requests;     /* open and kept; 0 means 16384 */
+  size_t max_body_bytes;     /* 0 means 1 MiB */
+  size_t max_header_bytes;   /* 0 means 16 KiB */
+  size_t max_answer_bytes;   /* of one request; 0 means 4 MiB */
+  size_t max_buffered_bytes; /* of all answers; 0 means 64 MiB */
 } fe_desc;
 
 /* Where a granted request runs.  */
--- a/packages/server/fe_accept.c
+++ b/packages/server/fe_accept.c
@@ -11,7 +11,6 @@
 #define _FE_DEFAULT_MAX_HEADER_BYTES (16 * 1024)
 #define _FE_DEFAULT_MAX_ANSWER_BYTES (4 * 1024 * 1024)
 #define _FE_DEFAULT_MAX_BUFFERED_BYTES (64 * 1024 * 1024)
-#define _FE_DEFAULT_DEADLINE_MS 120000
 #define _FE_EXPIRE_PERIOD_US (100 * CK_MS_US)
 #define _FE_EXPECTED_EVENTS 64
 
@@ -177,8 +176,6 @@
     desc->max_answer_bytes = _FE_DEFAULT_MAX_ANSWER_BYTES;
   if (desc->max_buffered_bytes == 0)
     desc->max_buffered_bytes = _FE_DEFAULT_MAX_BUFFERED_BYTES;
-  if (desc->default_deadline_ms == 0)
-    desc->default_deadline_ms = _FE_DEFAULT_DEADLINE_MS;
 }
 
 /* Binds the listener of DESC.  NULL, with ERR set, when the address cannot
--- a/packages/server/fe_dispatch.c
+++ b/packages/server/fe_dispatch.c
@@ -29,7 +29,6 @@
   fe_request *r = _fe_user_request (user);
   const char *type = evhttp_find_header (headers, "Content-Type");
   r->status = status;
-  r->head_seen = true;
   if (type != NULL && !r->resumed)
     g_strlcpy (r->content_type, type, sizeof r->content_type);
 }
--- a/packages/server/fe_internal.h
+++ b/packages/server/fe_internal.h
@@ -56,7 +56,6 @@
   uint8_t tier;
   bool stream;
   bool own_id; /* the caller chose the id, so it can come back for it */
-  bool head_seen;
   bool resumed;
   bool placed; /* holds a slot */
   bool paused;
--- a/packages/server/po.c
+++ b/packages/server/po.c
@@ -143,13 +143,6 @@
     _po_apply_limit (po, i, st_from_cstr (po->names->pdata[i]));
 }
 
-/* The settings in force.  */
-const sx_tree *
-po_query_tree (const po_policy *po)
-{
-  return po->tree;
-}
-
 /* Answers for TEAM and SERVICE; TIER is SX_NO_TIER when the request names
    none.  False when no engine serves SERVICE or the team is refused.  */
 bool
--- a/packages/server/po.h
+++ b/packages/server/po.h
@@ -55,7 +55,6 @@
   po_policy *po_make (const po_desc *desc);
   void po_destroy (po_policy *po);
   void po_set_tree (po_policy *po, sx_tree *tree);
-  const sx_tree *po_query_tree (const po_policy *po);
 
   bool po_query (po_policy *po, st_str team, st_str service, int tier,
                  po_answer *out, er_error *err);
