--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -23,7 +23,9 @@
     target_link_libraries (db_${name} ${scope} db_${dep})
   endforeach ()
   target_link_libraries (db_${name} ${scope} ${ARG_LIBS})
-  db_package_tests (${name})
+  if (DB_TESTS)
+    db_package_tests (${name})
+  endif ()
 endfunction ()
 
 # One ctest entry for each test case of each tests/*_test.cc file.
--- /dev/null
+++ b/packages/decide/gq.c
@@ -0,0 +1,162 @@
+#include "gq.h"
+
+/* Slots of an engine that tiers below the first do not take while the fleet
+   is busy, so that an urgent request finds one at once.  */
+#define _GQ_RESERVED_SLOTS 1
+/* Requests beyond its slots that an engine gets of the first tier: the queue
+   of the engine hides the time until a freed slot is seen here.  */
+#define _GQ_URGENT_EXTRA 1
+/* Pace of an upstream that has not been measured: like a fast one, so that
+   it gets measured.  */
+#define _GQ_ENGINE_PACE_US 6000.0
+#define _GQ_PLAIN_PACE_US 30000.0
+/* Time to read one prompt token, relative to the time of one step.  */
+#define _GQ_READ_STEPS_PER_TOKEN 0.005
+/* One way between regions is some 8 ms; traffic there is also the dearest.  */
+#define _GQ_SAME_REGION_US 1500.0
+#define _GQ_OTHER_REGION_US 20000.0
+/* Expected cost of a failed answer: it has to be sent again.  */
+#define _GQ_FAILURE_US 800000.0
+/* Part of the target that may be spent waiting; the rest is for the answer
+   to begin.  */
+#define _GQ_WAIT_PART 0.6
+/* Longest wait before the first refusal is told, as part of the target: a
+   refusal that comes early leaves the caller time to come back.  */
+#define _GQ_REFUSE_PART 0.45
+#define _GQ_RETRY_MIN_US 250000
+#define _GQ_RETRY_MAX_US 3000000
+
+/* True when UP may get new requests of SERVICE.  */
+bool
+gq_usable (const ut_upstream *up, st_str service)
+{
+  return !up->entry.leaving
+         && st_equal (st_name_str (&up->entry.service), service);
+}
+
+static bool
+_gq_tried (const gq_demand *demand, ut_id id)
+{
+  for (uint32_t i = 0; i < demand->tried_count; i++)
+    if (demand->tried[i].index == id.index
+        && demand->tried[i].generation == id.generation)
+      return true;
+  return false;
+}
+
+static uint32_t
+_gq_limit (const ut_upstream *up, const gq_demand *demand)
+{
+  uint32_t slots = up->entry.slots > 0 ? up->entry.slots : 1;
+  if (!demand->engine)
+    return slots;
+  if (demand->tier == 0)
+    return slots + _GQ_URGENT_EXTRA;
+  uint32_t reserved = (demand->tier >= 2 ? _GQ_RESERVED_SLOTS : 0)
+                      + (demand->urgent_elsewhere ? 1 : 0);
+  return slots > reserved ? slots - reserved : 1;
+}
+
+/* Expected time until the answer begins, in microseconds.  */
+static double
+_gq_cost (const ut_table *t, ut_id id, const ut_upstream *up,
+          const gq_demand *demand, uint64_t now_us)
+{
+  static const double far[] = { 0, _GQ_SAME_REGION_US, _GQ_OTHER_REGION_US };
+  uint32_t running = up->own_running + up->peer_running;
+  uint32_t slots = up->entry.slots > 0 ? up->entry.slots : 1;
+  double pace = up->pace_us > 0  ? up->pace_us
+                : demand->engine ? _GQ_ENGINE_PACE_US
+                                 : _GQ_PLAIN_PACE_US;
+  double cost = far[ut_query_distance (t, id)]
+                + _GQ_FAILURE_US * ut_query_failure_share (t, id, now_us);
+  if (demand->engine)
+    {
+      double tokens = (double)up->own_unread_tokens + up->peer_unread_tokens
+                      + demand->prompt_tokens;
+      cost += pace * _GQ_READ_STEPS_PER_TOKEN * tokens;
+      /* The whole answer counts as well: a slow engine holds the slot.  */
+      cost += pace * 20 * (1 + (double)running / slots);
+    }
+  else
+    cost += pace * (1 + (double)running / slots);
+  if (up->entry.cold_ms > 0)
+    cost *= 2;
+  return cost;
+}
+
+/* Best upstream of SERVICE for DEMAND; generation 0 when none has room.
+   RANDOM breaks near ties, so that several VMs do not all choose the same
+   one.  Upstreams that were tried or that are avoided are taken only when
+   there is no other.  */
+ut_id
+gq_place (const ut_table *t, st_str service, const gq_demand *demand,
+          uint64_t now_us, uint32_t random)
+{
+  for (int pass = 0; pass < 2; pass++)
+    {
+      ut_id best = { 0, 0 };
+      double best_cost = 0;
+      bool preferred_exists = false;
+      ut_id id = { 0, 0 };
+      while (ut_next (t, &id))
+        {
+          const ut_upstream *up = ut_query (t, id);
+          if (!gq_usable (up, service))
+            continue;
+          bool preferred
+              = !_gq_tried (demand, id) && up->avoid_until_us <= now_us;
+          preferred_exists |= preferred;
+          if (pass == 0 && !preferred)
+            continue;
+          if (pass == 1 && _gq_tried (demand, id))
+            continue;
+          if (up->own_running + up->peer_running >= _gq_limit (up, demand))
+            continue;
+          random = random * 1664525u + 1013904223u;
+          double cost = _gq_cost (t, id, up, demand, now_us)
+                        * (1.0 + 0.1 * (random >> 16) / 65536.0);
+          if (best.generation == 0 || cost < best_cost)
+            {
+              best = id;
+              best_cost = cost;
+            }
+        }
+      if (best.generation != 0 || preferred_exists)
+        return best;
+    }
+  return (ut_id){ 0, 0 };
+}
+
+/* Decides on a request for which gq_place found no room.  */
+gq_verdict
+gq_admit (const gq_backlog *backlog, const gq_demand *demand, uint64_t now_us,
+          gq_decision *out)
+{
+  uint32_t tier = demand->tier < GQ_TIERS ? demand->tier : GQ_TIERS - 1;
+  uint32_t ahead = 0;
+  for (uint32_t i = 0; i <= tier; i++)
+    ahead += backlog->waiting[i] + backlog->peer_waiting[i];
+  double slots = backlog->slots > 0 ? backlog->slots : 1;
+  double expected = backlog->service_us * (ahead + 1) / slots;
+  uint64_t left
+      = demand->deadline_us > now_us ? demand->deadline_us - now_us : 0;
+  uint64_t spent = now_us - demand->arrived_us;
+  uint64_t allowed = (uint64_t)(_GQ_WAIT_PART * (double)demand->target_us);
+  uint64_t patience = (uint64_t)(_GQ_REFUSE_PART * (double)demand->target_us);
+  out->expected_us = (uint64_t)expected;
+  out->retry_after_us = out->expected_us > _GQ_RETRY_MAX_US ? _GQ_RETRY_MAX_US
+                        : out->expected_us < _GQ_RETRY_MIN_US
+                            ? _GQ_RETRY_MIN_US
+                            : out->expected_us;
+  if (backlog->slots == 0)
+    {
+      /* Nobody serves it now; wait a little for one to appear.  */
+      out->wait_until_us = demand->arrived_us + patience;
+      return spent < patience && left > 0 ? GQ_WAIT : GQ_REFUSE;
+    }
+  if (out->expected_us + spent > allowed || spent >= patience || left == 0)
+    return GQ_REFUSE;
+  out->wait_until_us = demand->arrived_us + patience;
+  return GQ_WAIT;
+}
--- /dev/null
+++ b/packages/decide/gq.h
@@ -0,0 +1,80 @@
+/* gq.h -- decisions on proxied requests: where to send, whether to wait.
+
+   Pure: the state of the upstreams and the time go in, a decision comes out.
+
+     ut_id to = gq_place (table, service, &demand, now_us, random);
+     if (to.generation == 0)
+       switch (gq_admit (&backlog, &demand, &decision)) ...
+
+   Placing.  Engines slow down with each request that they run and queue the
+   ones beyond their slots in order of arrival, whatever their tier.  So
+   requests wait here, where tiers count, and an engine gets at most its slots;
+   one slot of each engine is kept free of the lowest tiers while the fleet
+   is busy.  Among free upstreams the one with the shortest expected answer
+   wins: measured pace, running requests, prompt tokens not read yet,
+   distance and recent failures.
+
+   Refusing.  A request whose expected wait exceeds the time in which its
+   answer would still be on time is refused at once, with the time after
+   which the backlog will have gone; it does not hold the caller.  */
+#ifndef GQ_H
+#define GQ_H
+
+#include "ut.h"
+
+/* Tiers that are told apart; higher numbers count as the last one.  */
+#define GQ_TIERS 5
+#define GQ_TRIED_MAX 4
+
+typedef struct
+{
+  uint32_t tier;         /* 0 is the most urgent */
+  bool engine;           /* the service is a model engine */
+  bool urgent_elsewhere; /* other VMs have more urgent requests waiting */
+  uint32_t prompt_tokens;
+  uint64_t target_us; /* an answer after it is late */
+  uint32_t tried_count;
+  ut_id tried[GQ_TRIED_MAX]; /* not again, if another can serve */
+  uint64_t arrived_us;
+  uint64_t deadline_us;
+} gq_demand;
+
+/* What waits and what is free for one service.  */
+typedef struct
+{
+  uint32_t slots;                  /* of all usable upstreams */
+  uint32_t running;                /* on them, from all VMs */
+  uint32_t waiting[GQ_TIERS];      /* on this VM */
+  uint32_t peer_waiting[GQ_TIERS]; /* on the others */
+  double service_us;               /* mean time of a request in a slot */
+} gq_backlog;
+
+typedef enum
+{
+  GQ_WAIT = 0,
+  GQ_REFUSE
+} gq_verdict;
+
+typedef struct
+{
+  uint64_t wait_until_us;  /* of GQ_WAIT: refuse then */
+  uint64_t retry_after_us; /* of GQ_REFUSE */
+  uint64_t expected_us;    /* expected wait */
+} gq_decision;
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  ut_id gq_place (const ut_table *t, st_str service, const gq_demand *demand,
+                  uint64_t now_us, uint32_t random);
+  gq_verdict gq_admit (const gq_backlog *backlog, const gq_demand *demand,
+                       uint64_t now_us, gq_decision *out);
+  bool gq_usable (const ut_upstream *up, st_str service);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/decide/ut.c
@@ -0,0 +1,376 @@
+#include "ut.h"
+
+#include <math.h>
+#include <string.h>
+
+#define _UT_REPORT_MAX_AGE_US 1500000
+/* Weight of the newest sample in the measured pace.  */
+#define _UT_PACE_WEIGHT 0.1
+/* Failed connections in a row after which an upstream is left out, and for
+   how long: first, doubled up to the last.  */
+#define _UT_UNREACHABLE_LIMIT 2
+#define _UT_AVOID_FIRST_US 400000
+#define _UT_AVOID_LAST_US 1600000
+
+typedef struct
+{
+  uint64_t peer; /* 0: free */
+  uint64_t at_us;
+  ut_row *rows;
+  size_t count;
+} _ut_report;
+
+typedef struct
+{
+  ut_upstream up;
+  uint32_t generation; /* odd while in use */
+} _ut_slot;
+
+struct ut_table
+{
+  ut_desc desc;
+  _ut_slot *slots;
+  uint32_t used; /* slots ever used */
+  _ut_report reports[UT_PEERS_MAX];
+};
+
+/* Makes a table.  NULL without memory.  */
+ut_table *
+ut_make (const ut_desc *desc)
+{
+  ut_table *t = al_alloc (&desc->allocator, sizeof *t);
+  if (t == NULL)
+    return NULL;
+  t->desc = *desc;
+  if (t->desc.report_max_age_us == 0)
+    t->desc.report_max_age_us = _UT_REPORT_MAX_AGE_US;
+  t->slots = al_alloc (&desc->allocator, UT_UPSTREAMS_MAX * sizeof *t->slots);
+  if (t->slots == NULL)
+    {
+      al_free (&desc->allocator, t);
+      return NULL;
+    }
+  return t;
+}
+
+/* Releases T; T may be NULL.  */
+void
+ut_destroy (ut_table *t)
+{
+  if (t == NULL)
+    return;
+  for (size_t i = 0; i < UT_PEERS_MAX; i++)
+    al_free (&t->desc.allocator, t->reports[i].rows);
+  al_free (&t->desc.allocator, t->slots);
+  al_allocator al = t->desc.allocator;
+  al_free (&al, t);
+}
+
+static _ut_slot *
+_ut_at (const ut_table *t, ut_id id)
+{
+  if (id.generation == 0 || id.index >= t->used
+      || t->slots[id.index].generation != id.generation)
+    return NULL;
+  return &t->slots[id.index];
+}
+
+/* Number that stands for an upstream's id between VMs.  */
+uint64_t
+ut_hash (st_str id)
+{
+  return st_hash (id, 0);
+}
+
+/* Sums the reports about the upstream at INDEX.  */
+static void
+_ut_sum_reports (ut_table *t, uint32_t index)
+{
+  ut_upstream *up = &t->slots[index].up;
+  up->peer_running = 0;
+  up->peer_unread_tokens = 0;
+  for (size_t p = 0; p < UT_PEERS_MAX; p++)
+    for (size_t i = 0; i < t->reports[p].count; i++)
+      if (t->reports[p].rows[i].upstream == up->hash)
+        {
+          up->peer_running += t->reports[p].rows[i].running;
+          up->peer_unread_tokens += t->reports[p].rows[i].unread_tokens;
+        }
+}
+
+/* Adds ENTRY or brings a known one up to date.  An entry with another start
+   time is another process: what was measured of it is forgotten.  Returns
+   generation 0 when the table is full.  */
+ut_id
+ut_put (ut_table *t, const ut_entry *entry, uint64_t now_us)
+{
+  ut_id id = ut_find (t, st_name_str (&entry->id));
+  _ut_slot *slot = _ut_at (t, id);
+  if (slot != NULL && slot->up.entry.started_ms == entry->started_ms)
+    {
+      slot->up.entry = *entry;
+      return id;
+    }
+  if (slot != NULL)
+    ut_remove (t, id);
+  uint32_t index = 0;
+  while (index < t->used && t->slots[index].generation % 2 == 1)
+    index++;
+  if (index == UT_UPSTREAMS_MAX)
+    return (ut_id){ 0, 0 };
+  if (index == t->used)
+    t->used++;
+  slot = &t->slots[index];
+  slot->generation++;
+  slot->up = (ut_upstream){ .entry = *entry,
+                            .hash = ut_hash (st_name_str (&entry->id)),
+                            .decayed_at_us = now_us };
+  _ut_sum_reports (t, index);
+  return (ut_id){ index, slot->generation };
+}
+
+/* Removes ID; calls with it have no effect from here on.  */
+void
+ut_remove (ut_table *t, ut_id id)
+{
+  _ut_slot *slot = _ut_at (t, id);
+  if (slot != NULL)
+    slot->generation++;
+}
+
+/* The upstream with the registry's ID; generation 0 when there is none.  */
+ut_id
+ut_find (const ut_table *t, st_str id)
+{
+  for (uint32_t i = 0; i < t->used; i++)
+    if (t->slots[i].generation % 2 == 1
+        && st_equal (st_name_str (&t->slots[i].up.entry.id), id))
+      return (ut_id){ i, t->slots[i].generation };
+  return (ut_id){ 0, 0 };
+}
+
+/* The upstream whose id has HASH.  */
+ut_id
+ut_find_hash (const ut_table *t, uint64_t hash)
+{
+  for (uint32_t i = 0; i < t->used; i++)
+    if (t->slots[i].generation % 2 == 1 && t->slots[i].up.hash == hash)
+      return (ut_id){ i, t->slots[i].generation };
+  return (ut_id){ 0, 0 };
+}
+
+/* The upstream ID, or NULL when it has been removed.  */
+const ut_upstream *
+ut_query (const ut_table *t, ut_id id)
+{
+  const _ut_slot *slot = _ut_at (t, id);
+  return slot != NULL ? &slot->up : NULL;
+}
+
+/* Moves CURSOR, which starts zeroed, to the next upstream.  */
+bool
+ut_next (const ut_table *t, ut_id *cursor)
+{
+  uint32_t i = cursor->generation == 0 ? 0 : cursor->index + 1;
+  for (; i < t->used; i++)
+    if (t->slots[i].generation % 2 == 1)
+      {
+        *cursor = (ut_id){ i, t->slots[i].generation };
+        return true;
+      }
+  return false;
+}
+
+/* 0 in this VM's data centre, 1 in its region, 2 elsewhere.  */
+uint32_t
+ut_query_distance (const ut_table *t, ut_id id)
+{
+  const _ut_slot *slot = _ut_at (t, id);
+  if (slot == NULL)
+    return 2;
+  if (st_equal (st_name_str (&slot->up.entry.data_center),
+                st_name_str (&t->desc.data_center)))
+    return 0;
+  return st_equal (st_name_str (&slot->up.entry.region),
+                   st_name_str (&t->desc.region))
+             ? 1
+             : 2;
+}
+
+/* A request with UNREAD_TOKENS of prompt goes to ID.  */
+void
+ut_begin (ut_table *t, ut_id id, uint32_t unread_tokens)
+{
+  _ut_slot *slot = _ut_at (t, id);
+  if (slot == NULL)
+    return;
+  slot->up.own_running++;
+  slot->up.own_unread_tokens += unread_tokens;
+}
+
+/* The answer to a request has begun: its prompt has been read.  */
+void
+ut_first (ut_table *t, ut_id id, uint32_t unread_tokens)
+{
+  _ut_slot *slot = _ut_at (t, id);
+  if (slot == NULL)
+    return;
+  slot->up.own_unread_tokens -= unread_tokens < slot->up.own_unread_tokens
+                                    ? unread_tokens
+                                    : slot->up.own_unread_tokens;
+}
+
+static void
+_ut_decay (ut_upstream *up, uint64_t now_us)
+{
+  double factor
+      = exp2 (-(double)(now_us - up->decayed_at_us) / UT_HALF_LIFE_US);
+  up->failures *= factor;
+  up->answers *= factor;
+  up->decayed_at_us = now_us;
+}
+
+/* A request at ID has ended as OUTCOME says.  UNREAD_TOKENS are those that
+   ut_first has not taken off.  */
+void
+ut_end (ut_table *t, ut_id id, uint32_t unread_tokens, ut_outcome outcome,
+        uint64_t now_us)
+{
+  _ut_slot *slot = _ut_at (t, id);
+  if (slot == NULL)
+    return;
+  ut_upstream *up = &slot->up;
+  ut_first (t, id, unread_tokens);
+  if (up->own_running > 0)
+    up->own_running--;
+  _ut_decay (up, now_us);
+  switch (outcome)
+    {
+    case UT_SERVED:
+      up->answers += 1;
+      up->unreachable_in_row = 0;
+      break;
+    case UT_FAILED:
+      up->failures += 1;
+      up->answers += 1;
+      break;
+    case UT_UNREACHABLE:
+      up->failures += 1;
+      up->answers += 1;
+      up->unreachable_in_row++;
+      if (up->unreachable_in_row >= _UT_UNREACHABLE_LIMIT)
+        {
+          uint32_t doublings = up->unreachable_in_row - _UT_UNREACHABLE_LIMIT;
+          uint64_t pause = (uint64_t)_UT_AVOID_FIRST_US
+                           << (doublings < 2 ? doublings : 2);
+          up->avoid_until_us
+              = now_us
+                + (pause < _UT_AVOID_LAST_US ? pause : _UT_AVOID_LAST_US);
+        }
+      break;
+    case UT_REFUSED:
+    case UT_ABANDONED:
+      break;
+    }
+}
+
+/* Takes a measured time of one unit of work at ID.  */
+void
+ut_pace (ut_table *t, ut_id id, double unit_us)
+{
+  _ut_slot *slot = _ut_at (t, id);
+  if (slot == NULL)
+    return;
+  double *pace = &slot->up.pace_us;
+  *pace = *pace <= 0 ? unit_us : *pace + _UT_PACE_WEIGHT * (unit_us - *pace);
+}
+
+/* Leaves ID out until UNTIL_US, as long as others serve its service.  */
+void
+ut_avoid (ut_table *t, ut_id id, uint64_t until_us)
+{
+  _ut_slot *slot = _ut_at (t, id);
+  if (slot != NULL && slot->up.avoid_until_us < until_us)
+    slot->up.avoid_until_us = until_us;
+}
+
+static void
+_ut_sum_all (ut_table *t)
+{
+  for (uint32_t i = 0; i < t->used; i++)
+    if (t->slots[i].generation % 2 == 1)
+      _ut_sum_reports (t, i);
+}
+
+/* Replaces what PEER (any number but 0) reported of its load.  Peers beyond
+   UT_PEERS_MAX are ignored.  */
+void
+ut_set_peer (ut_table *t, uint64_t peer, const ut_row *rows, size_t count,
+             uint64_t now_us)
+{
+  _ut_report *report = NULL;
+  for (size_t i = 0; i < UT_PEERS_MAX && report == NULL; i++)
+    if (t->reports[i].peer == peer)
+      report = &t->reports[i];
+  for (size_t i = 0; i < UT_PEERS_MAX && report == NULL; i++)
+    if (t->reports[i].peer == 0)
+      report = &t->reports[i];
+  if (report == NULL)
+    return;
+  al_free (&t->desc.allocator, report->rows);
+  *report = (_ut_report){ .peer = peer, .at_us = now_us };
+  if (count > 0)
+    report->rows = al_alloc (&t->desc.allocator, count * sizeof *rows);
+  if (report->rows != NULL)
+    {
+      memcpy (report->rows, rows, count * sizeof *rows);
+      report->count = count;
+    }
+  _ut_sum_all (t);
+}
+
+/* Forgets reports that are too old.  */
+void
+ut_expire_peers (ut_table *t, uint64_t now_us)
+{
+  bool changed = false;
+  for (size_t i = 0; i < UT_PEERS_MAX; i++)
+    {
+      _ut_report *r = &t->reports[i];
+      if (r->peer == 0 || now_us - r->at_us <= t->desc.report_max_age_us)
+        continue;
+      al_free (&t->desc.allocator, r->rows);
+      *r = (_ut_report){ 0 };
+      changed = true;
+    }
+  if (changed)
+    _ut_sum_all (t);
+}
+
+/* This VM's own load, at most MAX rows; returns their number.  */
+size_t
+ut_query_rows (const ut_table *t, ut_row *rows, size_t max)
+{
+  size_t count = 0;
+  for (uint32_t i = 0; i < t->used && count < max; i++)
+    {
+      const ut_upstream *up = &t->slots[i].up;
+      if (t->slots[i].generation % 2 == 1 && up->own_running > 0)
+        rows[count++]
+            = (ut_row){ up->hash, up->own_running, up->own_unread_tokens };
+    }
+  return count;
+}
+
+/* Share of ID's recent answers that failed, pulled towards 0 by two served
+   ones, so that a single failure does not condemn an upstream.  */
+double
+ut_query_failure_share (const ut_table *t, ut_id id, uint64_t now_us)
+{
+  const _ut_slot *slot = _ut_at (t, id);
+  if (slot == NULL)
+    return 0;
+  ut_upstream up = slot->up;
+  _ut_decay (&up, now_us);
+  return up.failures / (up.answers + 2);
+}
--- /dev/null
+++ b/packages/gateway/gw_accept.c
@@ -0,0 +1,402 @@
+/* Accept: connections of callers, requests read from them, answers written
+   to them.  */
+#include "gw_internal.h"
+#include "nt.h"
+
+#include <arpa/inet.h>
+#include <event2/util.h>
+#include <inttypes.h>
+#include <netinet/in.h>
+#include <string.h>
+
+/* Bytes read ahead of a request under way; a caller's close is seen as long
+   as reading goes on.  */
+#define _GW_READ_AHEAD_BYTES 65536
+/* Before a configuration is known.  */
+#define _GW_HEAD_BYTES 16384
+#define _GW_BODY_BYTES 4194304
+#define _GW_HEAD_TIMEOUT_MS 5000
+#define _GW_IDLE_TIMEOUT_MS 15000
+/* Idle connections are kept a little longer than the callers are told, so
+   that a request does not cross the close.  */
+#define _GW_IDLE_MARGIN_MS 1000
+/* Time for a last answer to be written to a caller that reads slowly.  */
+#define _GW_LINGER_MS 3000
+
+static const char *
+_gw_status_text (int status)
+{
+  switch (status)
+    {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 404:
+      return "Not Found";
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Content Too Large";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Status";
+    }
+}
+
+static rc_limits
+_gw_limits (const gw_task *gw)
+{
+  if (gw->config != NULL)
+    return *rc_query_limits (gw->config);
+  return (rc_limits){ _GW_HEAD_BYTES, _GW_BODY_BYTES, _GW_HEAD_TIMEOUT_MS,
+                      _GW_IDLE_TIMEOUT_MS };
+}
+
+static void
+_gw_arm (_gw_conn *conn, uint32_t ms)
+{
+  struct timeval tv = { ms / 1000, (suseconds_t)(ms % 1000) * 1000 };
+  event_add (conn->timer, &tv);
+}
+
+/* Closes CONN at once.  A request under way is abandoned.  */
+void
+_gw_close_conn (_gw_conn *conn)
+{
+  gw_task *gw = conn->gw;
+  if (conn->request != NULL)
+    {
+      _gw_request *r = conn->request;
+      conn->request = NULL;
+      r->conn = NULL;
+      _gw_abandon (r, "caller_left");
+    }
+  g_ptr_array_remove_index_fast (gw->conns, conn->index);
+  if (conn->index < gw->conns->len)
+    ((_gw_conn *)gw->conns->pdata[conn->index])->index = conn->index;
+  event_free (conn->timer);
+  bufferevent_free (conn->bev);
+  hp_destroy (conn->reader);
+  g_string_free (conn->body, TRUE);
+  g_free (conn);
+}
+
+static void _gw_read_requests (_gw_conn *conn);
+
+/* The answer is written: closes CONN or waits for the next request.  */
+static void
+_gw_after_reply (_gw_conn *conn)
+{
+  conn->request = NULL;
+  if (conn->close_after)
+    {
+      /* The write callback closes once all has been written.  */
+      bufferevent_disable (conn->bev, EV_READ);
+      _gw_arm (conn, _GW_LINGER_MS);
+      return;
+    }
+  hp_next (conn->reader);
+  g_string_truncate (conn->body, 0);
+  conn->body_too_large = false;
+  _gw_arm (conn, _gw_limits (conn->gw).idle_timeout_ms + _GW_IDLE_MARGIN_MS);
+  if (evbuffer_get_length (bufferevent_get_input (conn->bev)) > 0)
+    event_active (conn->timer, EV_READ, 0);
+}
+
+static bool
+_gw_keep_alive (_gw_conn *conn)
+{
+  const hp_head *head = hp_query_head (conn->reader);
+  if (!head->keep_alive || conn->gw->leaving)
+    conn->close_after = true;
+  return !conn->close_after;
+}
+
+/* Sends a whole answer; FIELDS are complete header lines.  */
+void
+_gw_reply (_gw_conn *conn, int status, st_str fields, st_str body)
+{
+  struct evbuffer *out = bufferevent_get_output (conn->bev);
+  bool keep = _gw_keep_alive (conn);
+  evbuffer_add_printf (out, "HTTP/1.1 %d %s\r\n", status,
+                       _gw_status_text (status));
+  evbuffer_add (out, fields.ptr, fields.len);
+  evbuffer_add_printf (out, "Content-Length: %zu\r\n%s\r\n", body.len,
+                       keep ? "" : "Connection: close\r\n");
+  evbuffer_add (out, body.ptr, body.len);
+  _gw_after_reply (conn);
+}
+
+/* Begins an answer of unknown length.  */
+void
+_gw_reply_begin (_gw_conn *conn, int status, st_str fields)
+{
+  struct evbuffer *out = bufferevent_get_output (conn->bev);
+  const hp_head *head = hp_query_head (conn->reader);
+  conn->chunked = head->major > 1 || (head->major == 1 && head->minor >= 1);
+  if (!conn->chunked)
+    conn->close_after = true;
+  bool keep = _gw_keep_alive (conn);
+  evbuffer_add_printf (out, "HTTP/1.1 %d %s\r\n", status,
+                       _gw_status_text (status));
+  evbuffer_add (out, fields.ptr, fields.len);
+  evbuffer_add_printf (out, "%s%s\r\n",
+                       conn->chunked ? "Transfer-Encoding: chunked\r\n" : "",
+                       keep ? "" : "Connection: close\r\n");
+}
+
+/* Sends a part of the answer.  */
+void
+_gw_reply_part (_gw_conn *conn, st_str bytes)
+{
+  struct evbuffer *out = bufferevent_get_output (conn->bev);
+  if (bytes.len == 0)
+    return;
+  if (conn->chunked)
+    evbuffer_add_printf (out, "%zx\r\n", bytes.len);
+  evbuffer_add (out, bytes.ptr, bytes.len);
+  if (conn->chunked)
+    evbuffer_add (out, "\r\n", 2);
+}
+
+/* Ends the answer as complete.  */
+void
+_gw_reply_end (_gw_conn *conn)
+{
+  if (conn->chunked)
+    evbuffer_add (bufferevent_get_output (conn->bev), "0\r\n\r\n", 5);
+  _gw_after_reply (conn);
+}
+
+/* Breaks the answer off: the missing last chunk, or a reset where the close
+   would be the end of the answer, shows that it is incomplete.  What has been
+   written before still reaches the caller.  */
+void
+_gw_reply_abort (_gw_conn *conn)
+{
+  conn->request = NULL;
+  if (!conn->chunked)
+    {
+      nt_reset_on_close (bufferevent_getfd (conn->bev));
+      _gw_close_conn (conn);
+      return;
+    }
+  conn->close_after = true;
+  bufferevent_disable (conn->bev, EV_READ);
+  if (evbuffer_get_length (bufferevent_get_output (conn->bev)) == 0)
+    _gw_close_conn (conn);
+  else
+    _gw_arm (conn, _GW_LINGER_MS);
+}
+
+/* Answers with an error of this side.  REASON is a word for programs.  */
+void
+_gw_reply_error (_gw_conn *conn, int status, st_str id, const char *reason,
+                 uint64_t retry_after_us)
+{
+  GString *fields = g_string_new ("Content-Type: text/plain\r\n");
+  if (id.len > 0)
+    {
+      st_str name = conn->gw->desc.names->request_id;
+      g_string_append_len (fields, name.ptr, (gssize)name.len);
+      g_string_append (fields, ": ");
+      g_string_append_len (fields, id.ptr, (gssize)id.len);
+      g_string_append (fields, "\r\n");
+    }
+  if (retry_after_us > 0)
+    g_string_append_printf (fields,
+                            "Retry-After: %" PRIu64 ".%03" PRIu64 "\r\n",
+                            (uint64_t)(retry_after_us / CK_S_US),
+                            (uint64_t)(retry_after_us % CK_S_US / CK_MS_US));
+  _gw_reply (conn, status, (st_str){ fields->str, fields->len },
+             st_from_cstr (reason));
+  g_string_free (fields, TRUE);
+}
+
+/* Refuses what cannot be read as a request and closes the connection: where
+   the next request would begin is not known.  */
+static void
+_gw_reject (_gw_conn *conn, int status, const char *reason)
+{
+  LO_EVENT ("request_rejected", ST_LIT (""), LO_INT ("status", status),
+            LO_CSTR ("reason", reason));
+  conn->close_after = true;
+  _gw_reply_error (conn, status, ST_LIT (""), reason, 0);
+}
+
+/* Asks a caller that waits for it to go on with its body.  */
+static void
+_gw_continue (_gw_conn *conn)
+{
+  st_str value;
+  if (hp_get (hp_query_head (conn->reader), ST_LIT ("Expect"), &value)
+      && hp_name_equal (value, ST_LIT ("100-continue")))
+    evbuffer_add_printf (bufferevent_get_output (conn->bev),
+                         "HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+static void
+_gw_read_requests (_gw_conn *conn)
+{
+  struct evbuffer *in = bufferevent_get_input (conn->bev);
+  rc_limits limits = _gw_limits (conn->gw);
+  if (conn->request != NULL || conn->close_after)
+    return;
+  bool fresh = !hp_query_started (conn->reader);
+  for (;;)
+    switch (hp_read (conn->reader, in))
+      {
+      case HP_MORE:
+        if (fresh && hp_query_started (conn->reader))
+          _gw_arm (conn, limits.head_timeout_ms);
+        if (conn->body_too_large)
+          _gw_reject (conn, 413, "body_too_large");
+        return;
+      case HP_HEAD:
+        if (hp_query_head (conn->reader)->length > limits.body_bytes)
+          {
+            _gw_reject (conn, 413, "body_too_large");
+            return;
+          }
+        _gw_continue (conn);
+        break;
+      case HP_END:
+        event_del (conn->timer);
+        if (conn->body_too_large)
+          _gw_reject (conn, 413, "body_too_large");
+        else
+          _gw_identify (conn);
+        return;
+      case HP_TOO_LARGE:
+        _gw_reject (conn, 431, "head_too_large");
+        return;
+      case HP_BAD:
+        _gw_reject (conn, 400, "malformed_request");
+        return;
+      }
+}
+
+static void
+_gw_on_body (void *user, st_str bytes)
+{
+  _gw_conn *conn = user;
+  if (conn->body->len + bytes.len > _gw_limits (conn->gw).body_bytes)
+    conn->body_too_large = true;
+  else
+    g_string_append_len (conn->body, bytes.ptr, (gssize)bytes.len);
+}
+
+static void
+_gw_on_read (struct bufferevent *bev, void *user)
+{
+  (void)bev;
+  _gw_read_requests (user);
+}
+
+static void
+_gw_on_write (struct bufferevent *bev, void *user)
+{
+  _gw_conn *conn = user;
+  (void)bev;
+  if (conn->close_after && conn->request == NULL)
+    _gw_close_conn (conn);
+}
+
+static void
+_gw_on_event (struct bufferevent *bev, short what, void *user)
+{
+  (void)bev;
+  (void)what;
+  _gw_close_conn (user);
+}
+
+static void
+_gw_on_timer (evutil_socket_t fd, short what, void *user)
+{
+  _gw_conn *conn = user;
+  (void)fd;
+  if (what & EV_READ)
+    {
+      /* Bytes of the next request came with the last one.  */
+      _gw_read_requests (conn);
+      return;
+    }
+  if (hp_query_started (conn->reader) && !conn->close_after)
+    _gw_reject (conn, 408, "request_incomplete");
+  else
+    _gw_close_conn (conn);
+}
+
+static void
+_gw_on_accept (struct evconnlistener *listener, evutil_socket_t fd,
+               struct sockaddr *address, int len, void *user)
+{
+  gw_task *gw = user;
+  (void)listener;
+  (void)address;
+  (void)len;
+  rc_limits limits = _gw_limits (gw);
+  _gw_conn *conn = g_new0 (_gw_conn, 1);
+  conn->gw = gw;
+  conn->bev
+      = bufferevent_socket_new (gw->desc.base, fd, BEV_OPT_CLOSE_ON_FREE);
+  conn->reader = hp_make (&(hp_desc){ .kind = HP_REQUEST,
+                                      .max_head_bytes = limits.head_bytes,
+                                      .on_body = _gw_on_body,
+                                      .user = conn });
+  conn->body = g_string_new (NULL);
+  conn->timer = event_new (gw->desc.base, -1, 0, _gw_on_timer, conn);
+  conn->index = gw->conns->len;
+  g_ptr_array_add (gw->conns, conn);
+  nt_tune (fd);
+  bufferevent_setcb (conn->bev, _gw_on_read, _gw_on_write, _gw_on_event, conn);
+  bufferevent_setwatermark (conn->bev, EV_READ, 0, _GW_READ_AHEAD_BYTES);
+  bufferevent_enable (conn->bev, EV_READ | EV_WRITE);
+  _gw_arm (conn, limits.idle_timeout_ms + _GW_IDLE_MARGIN_MS);
+}
+
+static void
+_gw_on_accept_error (struct evconnlistener *listener, void *user)
+{
+  (void)listener;
+  (void)user;
+  LO_EVENT ("accept_failed", ST_LIT (""),
+            LO_CSTR ("error",
+                     evutil_socket_error_to_string (EVUTIL_SOCKET_ERROR ())));
+}
+
+/* Opens the listener of callers.  */
+bool
+_gw_listen (gw_task *gw, er_error *err)
+{
+  struct sockaddr_storage address;
+  int len = sizeof address;
+  char text[ST_NAME_MAX + 1];
+  st_copy (text, sizeof text, gw->desc.listen);
+  if (evutil_parse_sockaddr_port (text, (struct sockaddr *)&address, &len)
+      != 0)
+    return er_set (err, ER_INVALID, "\"%s\" is no address; write IP:PORT",
+                   text);
+  gw->listener = evconnlistener_new_bind (
+      gw->desc.base, _gw_on_accept, gw,
+      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, 512,
+      (struct sockaddr *)&address, len);
+  if (gw->listener == NULL)
+    return er_set (err, ER_UNAVAILABLE,
+                   "cannot listen on %s: %s; free the address", text,
+                   evutil_socket_error_to_string (EVUTIL_SOCKET_ERROR ()));
+  evconnlistener_set_error_cb (gw->listener, _gw_on_accept_error);
+  return true;
+}
--- /dev/null
+++ b/packages/gateway/gw_dispatch.c
@@ -0,0 +1,322 @@
+/* Dispatch: one sending of a request to an upstream, and what its answer
+   means.  */
+#include "gw_internal.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/* Sendings of one request, those included that ran nothing.  */
+#define _GW_SENDS_MAX 4
+/* With less time left another sending is of no use.  */
+#define _GW_SEND_MIN_US 20000
+/* An upstream that said it is full, or that is another one than expected, is
+   left out for this long.  */
+#define _GW_FULL_PAUSE_US 100000
+#define _GW_OTHER_PAUSE_US 1500000
+/* Longest whole answer.  */
+#define _GW_ANSWER_MAX_BYTES (8 * 1024 * 1024)
+#define _GW_SERVICE_WEIGHT 0.05
+
+static const st_str _gw_answer_drop[] = {
+  { "Connection", 10 },       { "Keep-Alive", 10 },
+  { "Proxy-Connection", 16 }, { "Transfer-Encoding", 17 },
+  { "Content-Length", 14 },   { "Trailer", 7 },
+  { "Upgrade", 7 },
+};
+
+static bu_terms
+_gw_terms (const gw_task *gw)
+{
+  return (bu_terms){ .share = gw->desc.bounds.repeat_share,
+                     .fixed = gw->desc.bounds.repeat_fixed,
+                     .window_us = gw->desc.bounds.repeat_window_ms * CK_MS_US,
+                     .vms = _gw_live_vms (gw) };
+}
+
+static void _gw_on_exchange (void *user, const uc_event *event);
+
+/* Appends the fields that differ for each sending, and the body.  */
+static GString *
+_gw_write_request (const _gw_request *r)
+{
+  const gw_names *names = r->gw->desc.names;
+  uint64_t left_us = r->end_us - r->gw->now_us;
+  uint64_t left_ms = left_us / CK_MS_US;
+  GString *bytes = g_string_sized_new (r->head->len + r->body->len + 256);
+  g_string_append_len (bytes, r->head->str, (gssize)r->head->len);
+  g_string_append_printf (
+      bytes, "%.*s: %" PRIu64 "\r\n%.*s: %.*s\r\n",
+      ST_FMT (names->deadline_ms), left_ms > 0 ? left_ms : 1,
+      ST_FMT (names->expect_instance), ST_FMT (st_name_str (&r->upstream_id)));
+  if (r->has_last_event)
+    g_string_append_printf (bytes, "%.*s: %" PRIu64 "\r\n",
+                            ST_FMT (names->resume_after), r->last_event);
+  g_string_append (bytes, "\r\n");
+  g_string_append_len (bytes, r->body->str, (gssize)r->body->len);
+  return bytes;
+}
+
+/* Takes what R costs from its team's allowance, once.  */
+static bool
+_gw_pay (_gw_request *r, uint64_t *retry_after_us)
+{
+  if (r->allowance_taken || r->team == NULL)
+    return true;
+  r->allowance_taken
+      = bu_take_allowance (&_gw_find_team (r->gw, r->team->name)->allowance,
+                           r->allowance, r->gw->now_us, retry_after_us);
+  return r->allowance_taken;
+}
+
+/* Sends R to TO.  */
+void
+_gw_dispatch (_gw_request *r, ut_id to)
+{
+  gw_task *gw = r->gw;
+  uint64_t retry_after_us;
+  bu_terms terms = _gw_terms (gw);
+  const ut_upstream *up = ut_query (gw->upstreams, to);
+  if (!_gw_pay (r, &retry_after_us))
+    {
+      r->state = _GW_SENT;
+      _gw_refuse (r, 429, "over_allowance", retry_after_us);
+      return;
+    }
+  if (!r->counted)
+    bu_count_request (
+        &_gw_find_service (gw, st_name_str (&r->service))->repeats, &terms,
+        gw->now_us);
+  r->counted = true;
+  r->state = r->events > 0 ? _GW_RELAYING : _GW_SENT;
+  r->upstream = to;
+  r->upstream_id = up->entry.id;
+  r->unread_tokens = r->demand.prompt_tokens;
+  r->sent_us = gw->now_us;
+  r->last_event_us = 0;
+  r->sends++;
+  r->status = 0;
+  r->is_stream = false;
+  r->broken = false;
+  g_string_truncate (r->answer, 0);
+  LO_EVENT (
+      "dispatch", st_name_str (&r->id),
+      LO_STR ("upstream", st_name_str (&r->upstream_id)),
+      LO_INT ("waited_ms", (gw->now_us - r->demand.arrived_us) / CK_MS_US),
+      LO_INT ("own_running", up->own_running),
+      LO_INT ("peer_running", up->peer_running),
+      LO_INT ("slots", up->entry.slots), LO_INT ("send", r->sends));
+  ut_begin (gw->upstreams, to, r->unread_tokens);
+  GString *bytes = _gw_write_request (r);
+  r->exchange = uc_send (
+      gw->pool, &(uc_request){ .address = st_name_str (&up->entry.address),
+                               .instance = st_name_str (&r->upstream_id),
+                               .request_id = st_name_str (&r->id),
+                               .bytes = { bytes->str, bytes->len },
+                               .on_event = _gw_on_exchange,
+                               .user = r });
+  g_string_free (bytes, TRUE);
+  _gw_load_changed (gw);
+  if (r->exchange == NULL)
+    {
+      _gw_end_exchange (r, UT_UNREACHABLE);
+      _gw_retry (r, false, "no_connection");
+    }
+}
+
+/* Accounts for the end of R's exchange at its upstream.  */
+void
+_gw_end_exchange (_gw_request *r, ut_outcome outcome)
+{
+  gw_task *gw = r->gw;
+  ut_end (gw->upstreams, r->upstream, r->unread_tokens, outcome, gw->now_us);
+  r->unread_tokens = 0;
+  r->exchange = NULL;
+  _gw_load_changed (gw);
+}
+
+/* A sending of R came to nothing: sends it again where that is allowed, else
+   ends it.  */
+void
+_gw_retry (_gw_request *r, bool may_have_run, const char *reason)
+{
+  gw_task *gw = r->gw;
+  bu_terms terms = _gw_terms (gw);
+  _gw_service *service = _gw_find_service (gw, st_name_str (&r->service));
+  const char *denied = NULL;
+  if (may_have_run)
+    r->runs++;
+  if (r->demand.tried_count < GQ_TRIED_MAX)
+    r->demand.tried[r->demand.tried_count++] = r->upstream;
+  if (r->runs > 0 && (!r->repeatable || r->runs >= r->route->attempts))
+    denied = "may_have_run";
+  else if (r->sends >= _GW_SENDS_MAX)
+    denied = "sends_used_up";
+  else if (gw->now_us + _GW_SEND_MIN_US >= r->end_us)
+    denied = "no_time_left";
+  else if (!bu_take_repeat (&service->repeats, &terms, gw->now_us))
+    denied = "repeat_budget_used_up";
+  LO_EVENT ("retry", st_name_str (&r->id), LO_CSTR ("reason", reason),
+            LO_STR ("upstream", st_name_str (&r->upstream_id)),
+            LO_BOOL ("may_have_run", may_have_run),
+            LO_CSTR ("denied", denied != NULL ? denied : ""),
+            LO_INT ("events", r->events));
+  if (denied == NULL)
+    _gw_requeue (r);
+  else if (r->runs == 0)
+    _gw_refuse (r, 503, reason, 300 * CK_MS_US);
+  else
+    _gw_fail (r, 502, reason);
+}
+
+static void
+_gw_take_head (_gw_request *r, const hp_head *head)
+{
+  const gw_names *names = r->gw->desc.names;
+  st_str value;
+  r->status = head->status;
+  r->is_signed = hp_get (head, names->signature, &value) && value.len > 0;
+  r->not_run = head->status == 421 || hp_get (head, names->not_run, &value);
+  r->encoded = hp_get (head, ST_LIT ("Content-Encoding"), &value)
+               && !hp_name_equal (value, ST_LIT ("identity"));
+  r->is_stream = r->route->kind == RC_STREAM && head->status == 200
+                 && r->is_signed && !r->encoded && !r->not_run;
+  if (r->events > 0)
+    return; /* the caller has the head of the first upstream */
+  g_string_truncate (r->answer_head, 0);
+  for (size_t i = 0; i < head->field_count; i++)
+    {
+      const hp_field *field = &head->fields[i];
+      if (_gw_is_named (_gw_answer_drop,
+                        sizeof _gw_answer_drop / sizeof *_gw_answer_drop,
+                        field->name))
+        continue;
+      g_string_append_printf (r->answer_head, "%.*s: %.*s\r\n",
+                              ST_FMT (field->name), ST_FMT (field->value));
+    }
+}
+
+/* Passes the checked answer on.  */
+static void
+_gw_pass_on (_gw_request *r)
+{
+  gw_task *gw = r->gw;
+  _gw_conn *conn = r->conn;
+  _gw_service *service = _gw_find_service (gw, st_name_str (&r->service));
+  r->runs++;
+  _gw_reply (conn, r->status,
+             (st_str){ r->answer_head->str, r->answer_head->len },
+             (st_str){ r->answer->str, r->answer->len });
+  _gw_account (r, r->status < 400 ? "answered" : "upstream_error", r->status,
+               "");
+  _gw_free_request (r);
+  _gw_schedule (gw, service);
+}
+
+static void
+_gw_measure (_gw_request *r)
+{
+  gw_task *gw = r->gw;
+  _gw_service *service = _gw_find_service (gw, st_name_str (&r->service));
+  double took_us = (double)(gw->now_us - r->sent_us);
+  if (service->service_us <= 0)
+    service->service_us = took_us;
+  service->service_us += _GW_SERVICE_WEIGHT * (took_us - service->service_us);
+  if (!r->engine)
+    ut_pace (gw->upstreams, r->upstream, took_us);
+}
+
+/* The upstream stated that it did not run the request.  */
+static void
+_gw_on_not_run (_gw_request *r)
+{
+  gw_task *gw = r->gw;
+  uint64_t pause = r->status == 421 ? _GW_OTHER_PAUSE_US : _GW_FULL_PAUSE_US;
+  if (r->status == 421)
+    uc_forget (gw->pool, st_name_str (&r->upstream_id));
+  ut_avoid (gw->upstreams, r->upstream, gw->now_us + pause);
+  _gw_end_exchange (r, UT_REFUSED);
+  _gw_retry (r, false, r->status == 421 ? "other_instance" : "upstream_full");
+}
+
+/* An error that the upstream gave, or a success that cannot be trusted.  */
+static void
+_gw_on_bad_answer (_gw_request *r, bool trusted)
+{
+  bool again = r->repeatable && r->runs + 1 < r->route->attempts
+               && r->sends < _GW_SENDS_MAX;
+  _gw_end_exchange (r, UT_FAILED);
+  /* These statuses promise that nothing has run, which the upstream did not
+     state.  */
+  bool promises = r->status == 429 || r->status == 503 || r->status == 408
+                  || r->status == 421;
+  if (again)
+    _gw_retry (r, true, "upstream_error");
+  else if (!trusted || promises)
+    {
+      r->runs++;
+      _gw_fail (r, 502, trusted ? "upstream_error" : "unsigned_answer");
+    }
+  else
+    _gw_pass_on (r);
+}
+
+static void
+_gw_on_whole_answer (_gw_request *r)
+{
+  if (r->not_run)
+    {
+      _gw_on_not_run (r);
+      return;
+    }
+  if (r->status >= 500 || r->status == 429 || r->status == 408)
+    {
+      _gw_on_bad_answer (r, true);
+      return;
+    }
+  if ((r->status < 300 && !r->is_signed) || r->encoded
+      || (r->route->kind == RC_STREAM && r->status < 300))
+    {
+      _gw_on_bad_answer (r, false);
+      return;
+    }
+  _gw_measure (r);
+  _gw_end_exchange (r, UT_SERVED);
+  _gw_pass_on (r);
+}
+
+static void
+_gw_on_exchange (void *user, const uc_event *event)
+{
+  _gw_request *r = user;
+  _gw_now (r->gw);
+  switch (event->kind)
+    {
+    case UC_HEAD:
+      _gw_take_head (r, event->head);
+      return;
+    case UC_BODY:
+      if (r->is_stream)
+        _gw_relay (r, event->bytes);
+      else if (r->answer->len + event->bytes.len > _GW_ANSWER_MAX_BYTES)
+        {
+          uc_exchange *x = r->exchange;
+          _gw_end_exchange (r, UT_FAILED);
+          uc_cancel (x);
+          _gw_retry (r, true, "answer_too_large");
+        }
+      else
+        g_string_append_len (r->answer, event->bytes.ptr,
+                             (gssize)event->bytes.len);
+      return;
+    case UC_END:
+      if (r->is_stream)
+        _gw_relay_end (r);
+      else
+        _gw_on_whole_answer (r);
+      return;
+    case UC_FAILED:
+      _gw_end_exchange (r, event->sent ? UT_FAILED : UT_UNREACHABLE);
+      _gw_retry (r, event->sent, event->reason);
+      return;
+    }
+}
--- /dev/null
+++ b/packages/gateway/gw_identify.c
@@ -0,0 +1,253 @@
+/* Identify: which route, team and service a request belongs to, and the head
+   that upstreams get.  */
+#include "gw_internal.h"
+
+#include <string.h>
+
+static const st_str _gw_hop_by_hop[] = {
+  { "Connection", 10 },
+  { "Keep-Alive", 10 },
+  { "Proxy-Connection", 16 },
+  { "Proxy-Authorization", 19 },
+  { "Proxy-Authenticate", 18 },
+  { "TE", 2 },
+  { "Trailer", 7 },
+  { "Transfer-Encoding", 17 },
+  { "Upgrade", 7 },
+  { "Content-Length", 14 },
+  { "Expect", 6 },
+  { "Authorization", 13 },
+};
+
+/* True when NAME is among the COUNT NAMES, whatever its case.  */
+bool
+_gw_is_named (const st_str *names, size_t count, st_str name)
+{
+  for (size_t i = 0; i < count; i++)
+    if (hp_name_equal (names[i], name))
+      return true;
+  return false;
+}
+
+static bool
+_gw_is_passed_on (const gw_names *names, st_str name, st_str connection)
+{
+  if (_gw_is_named (names->keep, names->keep_count, name))
+    return true;
+  return !_gw_is_named (_gw_hop_by_hop,
+                        sizeof _gw_hop_by_hop / sizeof *_gw_hop_by_hop, name)
+         && !_gw_is_named (names->drop, names->drop_count, name)
+         && !hp_name_equal (name, names->deadline_ms)
+         && !hp_name_equal (name, names->team)
+         && !hp_name_equal (name, names->expect_instance)
+         && !hp_name_equal (name, names->resume_after)
+         && !hp_list_contains (connection, name);
+}
+
+static void
+_gw_put_field (GString *out, st_str name, st_str value)
+{
+  g_string_append_len (out, name.ptr, (gssize)name.len);
+  g_string_append_len (out, ": ", 2);
+  g_string_append_len (out, value.ptr, (gssize)value.len);
+  g_string_append_len (out, "\r\n", 2);
+}
+
+/* Writes the part of the head that is the same for every upstream.  */
+static void
+_gw_write_head (_gw_request *r, const hp_head *head)
+{
+  const gw_names *names = r->gw->desc.names;
+  st_str connection = ST_LIT ("");
+  hp_get (head, ST_LIT ("Connection"), &connection);
+  g_string_append_len (r->head, head->method.ptr, (gssize)head->method.len);
+  g_string_append_c (r->head, ' ');
+  g_string_append_len (r->head, head->target.ptr, (gssize)head->target.len);
+  g_string_append (r->head, " HTTP/1.1\r\n");
+  for (size_t i = 0; i < head->field_count; i++)
+    if (_gw_is_passed_on (names, head->fields[i].name, connection))
+      _gw_put_field (r->head, head->fields[i].name, head->fields[i].value);
+  if (r->team != NULL)
+    _gw_put_field (r->head, names->team, r->team->name);
+  if (r->body->len > 0 || !st_equal (head->method, ST_LIT ("GET")))
+    g_string_append_printf (r->head, "Content-Length: %zu\r\n", r->body->len);
+}
+
+/* Finds the field NAME; false when it stands twice with other values.  */
+static bool
+_gw_get_once (const hp_head *head, st_str name, st_str *value)
+{
+  bool found = false;
+  *value = (st_str){ "", 0 };
+  for (size_t i = 0; i < head->field_count; i++)
+    if (hp_name_equal (head->fields[i].name, name))
+      {
+        if (found && !st_equal (*value, head->fields[i].value))
+          return false;
+        *value = head->fields[i].value;
+        found = true;
+      }
+  return true;
+}
+
+/* "PROMPT,MAX_OUTPUT"; false and zeros for anything else.  */
+static bool
+_gw_parse_usage (st_str text, uint64_t *prompt, uint64_t *output)
+{
+  size_t comma;
+  *prompt = 0;
+  *output = 0;
+  if (!st_find_char (text, ',', &comma))
+    return false;
+  st_str second = st_slice (text, comma + 1, text.len);
+  while (second.len > 0 && second.ptr[0] == ' ')
+    second = st_slice (second, 1, second.len);
+  return st_parse_u64 (st_slice (text, 0, comma), prompt)
+         && st_parse_u64 (second, output) && *prompt < UINT32_MAX
+         && *output < UINT32_MAX;
+}
+
+static const rc_team *
+_gw_find_caller (const gw_task *gw, const hp_head *head)
+{
+  st_str value;
+  st_str scheme = gw->desc.names->key_scheme;
+  if (!hp_get (head, ST_LIT ("Authorization"), &value)
+      || value.len <= scheme.len + 1
+      || !hp_name_equal (st_slice (value, 0, scheme.len), scheme)
+      || value.ptr[scheme.len] != ' ')
+    return NULL;
+  return rc_find_key (gw->config, st_slice (value, scheme.len + 1, value.len));
+}
+
+/* Times of the request: until when it is of use, and when it is late.  */
+static void
+_gw_set_times (_gw_request *r, st_str deadline)
+{
+  uint64_t ms = 0;
+  uint64_t limit_ms = r->route->timeout_ms > 0 ? r->route->timeout_ms : 30000;
+  if (st_parse_u64 (deadline, &ms) && ms < limit_ms)
+    limit_ms = ms;
+  r->demand.arrived_us = r->gw->now_us;
+  r->end_us = r->gw->now_us + limit_ms * CK_MS_US;
+  r->demand.deadline_us = r->end_us;
+  uint32_t target = r->route->target_ms;
+  r->demand.target_us = (target > 0 ? target : limit_ms / 2) * CK_MS_US;
+}
+
+static void
+_gw_set_work (_gw_request *r, st_str usage, st_str resume_after)
+{
+  uint64_t prompt;
+  uint64_t output;
+  uint64_t event;
+  bool known = _gw_parse_usage (usage, &prompt, &output);
+  r->allowance = 1;
+  if (r->team != NULL && r->team->by_tokens)
+    r->allowance
+        = known ? (double)(prompt + output) : (double)r->team->plain_tokens;
+  r->demand.prompt_tokens = (uint32_t)prompt;
+  r->max_output_tokens = (uint32_t)output;
+  r->demand.tier
+      = r->team != NULL && r->team->has_tier ? r->team->tier : r->route->tier;
+  if (resume_after.len > 0 && st_parse_u64 (resume_after, &event))
+    {
+      r->has_last_event = true;
+      r->last_event = event;
+    }
+}
+
+/* Refuses a request that names no known route, key or id.  */
+static void
+_gw_deny (_gw_conn *conn, int status, st_str id, const char *reason)
+{
+  LO_EVENT ("request_denied", id, LO_INT ("status", status),
+            LO_CSTR ("reason", reason),
+            LO_INT ("config", gw_query_config_version (conn->gw)));
+  _gw_reply_error (conn, status, id, reason, 0);
+}
+
+static bool
+_gw_target_is_path (st_str target)
+{
+  return target.len > 0 && target.ptr[0] == '/';
+}
+
+static st_str
+_gw_path (st_str target)
+{
+  size_t query;
+  return st_find_char (target, '?', &query) ? st_slice (target, 0, query)
+                                            : target;
+}
+
+/* Takes the request that CONN has read to its end.  */
+void
+_gw_identify (_gw_conn *conn)
+{
+  gw_task *gw = conn->gw;
+  const gw_names *names = gw->desc.names;
+  const hp_head *head = hp_query_head (conn->reader);
+  st_str id;
+  st_str host;
+  st_str deadline;
+  st_str usage;
+  st_str resume_after;
+  _gw_now (gw);
+  gw->count++;
+  if (!_gw_get_once (head, names->request_id, &id)
+      || !_gw_get_once (head, ST_LIT ("Host"), &host)
+      || !_gw_get_once (head, names->deadline_ms, &deadline)
+      || !_gw_get_once (head, names->token_usage, &usage)
+      || !_gw_get_once (head, names->resume_after, &resume_after))
+    {
+      _gw_deny (conn, 400, ST_LIT (""), "doubled_field");
+      return;
+    }
+  if (id.len == 0 || id.len > _GW_ID_MAX || host.len == 0
+      || !_gw_target_is_path (head->target))
+    {
+      _gw_deny (conn, 400, ST_LIT (""), "no_id_host_or_path");
+      return;
+    }
+  if (gw->config == NULL)
+    {
+      _gw_reply_error (conn, 503, id, "no_configuration_yet", 300 * CK_MS_US);
+      return;
+    }
+  const rc_route *route = rc_match (gw->config, host, _gw_path (head->target));
+  if (route == NULL)
+    {
+      _gw_deny (conn, 404, id, "no_route");
+      return;
+    }
+  const rc_team *team = _gw_find_caller (gw, head);
+  if (team == NULL && !route->is_public && rc_query_teams (gw->config))
+    {
+      _gw_deny (conn, 401, id, "unknown_key");
+      return;
+    }
+  _gw_request *r = _gw_make_request (gw, conn);
+  if (r == NULL)
+    {
+      _gw_reply_error (conn, 503, id, "too_many_requests", 500 * CK_MS_US);
+      return;
+    }
+  st_name_set (&r->id, id);
+  r->route = route;
+  r->team = team;
+  r->repeatable = route->kind == RC_IDEMPOTENT
+                  || (route->kind == RC_STREAM && route->resumable);
+  st_name_set (&r->service, rc_choose_service (route, _gw_random (gw)));
+  const rc_service *service
+      = rc_find_service (gw->config, st_name_str (&r->service));
+  r->engine = service != NULL && service->engine;
+  r->demand.engine = r->engine;
+  GString *body = r->body;
+  r->body = conn->body;
+  conn->body = body;
+  _gw_set_times (r, deadline);
+  _gw_set_work (r, usage, resume_after);
+  _gw_write_head (r, head);
+  _gw_admit (r);
+}
--- /dev/null
+++ b/packages/gateway/gw_internal.h
@@ -0,0 +1,212 @@
+/* gw_internal.h -- state of the gateway, shared by its stages.
+
+   A request belongs to one caller connection and is named by a gw_id; each
+   stage hands it to the next one by a function below.  */
+#ifndef GW_INTERNAL_H
+#define GW_INTERNAL_H
+
+#include "bu.h"
+#include "gq.h"
+#include "gw.h"
+#include "hp.h"
+#include "lo.h"
+#include "pe.h"
+#include "uc.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#define _GW_ID_MAX ST_NAME_MAX
+
+typedef enum
+{
+  _GW_FREE = 0,
+  _GW_QUEUED,  /* waits for room at an upstream */
+  _GW_SENT,    /* no byte of an answer has been passed on */
+  _GW_RELAYING /* a stream of which the caller has a part */
+} _gw_state;
+
+typedef struct _gw_conn _gw_conn;
+
+typedef struct _gw_request
+{
+  struct gw_task *gw;
+  uint32_t index;
+  uint32_t generation;
+  _gw_state state;
+  _gw_conn *conn;
+  rc_config *config;
+  const rc_route *route;
+  const rc_team *team; /* NULL on public routes */
+  st_name service;
+  bool engine;
+  bool repeatable; /* may run more than once */
+  st_name id;
+  GString *head; /* request line and fields that every sending shares */
+  GString *body;
+  uint32_t max_output_tokens;
+  double allowance; /* that it takes */
+  bool allowance_taken;
+  gq_demand demand;
+  uint64_t give_up_us; /* refused when it still waits then */
+  uint64_t end_us;     /* the caller or the route waits no longer */
+  uint64_t sent_us;
+  uint64_t first_us; /* first event or head of the answer */
+  uint32_t sends;
+  uint32_t runs; /* sendings that may have run */
+  bool counted;  /* in the budget of repeats */
+  ut_id upstream;
+  st_name upstream_id;
+  uint32_t unread_tokens; /* reported for the upstream */
+  uc_exchange *exchange;
+  /* The answer at hand.  */
+  int status;
+  bool is_signed;
+  bool not_run;
+  bool encoded;
+  bool is_stream;
+  GString *answer_head; /* fields to pass on */
+  GString *answer;      /* body, or the last incomplete event */
+  /* Stream.  */
+  bool has_last_event;
+  uint64_t last_event;
+  uint64_t last_event_us;
+  uint64_t events;
+  bool broken; /* its events do not follow each other */
+  struct event *timer;
+  struct _gw_request *next; /* in the queue */
+} _gw_request;
+
+struct _gw_conn
+{
+  struct gw_task *gw;
+  struct bufferevent *bev;
+  hp_reader *reader;
+  struct event *timer; /* head timeout, or idle */
+  _gw_request *request;
+  GString *body;
+  bool body_too_large;
+  bool close_after;
+  bool chunked; /* the answer under way is */
+  uint32_t index;
+};
+
+typedef struct
+{
+  _gw_request *first[GQ_TIERS];
+  _gw_request *last[GQ_TIERS];
+  uint32_t count[GQ_TIERS];
+} _gw_queue;
+
+typedef struct
+{
+  st_name name;
+  _gw_queue queue;
+  bu_repeats repeats;
+  double service_us; /* mean time in a slot */
+} _gw_service;
+
+typedef struct
+{
+  st_name name;
+  uint64_t hash;
+  bu_allowance allowance;
+} _gw_team;
+
+typedef struct
+{
+  uint64_t key; /* hash of the incarnation; 0: free */
+  st_name name;
+  char incarnation[MS_INCARNATION_MAX + 1];
+  uint64_t heard_us;
+  bool ready;
+  uint64_t config_version;
+  uint32_t waiting[GQ_TIERS];
+} _gw_peer;
+
+struct gw_task
+{
+  gw_desc desc;
+  ck_clock runtime;
+  struct evconnlistener *listener;
+  rc_config *config;
+  ut_table *upstreams;
+  uc_pool *pool;
+  pe_task *peers;
+  char incarnation[MS_INCARNATION_MAX + 1];
+  _gw_peer peer[UT_PEERS_MAX];
+  GPtrArray *services; /* of _gw_service */
+  GPtrArray *teams;    /* of _gw_team */
+  GPtrArray *conns;
+  _gw_request *requests; /* pool */
+  uint32_t free_first;   /* index + 1; 0: none */
+  uint32_t used;
+  uint32_t open;
+  uint64_t count;
+  bool leaving;
+  uint64_t leaving_us;
+  struct event *tick;
+  struct event *load_timer;
+  uint64_t load_sent_us;
+  bool load_dirty;
+  uint64_t document_asked_us;
+  uint32_t random;
+  uint64_t now_us;
+};
+
+uint64_t _gw_now (gw_task *gw);
+uint32_t _gw_random (gw_task *gw);
+_gw_service *_gw_find_service (gw_task *gw, st_str name);
+_gw_team *_gw_find_team (gw_task *gw, st_str name);
+bool _gw_is_named (const st_str *names, size_t count, st_str name);
+
+/* Requests: gw_request.c.  */
+_gw_request *_gw_make_request (gw_task *gw, _gw_conn *conn);
+void _gw_free_request (_gw_request *r);
+void _gw_account (_gw_request *r, const char *outcome, int status,
+                  const char *reason);
+void _gw_abandon (_gw_request *r, const char *reason);
+void _gw_refuse (_gw_request *r, int status, const char *reason,
+                 uint64_t retry_after_us);
+void _gw_fail (_gw_request *r, int status, const char *reason);
+
+/* Accept: gw_accept.c.  */
+bool _gw_listen (gw_task *gw, er_error *err);
+void _gw_close_conn (_gw_conn *conn);
+void _gw_reply (_gw_conn *conn, int status, st_str fields, st_str body);
+void _gw_reply_begin (_gw_conn *conn, int status, st_str fields);
+void _gw_reply_part (_gw_conn *conn, st_str bytes);
+void _gw_reply_end (_gw_conn *conn);
+void _gw_reply_abort (_gw_conn *conn);
+void _gw_reply_error (_gw_conn *conn, int status, st_str id,
+                      const char *reason, uint64_t retry_after_us);
+
+/* Identify: gw_identify.c.  */
+void _gw_identify (_gw_conn *conn);
+
+/* Admit and queue: gw_queue.c.  */
+void _gw_admit (_gw_request *r);
+void _gw_requeue (_gw_request *r);
+void _gw_dequeue (_gw_request *r);
+void _gw_schedule (gw_task *gw, _gw_service *service);
+void _gw_schedule_all (gw_task *gw);
+void _gw_expire_queues (gw_task *gw);
+
+/* Dispatch: gw_dispatch.c.  */
+void _gw_dispatch (_gw_request *r, ut_id to);
+void _gw_end_exchange (_gw_request *r, ut_outcome outcome);
+void _gw_retry (_gw_request *r, bool may_have_run, const char *reason);
+
+/* Relay: gw_relay.c.  */
+void _gw_relay (_gw_request *r, st_str bytes);
+void _gw_relay_end (_gw_request *r);
+
+/* The other VMs: gw_peers.c.  */
+bool _gw_start_peers (gw_task *gw, er_error *err);
+void _gw_load_changed (gw_task *gw);
+void _gw_expire_peers (gw_task *gw);
+uint32_t _gw_live_vms (const gw_task *gw);
+void _gw_peer_waiting (gw_task *gw, uint32_t waiting[GQ_TIERS]);
+
+#endif
--- /dev/null
+++ b/packages/gateway/gw_relay.c
@@ -0,0 +1,143 @@
+/* Relay: events of a stream, passed on one by one as they arrive.  */
+#include "gw_internal.h"
+
+#include <string.h>
+
+/* Longest event.  */
+#define _GW_EVENT_MAX_BYTES (1024 * 1024)
+
+/* Length of the first event in BYTES with its empty line; 0 when it is not
+   complete.  */
+static size_t
+_gw_event_length (st_str bytes)
+{
+  for (size_t i = 0; i + 1 < bytes.len; i++)
+    if (bytes.ptr[i] == '\n')
+      {
+        if (bytes.ptr[i + 1] == '\n')
+          return i + 2;
+        if (i + 2 < bytes.len && bytes.ptr[i + 1] == '\r'
+            && bytes.ptr[i + 2] == '\n')
+          return i + 3;
+      }
+  return 0;
+}
+
+/* Finds the id of EVENT; false when it has none that is a number.  */
+static bool
+_gw_event_id (st_str event, uint64_t *id)
+{
+  size_t from = 0;
+  while (from < event.len)
+    {
+      const char *end = memchr (event.ptr + from, '\n', event.len - from);
+      size_t to = end != NULL ? (size_t)(end - event.ptr) : event.len;
+      st_str line = st_slice (event, from, to);
+      if (line.len > 0 && line.ptr[line.len - 1] == '\r')
+        line.len--;
+      if (st_starts_with (line, ST_LIT ("id:")))
+        {
+          line = st_slice (line, 3, line.len);
+          if (line.len > 0 && line.ptr[0] == ' ')
+            line = st_slice (line, 1, line.len);
+          return st_parse_u64 (line, id);
+        }
+      from = to + 1;
+    }
+  return false;
+}
+
+/* Passes EVENT on.  False when it does not follow the last one.  */
+static bool
+_gw_take_event (_gw_request *r, st_str event)
+{
+  gw_task *gw = r->gw;
+  uint64_t id;
+  if (_gw_event_id (event, &id))
+    {
+      if (r->has_last_event && id != r->last_event + 1)
+        return false;
+      r->has_last_event = true;
+      r->last_event = id;
+    }
+  if (r->events == 0)
+    {
+      r->first_us = gw->now_us;
+      r->state = _GW_RELAYING;
+      _gw_reply_begin (r->conn, 200,
+                       (st_str){ r->answer_head->str, r->answer_head->len });
+    }
+  if (r->last_event_us == 0)
+    {
+      ut_first (gw->upstreams, r->upstream, r->unread_tokens);
+      r->unread_tokens = 0;
+      _gw_load_changed (gw);
+    }
+  else
+    ut_pace (gw->upstreams, r->upstream,
+             (double)(gw->now_us - r->last_event_us));
+  r->last_event_us = gw->now_us;
+  r->events++;
+  _gw_reply_part (r->conn, event);
+  return true;
+}
+
+static void
+_gw_break (_gw_request *r, const char *reason)
+{
+  uc_exchange *x = r->exchange;
+  _gw_end_exchange (r, UT_FAILED);
+  if (x != NULL)
+    uc_cancel (x);
+  _gw_retry (r, true, reason);
+}
+
+/* Takes BYTES of a stream.  */
+void
+_gw_relay (_gw_request *r, st_str bytes)
+{
+  size_t done = 0;
+  size_t length;
+  g_string_append_len (r->answer, bytes.ptr, (gssize)bytes.len);
+  while ((length = _gw_event_length (
+              (st_str){ r->answer->str + done, r->answer->len - done }))
+         > 0)
+    {
+      if (!_gw_take_event (r, (st_str){ r->answer->str + done, length }))
+        {
+          _gw_break (r, "event_out_of_order");
+          return;
+        }
+      done += length;
+    }
+  g_string_erase (r->answer, 0, (gssize)done);
+  if (r->answer->len > _GW_EVENT_MAX_BYTES)
+    _gw_break (r, "event_too_large");
+}
+
+/* The upstream's answer is complete.  */
+void
+_gw_relay_end (_gw_request *r)
+{
+  gw_task *gw = r->gw;
+  _gw_conn *conn = r->conn;
+  _gw_service *service = _gw_find_service (gw, st_name_str (&r->service));
+  r->exchange = NULL;
+  if (r->answer->len > 0 || r->events == 0)
+    {
+      _gw_break (r, "stream_incomplete");
+      return;
+    }
+  r->runs++;
+  service->service_us = service->service_us <= 0
+                            ? (double)(gw->now_us - r->sent_us)
+                            : service->service_us
+                                  + 0.05
+                                        * ((double)(gw->now_us - r->sent_us)
+                                           - service->service_us);
+  _gw_end_exchange (r, UT_SERVED);
+  _gw_reply_end (conn);
+  _gw_account (r, "answered", 200, "");
+  _gw_free_request (r);
+  _gw_schedule (gw, service);
+}
--- /dev/null
+++ b/packages/gateway/gw_request.c
@@ -0,0 +1,188 @@
+/* Requests: their pool, and how they end.  */
+#include "gw_internal.h"
+
+static void
+_gw_on_end_of_time (evutil_socket_t fd, short what, void *user)
+{
+  _gw_request *r = user;
+  (void)fd;
+  (void)what;
+  _gw_now (r->gw);
+  switch (r->state)
+    {
+    case _GW_FREE:
+      break;
+    case _GW_QUEUED:
+      if (r->runs == 0)
+        _gw_refuse (r, 503, "deadline_in_queue", 0);
+      else
+        _gw_fail (r, 504, "deadline_in_queue");
+      break;
+    case _GW_SENT:
+    case _GW_RELAYING:
+      _gw_fail (r, 504, "deadline");
+      break;
+    }
+}
+
+/* Takes a request from the pool for CONN; NULL when all are in use.  */
+_gw_request *
+_gw_make_request (gw_task *gw, _gw_conn *conn)
+{
+  _gw_request *r;
+  if (gw->free_first != 0)
+    {
+      r = &gw->requests[gw->free_first - 1];
+      gw->free_first = r->next != NULL ? r->next->index + 1 : 0;
+    }
+  else if (gw->used < GW_REQUESTS_MAX)
+    {
+      r = &gw->requests[gw->used];
+      r->index = gw->used++;
+    }
+  else
+    return NULL;
+  uint32_t index = r->index;
+  uint32_t generation = r->generation + 1;
+  *r = (_gw_request){ .gw = gw,
+                      .index = index,
+                      .generation = generation,
+                      .conn = conn,
+                      .config = rc_ref (gw->config) };
+  r->head = g_string_sized_new (512);
+  r->body = g_string_new (NULL);
+  r->answer = g_string_new (NULL);
+  r->answer_head = g_string_new (NULL);
+  r->timer = evtimer_new (gw->desc.base, _gw_on_end_of_time, r);
+  conn->request = r;
+  gw->open++;
+  return r;
+}
+
+/* Returns R to the pool.  Its exchange and its place in the queue are given
+   up before.  */
+void
+_gw_free_request (_gw_request *r)
+{
+  gw_task *gw = r->gw;
+  if (r->conn != NULL && r->conn->request == r)
+    r->conn->request = NULL;
+  event_free (r->timer);
+  g_string_free (r->head, TRUE);
+  g_string_free (r->body, TRUE);
+  g_string_free (r->answer, TRUE);
+  g_string_free (r->answer_head, TRUE);
+  rc_unref (r->config);
+  r->state = _GW_FREE;
+  r->conn = NULL;
+  r->next = gw->free_first != 0 ? &gw->requests[gw->free_first - 1] : NULL;
+  gw->free_first = r->index + 1;
+  gw->open--;
+}
+
+/* Records how R ended: counters, histogram, log.  */
+void
+_gw_account (_gw_request *r, const char *outcome, int status,
+             const char *reason)
+{
+  gw_task *gw = r->gw;
+  uint64_t took_us = gw->now_us - r->demand.arrived_us;
+  st_str team = r->team != NULL ? r->team->name : ST_LIT ("");
+  LO_EVENT (
+      "request_end", st_name_str (&r->id), LO_CSTR ("outcome", outcome),
+      LO_INT ("status", status), LO_CSTR ("reason", reason),
+      LO_STR ("route", r->route->name), LO_STR ("team", team),
+      LO_INT ("tier", r->demand.tier),
+      LO_STR ("upstream", st_name_str (&r->upstream_id)),
+      LO_INT ("sends", r->sends), LO_INT ("runs", r->runs),
+      LO_INT ("took_ms", took_us / CK_MS_US),
+      LO_INT ("first_ms", r->first_us > 0
+                              ? (r->first_us - r->demand.arrived_us) / CK_MS_US
+                              : 0),
+      LO_INT ("events", r->events),
+      LO_INT ("config", rc_query_version (r->config)));
+  if (gw->desc.metrics == NULL)
+    return;
+  mt_add (gw->desc.metrics,
+          mt_counter (gw->desc.metrics, "gateway_requests_total", "team", team,
+                      "outcome", st_from_cstr (outcome)),
+          1);
+  mt_record (gw->desc.metrics,
+             mt_histogram (gw->desc.metrics, "gateway_request_us", "team",
+                           team, "route", r->route->name),
+             took_us);
+}
+
+/* Gives up what R holds at upstreams and in queues.  */
+static void
+_gw_let_go (_gw_request *r)
+{
+  if (r->state == _GW_QUEUED)
+    _gw_dequeue (r);
+  else if (r->exchange != NULL)
+    {
+      uc_exchange *x = r->exchange;
+      _gw_end_exchange (r, UT_ABANDONED);
+      uc_cancel (x);
+    }
+}
+
+static _gw_service *
+_gw_service_of (_gw_request *r)
+{
+  return _gw_find_service (r->gw, st_name_str (&r->service));
+}
+
+/* The caller has left: nobody waits for the answer.  */
+void
+_gw_abandon (_gw_request *r, const char *reason)
+{
+  gw_task *gw = r->gw;
+  _gw_service *service = _gw_service_of (r);
+  _gw_now (gw);
+  _gw_let_go (r);
+  _gw_account (r, "abandoned", 0, reason);
+  _gw_free_request (r);
+  _gw_schedule (gw, service);
+}
+
+/* Tells the caller that R has not run and never will (429, 503).  */
+void
+_gw_refuse (_gw_request *r, int status, const char *reason,
+            uint64_t retry_after_us)
+{
+  gw_task *gw = r->gw;
+  _gw_conn *conn = r->conn;
+  st_name id = r->id;
+  if (r->runs > 0)
+    {
+      _gw_fail (r, 502, reason);
+      return;
+    }
+  _gw_let_go (r);
+  _gw_account (r, "not_run", status, reason);
+  _gw_free_request (r);
+  _gw_reply_error (conn, status, st_name_str (&id), reason, retry_after_us);
+  _gw_load_changed (gw);
+}
+
+/* Ends R without an answer: STATUS where none has begun, else the stream is
+   broken off.  R may have run.  */
+void
+_gw_fail (_gw_request *r, int status, const char *reason)
+{
+  gw_task *gw = r->gw;
+  _gw_conn *conn = r->conn;
+  _gw_service *service = _gw_service_of (r);
+  st_name id = r->id;
+  /* A stream that waits to go on elsewhere has begun as well.  */
+  bool begun = r->events > 0;
+  _gw_let_go (r);
+  _gw_account (r, begun ? "broken_off" : "unknown", status, reason);
+  _gw_free_request (r);
+  if (begun)
+    _gw_reply_abort (conn);
+  else
+    _gw_reply_error (conn, status, st_name_str (&id), reason, 0);
+  _gw_schedule (gw, service);
+}
--- /dev/null
+++ b/packages/gateway/uc.c
@@ -0,0 +1,424 @@
+#include "uc.h"
+
+#include "nt.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/util.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define _UC_CONNECT_MS 400
+#define _UC_IDLE_MS 4000
+#define _UC_IDLE_PER_UPSTREAM 16
+/* An idle connection is given up this long before the upstream closes it, so
+   that no request crosses the close.  */
+#define _UC_IDLE_MARGIN_MS 900
+/* Answers of other requests that are skipped before the connection counts as
+   broken.  */
+#define _UC_SKIP_MAX 2
+
+typedef struct _uc_conn _uc_conn;
+
+struct uc_exchange
+{
+  uc_pool *pool;
+  _uc_conn *conn;
+  uc_on_event on_event;
+  void *user;
+  st_name request_id;
+  GString *bytes; /* until they are written */
+  bool sent;
+  bool head_seen;
+  bool skipping; /* the answer at hand belongs to another request */
+  uint32_t skipped;
+};
+
+struct _uc_conn
+{
+  uc_pool *pool;
+  struct bufferevent *bev;
+  hp_reader *reader;
+  struct event *timer; /* connecting, or idle */
+  st_name instance;
+  uc_exchange *x; /* NULL while idle */
+  bool connected;
+  bool reusable;
+  bool in_read; /* the reader is in use: freed only after it */
+  bool dead;
+  uint32_t idle_ms;
+};
+
+struct uc_pool
+{
+  uc_desc desc;
+  GPtrArray *idle;  /* of _uc_conn, newest last */
+  GPtrArray *conns; /* all */
+  uint64_t connects;
+};
+
+static void
+_uc_free_conn (_uc_conn *conn)
+{
+  uc_pool *pool = conn->pool;
+  g_ptr_array_remove_fast (pool->conns, conn);
+  g_ptr_array_remove (pool->idle, conn);
+  event_free (conn->timer);
+  bufferevent_free (conn->bev);
+  hp_destroy (conn->reader);
+  g_free (conn);
+}
+
+static void
+_uc_free_exchange (uc_exchange *x)
+{
+  g_string_free (x->bytes, TRUE);
+  g_free (x);
+}
+
+/* Ends the exchange of CONN and tells its owner EVENT.  CONN is closed unless
+   KEEP.  */
+static void
+_uc_finish (_uc_conn *conn, const uc_event *event, bool keep)
+{
+  uc_exchange *x = conn->x;
+  uc_event copy = *event;
+  conn->x = NULL;
+  if (keep)
+    {
+      struct timeval idle = { conn->idle_ms / 1000,
+                              (suseconds_t)(conn->idle_ms % 1000) * 1000 };
+      hp_next (conn->reader);
+      event_add (conn->timer, &idle);
+      g_ptr_array_add (conn->pool->idle, conn);
+    }
+  if (x != NULL)
+    {
+      copy.sent = x->sent;
+      x->on_event (x->user, &copy);
+      _uc_free_exchange (x);
+    }
+  if (!keep)
+    _uc_free_conn (conn);
+}
+
+static void
+_uc_fail (_uc_conn *conn, const char *reason)
+{
+  _uc_finish (conn, &(uc_event){ .kind = UC_FAILED, .reason = reason }, false);
+}
+
+static void
+_uc_on_timer (evutil_socket_t fd, short what, void *user)
+{
+  _uc_conn *conn = user;
+  (void)fd;
+  (void)what;
+  if (conn->x == NULL)
+    _uc_free_conn (conn);
+  else
+    _uc_fail (conn, "connect_timeout");
+}
+
+static void
+_uc_on_body (void *user, st_str bytes)
+{
+  _uc_conn *conn = user;
+  uc_exchange *x = conn->x;
+  if (x != NULL && !x->skipping)
+    x->on_event (x->user, &(uc_event){ .kind = UC_BODY, .bytes = bytes });
+}
+
+/* Time that the upstream keeps an idle connection, less a margin.  */
+static uint32_t
+_uc_idle_ms (const uc_pool *pool, const hp_head *head)
+{
+  st_str value;
+  size_t at;
+  uint64_t seconds = 0;
+  uint32_t idle = pool->desc.idle_ms;
+  if (hp_get (head, ST_LIT ("Keep-Alive"), &value))
+    {
+      if (st_find_char (value, '=', &at))
+        value = st_slice (value, at + 1, value.len);
+      size_t digits = 0;
+      while (digits < value.len && g_ascii_isdigit (value.ptr[digits]))
+        digits++;
+      value.len = digits;
+      if (st_parse_u64 (value, &seconds) && seconds < 3600)
+        idle = (uint32_t)seconds * 1000;
+    }
+  return idle > _UC_IDLE_MARGIN_MS ? idle - _UC_IDLE_MARGIN_MS : 0;
+}
+
+static bool
+_uc_is_ours (const uc_exchange *x, const hp_head *head)
+{
+  st_str id;
+  if (x->request_id.len == 0)
+    return true;
+  return hp_get (head, x->pool->desc.id_field, &id)
+         && st_equal (id, st_name_str (&x->request_id));
+}
+
+/* Looks at a new head.  False when the connection is broken.  */
+static bool
+_uc_take_head (_uc_conn *conn)
+{
+  const hp_head *head = hp_query_head (conn->reader);
+  uc_exchange *x = conn->x;
+  x->skipping = head->status < 200 || !_uc_is_ours (x, head);
+  if (x->skipping)
+    {
+      if (head->status >= 200)
+        conn->reusable = false;
+      return ++x->skipped <= _UC_SKIP_MAX;
+    }
+  x->head_seen = true;
+  if (!head->keep_alive || (!head->has_length && !head->chunked))
+    conn->reusable = false;
+  /* An upstream that answers before it has read the request goes on to read
+     the rest of it from this connection.  */
+  if (evbuffer_get_length (bufferevent_get_output (conn->bev)) > 0)
+    conn->reusable = false;
+  conn->idle_ms = _uc_idle_ms (conn->pool, head);
+  /* The owner may cancel X here.  */
+  x->on_event (x->user, &(uc_event){ .kind = UC_HEAD, .head = head });
+  return true;
+}
+
+/* Reads up to the next end of a head or message and tells the owner.  The
+   owner may cancel the exchange meanwhile: HP_MORE with CONN dead.  */
+static hp_result
+_uc_read_step (_uc_conn *conn, struct evbuffer *in)
+{
+  conn->in_read = true;
+  hp_result result = hp_read (conn->reader, in);
+  if (result == HP_HEAD && !conn->dead && !_uc_take_head (conn))
+    result = HP_BAD;
+  conn->in_read = false;
+  return conn->dead ? HP_MORE : result;
+}
+
+static void
+_uc_on_read (struct bufferevent *bev, void *user)
+{
+  _uc_conn *conn = user;
+  struct evbuffer *in = bufferevent_get_input (bev);
+  if (conn->x == NULL)
+    {
+      /* Bytes without a request belong to nobody.  */
+      _uc_free_conn (conn);
+      return;
+    }
+  for (;;)
+    switch (_uc_read_step (conn, in))
+      {
+      case HP_MORE:
+        if (conn->dead)
+          _uc_free_conn (conn);
+        return;
+      case HP_HEAD:
+        break;
+      case HP_END:
+        if (conn->x->skipping)
+          {
+            hp_next (conn->reader);
+            break;
+          }
+        if (evbuffer_get_length (in) > 0
+            || evbuffer_get_length (bufferevent_get_output (bev)) > 0)
+          conn->reusable = false;
+        _uc_finish (conn, &(uc_event){ .kind = UC_END },
+                    conn->reusable && conn->idle_ms > 0);
+        return;
+      case HP_TOO_LARGE:
+        _uc_fail (conn, "head_too_large");
+        return;
+      case HP_BAD:
+        _uc_fail (conn, "malformed_answer");
+        return;
+      }
+}
+
+static void
+_uc_write (_uc_conn *conn)
+{
+  uc_exchange *x = conn->x;
+  x->sent = true;
+  bufferevent_write (conn->bev, x->bytes->str, x->bytes->len);
+  g_string_truncate (x->bytes, 0);
+}
+
+static void
+_uc_on_event (struct bufferevent *bev, short what, void *user)
+{
+  _uc_conn *conn = user;
+  (void)bev;
+  if (what & BEV_EVENT_CONNECTED)
+    {
+      event_del (conn->timer);
+      conn->connected = true;
+      nt_tune (bufferevent_getfd (conn->bev));
+      bufferevent_enable (conn->bev, EV_READ | EV_WRITE);
+      _uc_write (conn);
+      return;
+    }
+  if (conn->x == NULL)
+    {
+      _uc_free_conn (conn);
+      return;
+    }
+  if (!conn->connected)
+    _uc_fail (conn, "connect_failed");
+  else if ((what & BEV_EVENT_EOF) && !conn->x->skipping
+           && hp_finish (conn->reader) == HP_END && conn->x->head_seen)
+    _uc_finish (conn, &(uc_event){ .kind = UC_END }, false);
+  else
+    _uc_fail (conn, what & BEV_EVENT_EOF ? "closed" : "reset");
+}
+
+/* Makes a pool.  */
+uc_pool *
+uc_make (const uc_desc *desc)
+{
+  uc_pool *pool = g_new0 (uc_pool, 1);
+  pool->desc = *desc;
+  if (pool->desc.connect_ms == 0)
+    pool->desc.connect_ms = _UC_CONNECT_MS;
+  if (pool->desc.idle_ms == 0)
+    pool->desc.idle_ms = _UC_IDLE_MS;
+  if (pool->desc.idle_per_upstream == 0)
+    pool->desc.idle_per_upstream = _UC_IDLE_PER_UPSTREAM;
+  pool->idle = g_ptr_array_new ();
+  pool->conns = g_ptr_array_new ();
+  return pool;
+}
+
+/* Closes all connections and releases POOL; exchanges end without a call.  */
+void
+uc_destroy (uc_pool *pool)
+{
+  if (pool == NULL)
+    return;
+  while (pool->conns->len > 0)
+    {
+      _uc_conn *conn = pool->conns->pdata[0];
+      if (conn->x != NULL)
+        _uc_free_exchange (conn->x);
+      conn->x = NULL;
+      _uc_free_conn (conn);
+    }
+  g_ptr_array_free (pool->idle, TRUE);
+  g_ptr_array_free (pool->conns, TRUE);
+  g_free (pool);
+}
+
+static _uc_conn *
+_uc_take_idle (uc_pool *pool, st_str instance)
+{
+  for (guint i = pool->idle->len; i > 0; i--)
+    {
+      _uc_conn *conn = pool->idle->pdata[i - 1];
+      if (!st_equal (st_name_str (&conn->instance), instance))
+        continue;
+      g_ptr_array_remove_index (pool->idle, i - 1);
+      event_del (conn->timer);
+      return conn;
+    }
+  return NULL;
+}
+
+static _uc_conn *
+_uc_connect (uc_pool *pool, const uc_request *request)
+{
+  struct sockaddr_storage address;
+  int len = sizeof address;
+  char text[ST_NAME_MAX + 1];
+  st_copy (text, sizeof text, request->address);
+  _uc_conn *conn = g_new0 (_uc_conn, 1);
+  conn->pool = pool;
+  st_name_set (&conn->instance, request->instance);
+  conn->reusable = true;
+  conn->reader = hp_make (
+      &(hp_desc){ .kind = HP_RESPONSE, .on_body = _uc_on_body, .user = conn });
+  conn->bev
+      = bufferevent_socket_new (pool->desc.base, -1, BEV_OPT_CLOSE_ON_FREE);
+  conn->timer = evtimer_new (pool->desc.base, _uc_on_timer, conn);
+  bufferevent_setcb (conn->bev, _uc_on_read, NULL, _uc_on_event, conn);
+  g_ptr_array_add (pool->conns, conn);
+  pool->connects++;
+  if (evutil_parse_sockaddr_port (text, (struct sockaddr *)&address, &len) != 0
+      || bufferevent_socket_connect (conn->bev, (struct sockaddr *)&address,
+                                     len)
+             != 0)
+    {
+      _uc_free_conn (conn);
+      return NULL;
+    }
+  struct timeval limit
+      = { pool->desc.connect_ms / 1000,
+          (suseconds_t)(pool->desc.connect_ms % 1000) * 1000 };
+  event_add (conn->timer, &limit);
+  return conn;
+}
+
+/* Sends REQUEST on an idle connection or on a new one.  NULL when no
+   connection can be opened; nothing was sent then and on_event is not
+   called.  on_event is not called before uc_send has returned.  */
+uc_exchange *
+uc_send (uc_pool *pool, const uc_request *request)
+{
+  _uc_conn *conn = _uc_take_idle (pool, request->instance);
+  if (conn == NULL)
+    conn = _uc_connect (pool, request);
+  if (conn == NULL)
+    return NULL;
+  uc_exchange *x = g_new0 (uc_exchange, 1);
+  x->pool = pool;
+  x->conn = conn;
+  x->on_event = request->on_event;
+  x->user = request->user;
+  st_name_set (&x->request_id, request->request_id);
+  x->bytes = g_string_new_len (request->bytes.ptr, (gssize)request->bytes.len);
+  conn->x = x;
+  if (conn->connected)
+    _uc_write (conn);
+  return x;
+}
+
+/* Ends X and closes its connection, by which the upstream learns that nobody
+   waits any more.  No further call comes.  May be called from on_event.  */
+void
+uc_cancel (uc_exchange *x)
+{
+  _uc_conn *conn = x->conn;
+  if (conn->x != x)
+    return; /* UC_END or UC_FAILED is being told */
+  conn->x = NULL;
+  _uc_free_exchange (x);
+  if (conn->in_read)
+    conn->dead = true;
+  else
+    _uc_free_conn (conn);
+}
+
+/* Closes the idle connections to INSTANCE.  */
+void
+uc_forget (uc_pool *pool, st_str instance)
+{
+  for (guint i = pool->idle->len; i > 0; i--)
+    {
+      _uc_conn *conn = pool->idle->pdata[i - 1];
+      if (st_equal (st_name_str (&conn->instance), instance))
+        _uc_free_conn (conn);
+    }
+}
+
+/* Connections opened since uc_make.  */
+uint64_t
+uc_query_connects (const uc_pool *pool)
+{
+  return pool->connects;
+}
--- /dev/null
+++ b/packages/http/hp.h
@@ -0,0 +1,97 @@
+/* hp.h -- HTTP/1.1 messages out of an evbuffer, by http_parser.
+
+   A reader parses one message after the other.  It stops behind each
+   message, so that the owner sees what lies behind it.
+
+     hp_reader *r = hp_make (&(hp_desc){ .kind = HP_REQUEST,
+                                         .on_body = on_body, .user = self });
+     switch (hp_read (r, bufferevent_get_input (bev)))
+       {
+       case HP_MORE: wait for more bytes
+       case HP_HEAD: look at hp_query_head (r), call hp_read again
+       case HP_END:  the message is complete; hp_next (r) before the next one
+       case HP_BAD:  close the connection
+       }
+     hp_destroy (r);
+
+   Both a length and a transfer coding, doubled lengths, unknown transfer
+   codings and control characters in names are HP_BAD, so that no two readers
+   disagree on where a message ends.  */
+#ifndef HP_H
+#define HP_H
+
+#include "st.h"
+
+#include <event2/buffer.h>
+
+/* Fields of one message; more are HP_TOO_LARGE.  */
+#define HP_FIELDS_MAX 96
+
+typedef enum
+{
+  HP_REQUEST = 0,
+  HP_RESPONSE
+} hp_kind;
+
+typedef enum
+{
+  HP_MORE = 0,
+  HP_HEAD, /* the head is complete */
+  HP_END,  /* the message is complete */
+  HP_TOO_LARGE,
+  HP_BAD
+} hp_result;
+
+typedef struct
+{
+  st_str name;
+  st_str value;
+} hp_field;
+
+/* Views into the reader; they hold until hp_next.  */
+typedef struct
+{
+  st_str method; /* of a request */
+  st_str target;
+  int status; /* of a response */
+  int major;
+  int minor;
+  bool keep_alive;
+  bool chunked;
+  bool has_length;
+  uint64_t length;
+  size_t field_count;
+  const hp_field *fields;
+} hp_head;
+
+typedef struct
+{
+  hp_kind kind;
+  size_t max_head_bytes; /* 0 means 16 KiB */
+  void (*on_body) (void *user, st_str bytes);
+  void *user;
+} hp_desc;
+
+typedef struct hp_reader hp_reader;
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  hp_reader *hp_make (const hp_desc *desc);
+  void hp_destroy (hp_reader *r);
+  hp_result hp_read (hp_reader *r, struct evbuffer *in);
+  hp_result hp_finish (hp_reader *r);
+  void hp_next (hp_reader *r);
+  bool hp_query_started (const hp_reader *r);
+  const hp_head *hp_query_head (const hp_reader *r);
+  bool hp_get (const hp_head *head, st_str name, st_str *value);
+  bool hp_name_equal (st_str a, st_str b);
+  bool hp_list_contains (st_str list, st_str word);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/packages/server/server_main.c
+++ b/packages/server/server_main.c
@@ -1,5 +1,6 @@
 /* dotterelbend: the server that runs on each VM.  */
 #include "lg.h"
+#include "pl_run.h"
 #include "sb.h"
 #include "sv.h"
 
@@ -15,13 +16,18 @@
     = "Request scheduler for model engines and plain services: the server of "
       "one VM.\v"
       "Example:\n"
-      "  dotterelbend --config vm.yaml\n\n"
+      "  dotterelbend --config vm.yaml\n"
+      "  dotterelbend --gateway --config gateway.yaml\n\n"
       "SIGTERM drains: the VM leaves the addresses, running requests finish, "
       "then the process exits with status 0.  Exit status 1: the "
       "configuration is wrong or a listener cannot be opened.";
 
 static const struct argp_option options[] = {
   { "config", 'c', "FILE", 0, "configuration of this VM (YAML)", 0 },
+  { "gateway", 'g', NULL, 0,
+    "serve proxied routes on the users' platform; its configuration is that "
+    "of deploy/vm.yaml.tmpl",
+    0 },
   { "check", 'n', NULL, 0, "check the configuration and exit", 0 },
   { 0 },
 };
@@ -30,6 +36,7 @@
 {
   const char *config;
   bool check;
+  bool gateway;
 } arguments;
 
 static error_t
@@ -41,6 +48,9 @@
     case 'c':
       args->config = arg;
       return 0;
+    case 'g':
+      args->gateway = true;
+      return 0;
     case 'n':
       args->check = true;
       return 0;
@@ -53,6 +63,28 @@
     }
 }
 
+/* Runs the gateway, or only checks its configuration.  */
+static int
+run_gateway (const arguments *args)
+{
+  static pl_settings settings;
+  er_error err = { .kind = ER_OK };
+  if (!pl_load_settings (&settings, args->config, &err))
+    {
+      fprintf (stderr, "%s\n", err.message);
+      return EXIT_FAILURE;
+    }
+  if (args->check)
+    {
+      printf ("%s: ok\n", args->config);
+      return EXIT_SUCCESS;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  lg_setup (&(lg_desc){
+      .vm = settings.vm_name.text, .json = true, .level = LG_WARNING });
+  return pl_run (&settings, args->config);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -67,6 +99,8 @@
       fprintf (stderr, "dotterelbend: no source of random numbers\n");
       return EXIT_FAILURE;
     }
+  if (args.gateway)
+    return run_gateway (&args);
   if (!sb_load (&config, args.config, &err))
     {
       fprintf (stderr, "%s\n", err.message);
--- a/packages/wire/ms.c
+++ b/packages/wire/ms.c
@@ -50,6 +50,7 @@
   [MS_ABANDON_ASK] = "ABANDON_ASK",
   [MS_ABANDON_REPLY] = "ABANDON_REPLY",
   [MS_DEMAND] = "DEMAND",
+  [MS_LOAD] = "LOAD",
 };
 
 /* True when TYPE is an ms_type.  */
@@ -648,6 +649,48 @@
   _ms_leave (io, &saved);
 }
 
+static void
+_ms_io_load_row (_ms_io *io, void *item)
+{
+  ms_load_row *m = item;
+  _ms_io saved;
+  if (!_ms_enter (io, "row", 3, &saved))
+    return;
+  _ms_u64 (io, "upstream", &m->upstream, UINT64_MAX);
+  _ms_u32 (io, "running", &m->running, UINT32_MAX);
+  _ms_u32 (io, "unread_tokens", &m->unread_tokens, UINT32_MAX);
+  _ms_leave (io, &saved);
+}
+
+static void
+_ms_io_load_team (_ms_io *io, void *item)
+{
+  ms_load_team *m = item;
+  _ms_io saved;
+  if (!_ms_enter (io, "team", 2, &saved))
+    return;
+  _ms_u64 (io, "team", &m->team, UINT64_MAX);
+  _ms_u64 (io, "admitted", &m->admitted, UINT64_MAX);
+  _ms_leave (io, &saved);
+}
+
+static void
+_ms_io_load (_ms_io *io, ms_load *m)
+{
+  _ms_io saved;
+  if (!_ms_enter (io, "body", 4 + MS_TIERS, &saved))
+    return;
+  _ms_u64 (io, "config_version", &m->config_version, UINT64_MAX);
+  _ms_bool (io, "ready", &m->ready);
+  for (int tier = 0; tier < MS_TIERS; tier++)
+    _ms_u32 (io, "waiting", &m->waiting[tier], UINT32_MAX);
+  _MS_LIST (io, "rows", m->row_count, m->rows, MS_LOAD_ROWS_MAX,
+            _ms_io_load_row);
+  _MS_LIST (io, "teams", m->team_count, m->teams, MS_LOAD_ROWS_MAX,
+            _ms_io_load_team);
+  _ms_leave (io, &saved);
+}
+
 static void
 _ms_io_abandon_reply (_ms_io *io, ms_abandon_reply *m)
 {
@@ -726,6 +769,9 @@
     case MS_DEMAND:
       _ms_io_demand_report (io, &m->u.demand_report);
       return;
+    case MS_LOAD:
+      _ms_io_load (io, &m->u.load);
+      return;
     case MS_TYPE_END:
       break;
     }
--- a/packages/wire/ms.h
+++ b/packages/wire/ms.h
@@ -47,6 +47,7 @@
   MS_ABANDON_ASK,
   MS_ABANDON_REPLY,
   MS_DEMAND,
+  MS_LOAD,
   MS_TYPE_END /* one past the last type */
 } ms_type;
 
@@ -68,6 +69,7 @@
 #define MS_SETTINGS_MAX 2048
 #define MS_EVIDENCE_MAX 512
 #define MS_COUNTS_MAX 128
+#define MS_LOAD_ROWS_MAX 1024
 #define MS_TIERS 5
 #define MS_TOKENS_MAX (1u << 26)
 
@@ -331,6 +333,34 @@
   const ms_demand *demands;
 } ms_demand_report;
 
+/* Work that the sender has at an upstream.  */
+typedef struct
+{
+  uint64_t upstream; /* hash of the upstream's id */
+  uint32_t running;
+  uint32_t unread_tokens; /* prompt tokens of requests without an answer */
+} ms_load_row;
+
+/* Tokens or requests that the sender has admitted for a team since its
+   start.  */
+typedef struct
+{
+  uint64_t team; /* hash of the team's name */
+  uint64_t admitted;
+} ms_load_team;
+
+/* Load of a VM that proxies routes, sent to the other VMs on change.  */
+typedef struct
+{
+  uint64_t config_version; /* newest that the sender knows; 0: none */
+  bool ready;
+  uint32_t waiting[MS_TIERS]; /* queued requests by tier */
+  size_t row_count;
+  const ms_load_row *rows;
+  size_t team_count;
+  const ms_load_team *teams;
+} ms_load;
+
 typedef struct
 {
   ms_type type;
@@ -357,6 +387,7 @@
     ms_abandon_ask abandon_ask;
     ms_abandon_reply abandon_reply;
     ms_demand_report demand_report;
+    ms_load load;
   } u;
 } ms_message;
 
--- a/packages/wire/tests/ms_test.cc
+++ b/packages/wire/tests/ms_test.cc
@@ -162,6 +162,13 @@
         case MS_DEMAND:
           m.u.demand_report = { 2, demands };
           break;
+        case MS_LOAD:
+          {
+            static const ms_load_row rows[2] = { { 7, 3, 4096 }, { 9, 0, 0 } };
+            static const ms_load_team teams[1] = { { 11, 74267 } };
+            m.u.load = { 42, true, { 0, 2, 5, 0, 0 }, 2, rows, 1, teams };
+            break;
+          }
         case MS_TYPE_END:
           break;
         }
