Take a request's allowance when it arrives

Ruled out: a wrong limit; the decoded rates are those of the configuration. Change: bu_take_allowance at admission.

--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -56,32 +56,13 @@
   return bytes;
 }
 
-/* Takes what R costs from its team's allowance, once.  */
-static bool
-_gw_pay (_gw_request *r, uint64_t *retry_after_us)
-{
-  if (r->allowance_taken || r->team == NULL)
-    return true;
-  r->allowance_taken
-      = bu_take_allowance (&_gw_find_team (r->gw, r->team->name)->allowance,
-                           r->allowance, r->gw->now_us, retry_after_us);
-  return r->allowance_taken;
-}
-
 /* Sends R to TO.  */
 void
 _gw_dispatch (_gw_request *r, ut_id to)
 {
   gw_task *gw = r->gw;
-  uint64_t retry_after_us;
   bu_terms terms = _gw_terms (gw);
   const ut_upstream *up = ut_query (gw->upstreams, to);
-  if (!_gw_pay (r, &retry_after_us))
-    {
-      r->state = _GW_SENT;
-      _gw_refuse (r, 429, "over_allowance", retry_after_us);
-      return;
-    }
   if (!r->counted)
     bu_count_request (
         &_gw_find_service (gw, st_name_str (&r->service))->repeats, &terms,
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -47,7 +47,6 @@
   GString *body;
   uint32_t max_output_tokens;
   double allowance; /* that it takes */
-  bool allowance_taken;
   gq_demand demand;
   uint64_t give_up_us; /* refused when it still waits then */
   uint64_t end_us;     /* the caller or the route waits no longer */
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -160,8 +160,8 @@
                           (suseconds_t)((r->end_us - gw->now_us) % CK_S_US) };
   event_add (r->timer, &left);
   if (r->team != NULL
-      && !bu_has_allowance (&_gw_find_team (gw, r->team->name)->allowance,
-                            r->allowance, gw->now_us, &retry_after_us))
+      && !bu_take_allowance (&_gw_find_team (gw, r->team->name)->allowance,
+                             r->allowance, gw->now_us, &retry_after_us))
     {
       _gw_refuse (r, 429, "over_allowance", retry_after_us);
       return;
