--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -6,6 +6,9 @@
 
 /* How often queues and reports are looked through.  */
 #define _GW_TICK_US 20000
+/* Part of the slack that bursts may use; the rest is for reports that are
+   under way between the VMs.  */
+#define _GW_SLACK_PART 0.5
 
 /* Reads the clock for the work at hand.  */
 uint64_t
@@ -144,8 +147,13 @@
   _gw_now (gw);
   const rc_team *team;
   for (uint32_t i = 0; (team = rc_query_team (config, i)) != NULL; i++)
-    bu_set_allowance (&_gw_find_team (gw, team->name)->allowance, team->rate,
-                      team->burst, gw->now_us);
+    {
+      double slack
+          = team->by_tokens ? gw->desc.bounds.allowance_slack : 0;
+      bu_set_allowance (&_gw_find_team (gw, team->name)->allowance,
+                        team->rate, team->burst + _GW_SLACK_PART * slack,
+                        gw->now_us);
+    }
   _gw_load_changed (gw);
 }
 
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -163,6 +163,12 @@
       && !bu_take_allowance (&_gw_find_team (gw, r->team->name)->allowance,
                              r->allowance, gw->now_us, &retry_after_us))
     {
+      const bu_allowance *a = &_gw_find_team (gw, r->team->name)->allowance;
+      LO_EVENT ("over_allowance", st_name_str (&r->id),
+                LO_STR ("team", r->team->name),
+                LO_INT ("asked", r->allowance), LO_INT ("left", a->level),
+                LO_INT ("rate", a->rate), LO_INT ("burst", a->burst),
+                LO_INT ("config", rc_query_version (r->config)));
       _gw_refuse (r, 429, "over_allowance", retry_after_us);
       return;
     }
