Order waiting requests by team tier, then route tier

Ruled out: idle slots (36 to 54 of 54 in use in the windows that refused). Change: gq_rank, the team's tier first, the route's within it; sends that reached no upstream take nothing from the budget of repeats; an upstream that answered as another instance is left out for 5 s.

--- a/packages/decide/gq.c
+++ b/packages/decide/gq.c
@@ -26,6 +26,19 @@
 #define _GQ_RETRY_MIN_US 250000
 #define _GQ_RETRY_MAX_US 3000000
 
+/* Place of a request in the order in which requests go.  A team's tier goes
+   before the route's; within a team the route's tells.  */
+uint32_t
+gq_rank (bool has_team_tier, uint32_t team_tier, uint32_t route_tier)
+{
+  uint32_t team = has_team_tier ? team_tier : 0;
+  if (team >= GQ_TEAM_TIERS)
+    team = GQ_TEAM_TIERS - 1;
+  if (route_tier >= GQ_ROUTE_TIERS)
+    route_tier = GQ_ROUTE_TIERS - 1;
+  return team * GQ_ROUTE_TIERS + route_tier;
+}
+
 /* True when UP may get new requests of SERVICE.  */
 bool
 gq_usable (const ut_upstream *up, st_str service)
@@ -133,9 +146,8 @@
 gq_admit (const gq_backlog *backlog, const gq_demand *demand, uint64_t now_us,
           gq_decision *out)
 {
-  uint32_t tier = demand->tier < GQ_TIERS ? demand->tier : GQ_TIERS - 1;
   uint32_t ahead = 0;
-  for (uint32_t i = 0; i <= tier; i++)
+  for (uint32_t i = 0; i <= demand->rank; i++)
     ahead += backlog->waiting[i] + backlog->peer_waiting[i];
   double slots = backlog->slots > 0 ? backlog->slots : 1;
   double expected = backlog->service_us * (ahead + 1) / slots;
--- a/packages/decide/gq.h
+++ b/packages/decide/gq.h
@@ -22,13 +22,18 @@
 
 #include "ut.h"
 
-/* Tiers that are told apart; higher numbers count as the last one.  */
-#define GQ_TIERS 5
+/* Tiers of routes and of teams that are told apart; higher numbers count as
+   the last one.  */
+#define GQ_ROUTE_TIERS 4
+#define GQ_TEAM_TIERS 2
+/* Places in the order in which requests go: 0 goes first.  */
+#define GQ_RANKS (GQ_TEAM_TIERS * GQ_ROUTE_TIERS)
 #define GQ_TRIED_MAX 4
 
 typedef struct
 {
-  uint32_t tier;         /* 0 is the most urgent */
+  uint32_t rank; /* see gq_rank */
+  uint32_t tier; /* of the route; 0 is the most urgent */
   bool engine;           /* the service is a model engine */
   bool urgent_elsewhere; /* other VMs have more urgent requests waiting */
   uint32_t prompt_tokens;
@@ -44,8 +49,8 @@
 {
   uint32_t slots;                  /* of all usable upstreams */
   uint32_t running;                /* on them, from all VMs */
-  uint32_t waiting[GQ_TIERS];      /* on this VM */
-  uint32_t peer_waiting[GQ_TIERS]; /* on the others */
+  uint32_t waiting[GQ_RANKS];      /* on this VM */
+  uint32_t peer_waiting[GQ_RANKS]; /* on the others */
   double service_us;               /* mean time of a request in a slot */
 } gq_backlog;
 
@@ -71,6 +76,8 @@
                   uint64_t now_us, uint32_t random);
   gq_verdict gq_admit (const gq_backlog *backlog, const gq_demand *demand,
                        uint64_t now_us, gq_decision *out);
+  uint32_t gq_rank (bool has_team_tier, uint32_t team_tier,
+                    uint32_t route_tier);
   bool gq_usable (const ut_upstream *up, st_str service);
 
 #ifdef __cplusplus
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -5,14 +5,12 @@
 #include <inttypes.h>
 #include <string.h>
 
-/* Sendings of one request, those included that ran nothing.  */
-#define _GW_SENDS_MAX 4
 /* With less time left another sending is of no use.  */
 #define _GW_SEND_MIN_US 20000
 /* An upstream that said it is full, or that is another one than expected, is
    left out for this long.  */
 #define _GW_FULL_PAUSE_US 100000
-#define _GW_OTHER_PAUSE_US 1500000
+#define _GW_OTHER_PAUSE_US 5000000
 /* Longest whole answer.  */
 #define _GW_ANSWER_MAX_BYTES (8 * 1024 * 1024)
 #define _GW_SERVICE_WEIGHT 0.05
@@ -33,6 +31,16 @@
                      .vms = _gw_live_vms (gw) };
 }
 
+/* Takes one repeat of R from the budget that the VMs share.  */
+bool
+_gw_take_repeat (_gw_request *r)
+{
+  bu_terms terms = _gw_terms (r->gw);
+  return bu_take_repeat (
+      &_gw_find_service (r->gw, st_name_str (&r->service))->repeats, &terms,
+      r->gw->now_us);
+}
+
 static void _gw_on_exchange (void *user, const uc_event *event);
 
 /* Appends the fields that differ for each sending, and the body.  */
@@ -100,7 +108,7 @@
   if (r->exchange == NULL)
     {
       _gw_end_exchange (r, UT_UNREACHABLE);
-      _gw_retry (r, false, "no_connection");
+      _gw_retry (r, false, false, "no_connection");
     }
 }
 
@@ -118,14 +126,15 @@
 /* A sending of R came to nothing: sends it again where that is allowed, else
    ends it.  */
 void
-_gw_retry (_gw_request *r, bool may_have_run, const char *reason)
+_gw_retry (_gw_request *r, bool arrived, bool may_have_run,
+           const char *reason)
 {
   gw_task *gw = r->gw;
-  bu_terms terms = _gw_terms (gw);
-  _gw_service *service = _gw_find_service (gw, st_name_str (&r->service));
   const char *denied = NULL;
   if (may_have_run)
     r->runs++;
+  if (arrived)
+    r->arrivals++;
   if (r->demand.tried_count < GQ_TRIED_MAX)
     r->demand.tried[r->demand.tried_count++] = r->upstream;
   if (r->runs > 0 && (!r->repeatable || r->runs >= r->route->attempts))
@@ -134,7 +143,7 @@
     denied = "sends_used_up";
   else if (gw->now_us + _GW_SEND_MIN_US >= r->end_us)
     denied = "no_time_left";
-  else if (!bu_take_repeat (&service->repeats, &terms, gw->now_us))
+  else if (r->arrivals > 0 && !_gw_take_repeat (r))
     denied = "repeat_budget_used_up";
   LO_EVENT ("retry", st_name_str (&r->id), LO_CSTR ("reason", reason),
             LO_STR ("upstream", st_name_str (&r->upstream_id)),
@@ -216,7 +225,8 @@
     uc_forget (gw->pool, st_name_str (&r->upstream_id));
   ut_avoid (gw->upstreams, r->upstream, gw->now_us + pause);
   _gw_end_exchange (r, UT_REFUSED);
-  _gw_retry (r, false, r->status == 421 ? "other_instance" : "upstream_full");
+  _gw_retry (r, true, false,
+             r->status == 421 ? "other_instance" : "upstream_full");
 }
 
 /* An error that the upstream gave, or a success that cannot be trusted.  */
@@ -231,7 +241,7 @@
   bool promises = r->status == 429 || r->status == 503 || r->status == 408
                   || r->status == 421;
   if (again)
-    _gw_retry (r, true, "upstream_error");
+    _gw_retry (r, true, true, "upstream_error");
   else if (!trusted || promises)
     {
       r->runs++;
@@ -283,7 +293,7 @@
           uc_exchange *x = r->exchange;
           _gw_end_exchange (r, UT_FAILED);
           uc_cancel (x);
-          _gw_retry (r, true, "answer_too_large");
+          _gw_retry (r, true, true, "answer_too_large");
         }
       else
         g_string_append_len (r->answer, event->bytes.ptr,
@@ -297,7 +307,7 @@
       return;
     case UC_FAILED:
       _gw_end_exchange (r, event->sent ? UT_FAILED : UT_UNREACHABLE);
-      _gw_retry (r, event->sent, event->reason);
+      _gw_retry (r, event->sent, event->sent, event->reason);
       return;
     }
 }
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -18,6 +18,8 @@
 #include <event2/listener.h>
 
 #define _GW_ID_MAX ST_NAME_MAX
+/* Sendings of one request, those included that ran nothing.  */
+#define _GW_SENDS_MAX 4
 
 typedef enum
 {
@@ -54,6 +56,7 @@
   uint64_t first_us; /* first event or head of the answer */
   uint32_t sends;
   uint32_t runs; /* sendings that may have run */
+  uint32_t arrivals; /* sendings that may have reached an upstream */
   bool counted;  /* in the budget of repeats */
   ut_id upstream;
   st_name upstream_id;
@@ -93,9 +96,9 @@
 
 typedef struct
 {
-  _gw_request *first[GQ_TIERS];
-  _gw_request *last[GQ_TIERS];
-  uint32_t count[GQ_TIERS];
+  _gw_request *first[GQ_RANKS];
+  _gw_request *last[GQ_RANKS];
+  uint32_t count[GQ_RANKS];
 } _gw_queue;
 
 typedef struct
@@ -121,7 +124,7 @@
   uint64_t heard_us;
   bool ready;
   uint64_t config_version;
-  uint32_t waiting[GQ_TIERS];
+  uint32_t waiting[GQ_RANKS];
 } _gw_peer;
 
 struct gw_task
@@ -195,7 +198,9 @@
 /* Dispatch: gw_dispatch.c.  */
 void _gw_dispatch (_gw_request *r, ut_id to);
 void _gw_end_exchange (_gw_request *r, ut_outcome outcome);
-void _gw_retry (_gw_request *r, bool may_have_run, const char *reason);
+bool _gw_take_repeat (_gw_request *r);
+void _gw_retry (_gw_request *r, bool arrived, bool may_have_run,
+                const char *reason);
 
 /* Relay: gw_relay.c.  */
 void _gw_relay (_gw_request *r, st_str bytes);
@@ -206,6 +211,6 @@
 void _gw_load_changed (gw_task *gw);
 void _gw_expire_peers (gw_task *gw);
 uint32_t _gw_live_vms (const gw_task *gw);
-void _gw_peer_waiting (gw_task *gw, uint32_t waiting[GQ_TIERS]);
+void _gw_peer_waiting (gw_task *gw, uint32_t waiting[GQ_RANKS]);
 
 #endif
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -71,8 +71,8 @@
   for (guint i = 0; i < gw->services->len; i++)
     {
       const _gw_service *service = gw->services->pdata[i];
-      for (uint32_t tier = 0; tier < GQ_TIERS && tier < MS_TIERS; tier++)
-        m.u.load.waiting[tier] += service->queue.count[tier];
+      for (uint32_t rank = 0; rank < GQ_RANKS && rank < MS_LOAD_RANKS; rank++)
+        m.u.load.waiting[rank] += service->queue.count[rank];
     }
   while (mb_query_member (pe_query_members (gw->peers), &cursor, &record))
     if (record.state != MB_DEAD && !st_equal (record.name, gw->desc.vm_name))
@@ -130,8 +130,8 @@
   p->heard_us = gw->now_us;
   p->ready = load->ready;
   p->config_version = load->config_version;
-  for (uint32_t tier = 0; tier < GQ_TIERS && tier < MS_TIERS; tier++)
-    p->waiting[tier] = load->waiting[tier];
+  for (uint32_t rank = 0; rank < GQ_RANKS && rank < MS_LOAD_RANKS; rank++)
+    p->waiting[rank] = load->waiting[rank];
   size_t count = load->row_count < MS_LOAD_ROWS_MAX ? load->row_count
                                                     : MS_LOAD_ROWS_MAX;
   for (size_t i = 0; i < count; i++)
@@ -279,14 +279,14 @@
 
 /* Requests that wait at the other VMs, by tier.  */
 void
-_gw_peer_waiting (gw_task *gw, uint32_t waiting[GQ_TIERS])
+_gw_peer_waiting (gw_task *gw, uint32_t waiting[GQ_RANKS])
 {
-  memset (waiting, 0, GQ_TIERS * sizeof *waiting);
+  memset (waiting, 0, GQ_RANKS * sizeof *waiting);
   for (int i = 0; i < UT_PEERS_MAX; i++)
     if (gw->peer[i].key != 0
         && gw->now_us - gw->peer[i].heard_us < _GW_WAITING_FRESH_US)
-      for (uint32_t tier = 0; tier < GQ_TIERS; tier++)
-        waiting[tier] += gw->peer[i].waiting[tier];
+      for (uint32_t rank = 0; rank < GQ_RANKS; rank++)
+        waiting[rank] += gw->peer[i].waiting[rank];
 }
 
 /* Tells the next VM after CURSOR, which starts at 0; this VM is not among
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -2,19 +2,14 @@
    one goes next.  The decisions are those of gq.h.  */
 #include "gw_internal.h"
 
-/* A stream that was cut off goes on as long as its caller waits, but not
-   longer than this: callers abandon a stream after a pause.  */
-#define _GW_RESUME_WAIT_US 1500000
+/* Callers abandon a stream after a pause of at least this; a part of it is
+   left for the next event to be made.  */
+#define _GW_PAUSE_MIN_US 2000000
+#define _GW_PAUSE_PART 0.75
 /* Mean time in a slot before any was measured.  */
 #define _GW_ENGINE_SERVICE_US 600000.0
 #define _GW_PLAIN_SERVICE_US 40000.0
 
-static uint32_t
-_gw_tier (const _gw_request *r)
-{
-  return r->demand.tier < GQ_TIERS ? r->demand.tier : GQ_TIERS - 1;
-}
-
 static _gw_service *
 _gw_service_of (_gw_request *r)
 {
@@ -25,22 +20,22 @@
 _gw_enqueue (_gw_request *r, bool at_front)
 {
   _gw_queue *q = &_gw_service_of (r)->queue;
-  uint32_t tier = _gw_tier (r);
+  uint32_t rank = r->demand.rank;
   r->state = _GW_QUEUED;
   r->next = NULL;
-  if (q->first[tier] == NULL)
-    q->first[tier] = q->last[tier] = r;
+  if (q->first[rank] == NULL)
+    q->first[rank] = q->last[rank] = r;
   else if (at_front)
     {
-      r->next = q->first[tier];
-      q->first[tier] = r;
+      r->next = q->first[rank];
+      q->first[rank] = r;
     }
   else
     {
-      q->last[tier]->next = r;
-      q->last[tier] = r;
+      q->last[rank]->next = r;
+      q->last[rank] = r;
     }
-  q->count[tier]++;
+  q->count[rank]++;
   _gw_load_changed (r->gw);
 }
 
@@ -49,19 +44,19 @@
 _gw_dequeue (_gw_request *r)
 {
   _gw_queue *q = &_gw_service_of (r)->queue;
-  uint32_t tier = _gw_tier (r);
+  uint32_t rank = r->demand.rank;
   _gw_request *previous = NULL;
-  for (_gw_request *at = q->first[tier]; at != NULL; at = at->next)
+  for (_gw_request *at = q->first[rank]; at != NULL; at = at->next)
     {
       if (at == r)
         {
           if (previous != NULL)
             previous->next = r->next;
           else
-            q->first[tier] = r->next;
-          if (q->last[tier] == r)
-            q->last[tier] = previous;
-          q->count[tier]--;
+            q->first[rank] = r->next;
+          if (q->last[rank] == r)
+            q->last[rank] = previous;
+          q->count[rank]--;
           break;
         }
       previous = at;
@@ -71,9 +66,9 @@
 }
 
 static bool
-_gw_more_urgent_waits (const _gw_queue *q, uint32_t tier)
+_gw_more_urgent_waits (const _gw_queue *q, uint32_t rank)
 {
-  for (uint32_t i = 0; i <= tier; i++)
+  for (uint32_t i = 0; i <= rank; i++)
     if (q->count[i] > 0)
       return true;
   return false;
@@ -83,10 +78,10 @@
 _gw_place (_gw_request *r)
 {
   gw_task *gw = r->gw;
-  uint32_t waiting[GQ_TIERS];
+  uint32_t waiting[GQ_RANKS];
   _gw_peer_waiting (gw, waiting);
   r->demand.urgent_elsewhere = false;
-  for (uint32_t i = 0; i < _gw_tier (r); i++)
+  for (uint32_t i = 0; i < r->demand.rank; i++)
     r->demand.urgent_elsewhere |= waiting[i] > 0;
   return gq_place (gw->upstreams, st_name_str (&r->service), &r->demand,
                    gw->now_us, _gw_random (gw));
@@ -110,12 +105,25 @@
       backlog.slots += up->entry.slots > 0 ? up->entry.slots : 1;
       backlog.running += up->own_running + up->peer_running;
     }
-  for (uint32_t i = 0; i < GQ_TIERS; i++)
+  for (uint32_t i = 0; i < GQ_RANKS; i++)
     backlog.waiting[i] = service->queue.count[i];
   _gw_peer_waiting (gw, backlog.peer_waiting);
   return backlog;
 }
 
+/* How long the caller of a stream bears a pause: callers leave after the
+   longest of these.  */
+static uint64_t
+_gw_pause_us (const _gw_request *r)
+{
+  uint64_t pause = _GW_PAUSE_MIN_US;
+  uint64_t target = 4 * r->demand.target_us;
+  uint64_t gap = 8 * (uint64_t)r->route->gap_ms * CK_MS_US;
+  pause = target > pause ? target : pause;
+  pause = gap > pause ? gap : pause;
+  return (uint64_t)(_GW_PAUSE_PART * (double)pause);
+}
+
 /* Lets R wait, or refuses it.  */
 static void
 _gw_wait_or_refuse (_gw_request *r, bool at_front)
@@ -125,18 +133,18 @@
   gq_decision decision = { 0 };
   if (r->events > 0)
     {
-      r->give_up_us = gw->now_us + _GW_RESUME_WAIT_US;
+      r->give_up_us = gw->now_us + _gw_pause_us (r);
       _gw_enqueue (r, true);
       return;
     }
   gq_verdict verdict = gq_admit (&backlog, &r->demand, gw->now_us, &decision);
   LO_EVENT (verdict == GQ_WAIT ? "queue" : "refuse", st_name_str (&r->id),
-            LO_INT ("tier", r->demand.tier),
+            LO_INT ("rank", r->demand.rank),
             LO_INT ("expected_wait_ms", decision.expected_us / CK_MS_US),
             LO_INT ("slots", backlog.slots),
             LO_INT ("running", backlog.running),
-            LO_INT ("waiting_here", backlog.waiting[_gw_tier (r)]),
-            LO_INT ("waiting_elsewhere", backlog.peer_waiting[_gw_tier (r)]));
+            LO_INT ("waiting_here", backlog.waiting[r->demand.rank]),
+            LO_INT ("waiting_elsewhere", backlog.peer_waiting[r->demand.rank]));
   switch (verdict)
     {
     case GQ_WAIT:
@@ -149,6 +157,65 @@
     }
 }
 
+/* True when V, which runs, may make room for R: another run of it is allowed
+   and goes on where this one stops.  */
+static bool
+_gw_may_yield (const _gw_request *v, const _gw_request *r)
+{
+  return v->exchange != NULL && v->route->kind == RC_STREAM && v->repeatable
+         && v->demand.tier > r->demand.tier
+         && v->runs + 1 < v->route->attempts
+         && v->sends + 1 < _GW_SENDS_MAX
+         && st_equal (st_name_str (&v->service), st_name_str (&r->service));
+}
+
+/* Less urgent first; then the one that has made the least.  */
+static bool
+_gw_yields_before (const _gw_request *a, const _gw_request *b)
+{
+  if (a->demand.tier != b->demand.tier)
+    return a->demand.tier > b->demand.tier;
+  return a->events < b->events;
+}
+
+/* Stops a less urgent stream of this VM, which goes on later, and gives its
+   place to R.  False when there is none.  */
+static bool
+_gw_take_place (_gw_request *r)
+{
+  gw_task *gw = r->gw;
+  _gw_request *victim = NULL;
+  for (uint32_t i = 0; i < gw->used; i++)
+    {
+      _gw_request *v = &gw->requests[i];
+      if (v->state != _GW_FREE && _gw_may_yield (v, r)
+          && (victim == NULL || _gw_yields_before (v, victim)))
+        victim = v;
+    }
+  if (victim == NULL || !_gw_take_repeat (victim))
+    return false;
+  ut_id place = victim->upstream;
+  const ut_upstream *up = ut_query (gw->upstreams, place);
+  if (up == NULL || !gq_usable (up, st_name_str (&r->service)))
+    return false;
+  LO_EVENT ("preempt", st_name_str (&victim->id),
+            LO_STR ("for", st_name_str (&r->id)),
+            LO_STR ("upstream", st_name_str (&victim->upstream_id)),
+            LO_INT ("tier", victim->demand.tier),
+            LO_INT ("events", victim->events));
+  uc_exchange *x = victim->exchange;
+  _gw_end_exchange (victim, UT_ABANDONED);
+  uc_cancel (x);
+  victim->runs++;
+  victim->give_up_us
+      = (victim->last_event_us > 0 ? victim->last_event_us
+                                   : victim->demand.arrived_us)
+        + _gw_pause_us (victim);
+  _gw_enqueue (victim, true);
+  _gw_dispatch (r, place);
+  return true;
+}
+
 /* Takes a request that has been identified.  */
 void
 _gw_admit (_gw_request *r)
@@ -173,11 +240,11 @@
       return;
     }
   ut_id to = { 0, 0 };
-  if (!_gw_more_urgent_waits (&service->queue, _gw_tier (r)))
+  if (!_gw_more_urgent_waits (&service->queue, r->demand.rank))
     to = _gw_place (r);
   if (to.generation != 0)
     _gw_dispatch (r, to);
-  else
+  else if (!_gw_take_place (r))
     _gw_wait_or_refuse (r, false);
 }
 
@@ -199,10 +266,10 @@
 _gw_schedule (gw_task *gw, _gw_service *service)
 {
   _gw_now (gw);
-  for (uint32_t tier = 0; tier < GQ_TIERS; tier++)
-    while (service->queue.first[tier] != NULL)
+  for (uint32_t rank = 0; rank < GQ_RANKS; rank++)
+    while (service->queue.first[rank] != NULL)
       {
-        _gw_request *r = service->queue.first[tier];
+        _gw_request *r = service->queue.first[rank];
         ut_id to = _gw_place (r);
         if (to.generation == 0)
           return;
@@ -222,8 +289,8 @@
 static _gw_request *
 _gw_find_expired (const _gw_service *service, uint64_t now_us)
 {
-  for (uint32_t tier = 0; tier < GQ_TIERS; tier++)
-    for (_gw_request *r = service->queue.first[tier]; r != NULL; r = r->next)
+  for (uint32_t rank = 0; rank < GQ_RANKS; rank++)
+    for (_gw_request *r = service->queue.first[rank]; r != NULL; r = r->next)
       if (r->give_up_us <= now_us)
         return r;
   return NULL;
@@ -239,7 +306,7 @@
       _gw_service *service = gw->services->pdata[i];
       _gw_request *r;
       while ((r = _gw_find_expired (service, gw->now_us)) != NULL)
-        if (r->events > 0)
+        if (r->runs > 0)
           _gw_fail (r, 504, "no_upstream_to_resume");
         else
           {
--- a/packages/gateway/gw_relay.c
+++ b/packages/gateway/gw_relay.c
@@ -89,7 +89,7 @@
   _gw_end_exchange (r, UT_FAILED);
   if (x != NULL)
     uc_cancel (x);
-  _gw_retry (r, true, reason);
+  _gw_retry (r, true, true, reason);
 }
 
 /* Takes BYTES of a stream.  */
--- a/packages/wire/ms.c
+++ b/packages/wire/ms.c
@@ -678,12 +678,12 @@
 _ms_io_load (_ms_io *io, ms_load *m)
 {
   _ms_io saved;
-  if (!_ms_enter (io, "body", 4 + MS_TIERS, &saved))
+  if (!_ms_enter (io, "body", 4 + MS_LOAD_RANKS, &saved))
     return;
   _ms_u64 (io, "config_version", &m->config_version, UINT64_MAX);
   _ms_bool (io, "ready", &m->ready);
-  for (int tier = 0; tier < MS_TIERS; tier++)
-    _ms_u32 (io, "waiting", &m->waiting[tier], UINT32_MAX);
+  for (int rank = 0; rank < MS_LOAD_RANKS; rank++)
+    _ms_u32 (io, "waiting", &m->waiting[rank], UINT32_MAX);
   _MS_LIST (io, "rows", m->row_count, m->rows, MS_LOAD_ROWS_MAX,
             _ms_io_load_row);
   _MS_LIST (io, "teams", m->team_count, m->teams, MS_LOAD_ROWS_MAX,
--- a/packages/wire/ms.h
+++ b/packages/wire/ms.h
@@ -70,6 +70,7 @@
 #define MS_EVIDENCE_MAX 512
 #define MS_COUNTS_MAX 128
 #define MS_LOAD_ROWS_MAX 1024
+#define MS_LOAD_RANKS 8
 #define MS_TIERS 5
 #define MS_TOKENS_MAX (1u << 26)
 
@@ -354,7 +355,7 @@
 {
   uint64_t config_version; /* newest that the sender knows; 0: none */
   bool ready;
-  uint32_t waiting[MS_TIERS]; /* queued requests by tier */
+  uint32_t waiting[MS_LOAD_RANKS]; /* queued requests by rank */
   size_t row_count;
   const ms_load_row *rows;
   size_t team_count;
