--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -19,6 +19,11 @@
 static void
 _gw_enqueue (_gw_request *r, bool at_front)
 {
+  /* What has begun goes before new requests of the next tier up: its work is
+     lost if it does not go on.  */
+  if (r->events > 0 && !r->demand.begun && r->demand.rank > 0)
+    r->demand.rank--;
+  r->demand.begun = r->events > 0;
   _gw_queue *q = &_gw_service_of (r)->queue;
   uint32_t rank = r->demand.rank;
   r->state = _GW_QUEUED;
--- a/packages/gateway/gw_request.c
+++ b/packages/gateway/gw_request.c
@@ -93,13 +93,15 @@
       LO_INT ("status", status), LO_CSTR ("reason", reason),
       LO_STR ("route", r->route->name), LO_STR ("team", team),
       LO_INT ("tier", r->demand.tier),
-            LO_INT ("rank", r->demand.rank),
+      LO_INT ("rank", r->demand.rank),
       LO_STR ("upstream", st_name_str (&r->upstream_id)),
       LO_INT ("sends", r->sends), LO_INT ("runs", r->runs),
       LO_INT ("took_ms", took_us / CK_MS_US),
       LO_INT ("first_ms", r->first_us > 0
                               ? (r->first_us - r->demand.arrived_us) / CK_MS_US
                               : 0),
+      LO_INT ("prompt_tokens", r->demand.prompt_tokens),
+      LO_INT ("output_tokens", r->max_output_tokens),
       LO_INT ("events", r->events),
       LO_INT ("config", rc_query_version (r->config)));
   if (gw->desc.metrics == NULL)
