Treat a stream that its caller resumes as begun

Change: it takes the place of a stream that has begun and is not refused for overload before its caller would leave.

--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -16,14 +16,21 @@
   return _gw_find_service (r->gw, st_name_str (&r->service));
 }
 
+/* What has begun goes before new requests of the next tier up: its work is
+   lost if it does not go on.  R is not in a queue.  */
 static void
-_gw_enqueue (_gw_request *r, bool at_front)
+_gw_mark_begun (_gw_request *r)
 {
-  /* What has begun goes before new requests of the next tier up: its work is
-     lost if it does not go on.  */
-  if (r->events > 0 && !r->demand.begun && r->demand.rank > 0)
+  if (!r->demand.begun && r->demand.rank > 0)
     r->demand.rank--;
-  r->demand.begun = r->events > 0;
+  r->demand.begun = true;
+}
+
+static void
+_gw_enqueue (_gw_request *r, bool at_front)
+{
+  if (r->events > 0)
+    _gw_mark_begun (r);
   _gw_queue *q = &_gw_service_of (r)->queue;
   uint32_t rank = r->demand.rank;
   r->state = _GW_QUEUED;
@@ -136,7 +143,7 @@
   gw_task *gw = r->gw;
   gq_backlog backlog = _gw_backlog (r);
   gq_decision decision = { 0 };
-  if (r->events > 0)
+  if (r->demand.begun || r->events > 0)
     {
       r->give_up_us = gw->now_us + _gw_pause_us (r);
       _gw_enqueue (r, true);
@@ -245,6 +252,9 @@
       return;
     }
   ut_id to = { 0, 0 };
+  /* The caller goes on with a stream that another VM has lost.  */
+  if (r->has_last_event)
+    _gw_mark_begun (r);
   if (!_gw_more_urgent_waits (&service->queue, r->demand.rank))
     to = _gw_place (r);
   if (to.generation != 0)
