Report load within cells, follow the store by the first VMs of each

Ruled out: the engines (a third of the slots in use). Change: pc_ cells, speakers that exchange sums, followers of the store that pass on what they read; upstreams are found by hash.

--- a/packages/decide/bu.c
+++ b/packages/decide/bu.c
@@ -158,3 +158,12 @@
   p->admitted = admitted;
   p->at_us = now_us;
 }
+
+/* PEER has ended: what it may be using is no longer reserved.  */
+void
+bu_forget_peer (bu_allowance *a, uint64_t peer)
+{
+  for (int i = 0; i < BU_PEERS_MAX; i++)
+    if (a->peers[i].peer == peer)
+      a->peers[i] = (bu_peer){ 0 };
+}
--- a/packages/decide/bu.h
+++ b/packages/decide/bu.h
@@ -74,6 +74,7 @@
                           uint64_t *retry_after_us);
   void bu_report_allowance (bu_allowance *a, uint64_t peer, uint64_t admitted,
                             uint64_t now_us);
+  void bu_forget_peer (bu_allowance *a, uint64_t peer);
 
 #ifdef __cplusplus
 }
--- a/packages/decide/gq.c
+++ b/packages/decide/gq.c
@@ -65,8 +65,9 @@
     return slots;
   if (demand->tier == 0)
     return slots + _GQ_URGENT_EXTRA;
-  uint32_t reserved = (demand->tier >= 2 && !demand->begun ? _GQ_RESERVED_SLOTS : 0)
-                      + (demand->urgent_elsewhere ? 1 : 0);
+  uint32_t reserved
+      = (demand->tier >= 2 && !demand->begun ? _GQ_RESERVED_SLOTS : 0)
+        + (demand->urgent_elsewhere ? 1 : 0);
   return slots > reserved ? slots - reserved : 1;
 }
 
--- a/packages/decide/gq.h
+++ b/packages/decide/gq.h
@@ -32,10 +32,10 @@
 
 typedef struct
 {
-  uint32_t rank; /* see gq_rank */
-  uint32_t tier; /* of the route; 0 is the most urgent */
+  uint32_t rank;         /* see gq_rank */
+  uint32_t tier;         /* of the route; 0 is the most urgent */
   bool engine;           /* the service is a model engine */
-  bool begun; /* the caller has a part of the answer */
+  bool begun;            /* the caller has a part of the answer */
   bool urgent_elsewhere; /* other VMs have more urgent requests waiting */
   uint32_t prompt_tokens;
   uint64_t target_us; /* an answer after it is late */
--- /dev/null
+++ b/packages/decide/pc.h
@@ -0,0 +1,48 @@
+/* pc.h -- cells of VMs that tell each other their load.
+
+   A small deployment is one cell.  In a larger one the VMs of a data centre
+   are a cell, so that what a VM sends grows with its cell and not with the
+   fleet; large data centres are split.  Within a cell each VM reports to all.
+   The first VMs of a cell by name speak for it: they exchange sums with the
+   speakers of the other cells and pass them on to their own.
+
+     uint64_t cell = pc_cell_of (members, count, &self);
+     if (cell != 0 && pc_is_speaker (members, count, &self, PC_SPEAKERS))
+       tell the other cells
+
+   Pure; every VM works it out from its own view of the members.  Views that
+   differ for a while cost reports that are missing or sent twice, no more.  */
+#ifndef PC_H
+#define PC_H
+
+#include "st.h"
+
+/* Largest deployment that is one cell.  */
+#define PC_ONE_CELL_MAX 16
+/* Largest data centre that is one cell; above it cells of half to all of
+   PC_CELL_MAX VMs.  */
+#define PC_CELL_MAX 24
+#define PC_SPEAKERS 2
+
+typedef struct
+{
+  st_str name;
+  st_str data_center;
+} pc_member;
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  uint64_t pc_cell_of (const pc_member *members, uint32_t count,
+                       const pc_member *member);
+  int pc_compare_names (st_str a, st_str b);
+  bool pc_is_speaker (const pc_member *members, uint32_t count,
+                      const pc_member *member, uint32_t speakers);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/packages/decide/ut.c
+++ b/packages/decide/ut.c
@@ -26,11 +26,15 @@
   uint32_t generation; /* odd while in use */
 } _ut_slot;
 
+/* Twice the upstreams, so that probing ends soon; a power of two.  */
+#define _UT_INDEX_SIZE (2 * UT_UPSTREAMS_MAX)
+
 struct ut_table
 {
   ut_desc desc;
   _ut_slot *slots;
-  uint32_t used; /* slots ever used */
+  uint32_t used;   /* slots ever used */
+  uint32_t *index; /* by hash: slot number + 1, 0 for none */
   _ut_report reports[UT_PEERS_MAX];
 };
 
@@ -45,9 +49,10 @@
   if (t->desc.report_max_age_us == 0)
     t->desc.report_max_age_us = _UT_REPORT_MAX_AGE_US;
   t->slots = al_alloc (&desc->allocator, UT_UPSTREAMS_MAX * sizeof *t->slots);
-  if (t->slots == NULL)
+  t->index = al_alloc (&desc->allocator, _UT_INDEX_SIZE * sizeof *t->index);
+  if (t->slots == NULL || t->index == NULL)
     {
-      al_free (&desc->allocator, t);
+      ut_destroy (t);
       return NULL;
     }
   return t;
@@ -62,6 +67,7 @@
   for (size_t i = 0; i < UT_PEERS_MAX; i++)
     al_free (&t->desc.allocator, t->reports[i].rows);
   al_free (&t->desc.allocator, t->slots);
+  al_free (&t->desc.allocator, t->index);
   al_allocator al = t->desc.allocator;
   al_free (&al, t);
 }
@@ -82,11 +88,66 @@
   return st_hash (id, 0);
 }
 
-/* Sums the reports about the upstream at INDEX.  */
+/* Number of the slot whose upstream has HASH, or UT_UPSTREAMS_MAX.  */
+static uint32_t
+_ut_lookup (const ut_table *t, uint64_t hash)
+{
+  for (uint64_t i = hash;; i++)
+    {
+      uint32_t entry = t->index[i % _UT_INDEX_SIZE];
+      if (entry == 0)
+        return UT_UPSTREAMS_MAX;
+      if (t->slots[entry - 1].up.hash == hash
+          && t->slots[entry - 1].generation % 2 == 1)
+        return entry - 1;
+    }
+}
+
+/* Makes the index anew; upstreams come and go seldom.  */
 static void
-_ut_sum_reports (ut_table *t, uint32_t index)
+_ut_reindex (ut_table *t)
+{
+  memset (t->index, 0, _UT_INDEX_SIZE * sizeof *t->index);
+  for (uint32_t slot = 0; slot < t->used; slot++)
+    {
+      if (t->slots[slot].generation % 2 == 0)
+        continue;
+      uint64_t i = t->slots[slot].up.hash;
+      while (t->index[i % _UT_INDEX_SIZE] != 0)
+        i++;
+      t->index[i % _UT_INDEX_SIZE] = slot + 1;
+    }
+}
+
+/* Adds the rows of REPORT to what other VMs have at the upstreams, or takes
+   them off.  */
+static void
+_ut_apply_report (ut_table *t, const _ut_report *report, bool add)
+{
+  for (size_t i = 0; i < report->count; i++)
+    {
+      const ut_row *row = &report->rows[i];
+      uint32_t slot = _ut_lookup (t, row->upstream);
+      if (slot == UT_UPSTREAMS_MAX)
+        continue;
+      ut_upstream *up = &t->slots[slot].up;
+      if (add)
+        {
+          up->peer_running += row->running;
+          up->peer_unread_tokens += row->unread_tokens;
+        }
+      else
+        {
+          up->peer_running -= row->running;
+          up->peer_unread_tokens -= row->unread_tokens;
+        }
+    }
+}
+
+/* Sums the reports about a new upstream.  */
+static void
+_ut_sum_reports (const ut_table *t, ut_upstream *up)
 {
-  ut_upstream *up = &t->slots[index].up;
   up->peer_running = 0;
   up->peer_unread_tokens = 0;
   for (size_t p = 0; p < UT_PEERS_MAX; p++)
@@ -125,7 +186,8 @@
   slot->up = (ut_upstream){ .entry = *entry,
                             .hash = ut_hash (st_name_str (&entry->id)),
                             .decayed_at_us = now_us };
-  _ut_sum_reports (t, index);
+  _ut_sum_reports (t, &slot->up);
+  _ut_reindex (t);
   return (ut_id){ index, slot->generation };
 }
 
@@ -134,29 +196,31 @@
 ut_remove (ut_table *t, ut_id id)
 {
   _ut_slot *slot = _ut_at (t, id);
-  if (slot != NULL)
-    slot->generation++;
+  if (slot == NULL)
+    return;
+  slot->generation++;
+  _ut_reindex (t);
 }
 
-/* The upstream with the registry's ID; generation 0 when there is none.  */
+/* The upstream whose id has HASH; generation 0 when there is none.  */
 ut_id
-ut_find (const ut_table *t, st_str id)
+ut_find_hash (const ut_table *t, uint64_t hash)
 {
-  for (uint32_t i = 0; i < t->used; i++)
-    if (t->slots[i].generation % 2 == 1
-        && st_equal (st_name_str (&t->slots[i].up.entry.id), id))
-      return (ut_id){ i, t->slots[i].generation };
-  return (ut_id){ 0, 0 };
+  uint32_t slot = _ut_lookup (t, hash);
+  if (slot == UT_UPSTREAMS_MAX)
+    return (ut_id){ 0, 0 };
+  return (ut_id){ slot, t->slots[slot].generation };
 }
 
-/* The upstream whose id has HASH.  */
+/* The upstream with the registry's ID; generation 0 when there is none.  */
 ut_id
-ut_find_hash (const ut_table *t, uint64_t hash)
+ut_find (const ut_table *t, st_str id)
 {
-  for (uint32_t i = 0; i < t->used; i++)
-    if (t->slots[i].generation % 2 == 1 && t->slots[i].up.hash == hash)
-      return (ut_id){ i, t->slots[i].generation };
-  return (ut_id){ 0, 0 };
+  ut_id found = ut_find_hash (t, ut_hash (id));
+  const ut_upstream *up = ut_query (t, found);
+  if (up != NULL && !st_equal (st_name_str (&up->entry.id), id))
+    return (ut_id){ 0, 0 };
+  return found;
 }
 
 /* The upstream ID, or NULL when it has been removed.  */
@@ -294,14 +358,6 @@
     slot->up.avoid_until_us = until_us;
 }
 
-static void
-_ut_sum_all (ut_table *t)
-{
-  for (uint32_t i = 0; i < t->used; i++)
-    if (t->slots[i].generation % 2 == 1)
-      _ut_sum_reports (t, i);
-}
-
 /* Replaces what PEER (any number but 0) reported of its load.  Peers beyond
    UT_PEERS_MAX are ignored.  */
 void
@@ -317,6 +373,7 @@
       report = &t->reports[i];
   if (report == NULL)
     return;
+  _ut_apply_report (t, report, false);
   al_free (&t->desc.allocator, report->rows);
   *report = (_ut_report){ .peer = peer, .at_us = now_us };
   if (count > 0)
@@ -326,25 +383,22 @@
       memcpy (report->rows, rows, count * sizeof *rows);
       report->count = count;
     }
-  _ut_sum_all (t);
+  _ut_apply_report (t, report, true);
 }
 
 /* Forgets reports that are too old.  */
 void
 ut_expire_peers (ut_table *t, uint64_t now_us)
 {
-  bool changed = false;
   for (size_t i = 0; i < UT_PEERS_MAX; i++)
     {
       _ut_report *r = &t->reports[i];
       if (r->peer == 0 || now_us - r->at_us <= t->desc.report_max_age_us)
         continue;
+      _ut_apply_report (t, r, false);
       al_free (&t->desc.allocator, r->rows);
       *r = (_ut_report){ 0 };
-      changed = true;
     }
-  if (changed)
-    _ut_sum_all (t);
 }
 
 /* This VM's own load, at most MAX rows; returns their number.  */
--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -4,8 +4,9 @@
 #include <string.h>
 #include <sys/socket.h>
 
-/* How often queues and reports are looked through.  */
-#define _GW_TICK_US 20000
+/* How often reports are looked through; and queues, while requests wait.  */
+#define _GW_TICK_US 250000
+#define _GW_EXPIRY_US 20000
 /* Part of the slack that bursts may use; the rest is for reports that are
    under way between the VMs.  */
 #define _GW_SLACK_PART 0.5
@@ -67,11 +68,42 @@
   gw_task *gw = user;
   (void)fd;
   (void)what;
-  _gw_expire_queues (gw);
+  _gw_now (gw);
   _gw_expire_peers (gw);
   _gw_schedule_all (gw);
 }
 
+static bool
+_gw_some_wait (const gw_task *gw)
+{
+  for (guint i = 0; i < gw->services->len; i++)
+    for (uint32_t rank = 0; rank < GQ_RANKS; rank++)
+      if (((_gw_service *)gw->services->pdata[i])->queue.first[rank] != NULL)
+        return true;
+  return false;
+}
+
+static void
+_gw_on_expiry (evutil_socket_t fd, short what, void *user)
+{
+  gw_task *gw = user;
+  (void)fd;
+  (void)what;
+  _gw_schedule_all (gw);
+  _gw_expire_queues (gw);
+  if (_gw_some_wait (gw))
+    _gw_watch_queues (gw);
+}
+
+/* Looks through the queues soon.  */
+void
+_gw_watch_queues (gw_task *gw)
+{
+  struct timeval tv = { 0, _GW_EXPIRY_US };
+  if (!event_pending (gw->expiry, EV_TIMEOUT, NULL))
+    event_add (gw->expiry, &tv);
+}
+
 /* Makes the task and opens its listeners.  */
 gw_task *
 gw_make (const gw_desc *desc, er_error *err)
@@ -84,6 +116,8 @@
   gw->services = g_ptr_array_new_with_free_func (g_free);
   gw->teams = g_ptr_array_new_with_free_func (g_free);
   gw->conns = g_ptr_array_new ();
+  gw->cell.mates = g_ptr_array_new_with_free_func (g_free);
+  gw->cell.speakers = g_ptr_array_new_with_free_func (g_free);
   gw->requests = g_new0 (_gw_request, GW_REQUESTS_MAX);
   ut_desc table = { 0 };
   st_name_set (&table.data_center, desc->data_center);
@@ -100,6 +134,7 @@
       gw_destroy (gw);
       return NULL;
     }
+  gw->expiry = evtimer_new (desc->base, _gw_on_expiry, gw);
   gw->tick = event_new (desc->base, -1, EV_PERSIST, _gw_on_tick, gw);
   struct timeval tv = { 0, _GW_TICK_US };
   event_add (gw->tick, &tv);
@@ -116,8 +151,12 @@
     _gw_close_conn (gw->conns->pdata[gw->conns->len - 1]);
   if (gw->tick != NULL)
     event_free (gw->tick);
+  if (gw->expiry != NULL)
+    event_free (gw->expiry);
   if (gw->load_timer != NULL)
     event_free (gw->load_timer);
+  if (gw->cell_timer != NULL)
+    event_free (gw->cell_timer);
   if (gw->peers != NULL)
     pe_destroy (gw->peers);
   if (gw->listener != NULL)
@@ -128,6 +167,10 @@
   g_ptr_array_free (gw->services, TRUE);
   g_ptr_array_free (gw->teams, TRUE);
   g_ptr_array_free (gw->conns, TRUE);
+  g_ptr_array_free (gw->cell.mates, TRUE);
+  g_ptr_array_free (gw->cell.speakers, TRUE);
+  for (int i = 0; i < UT_PEERS_MAX; i++)
+    g_free (gw->peer[i].rows);
   g_free (gw->requests);
   g_free (gw);
 }
@@ -148,11 +191,9 @@
   const rc_team *team;
   for (uint32_t i = 0; (team = rc_query_team (config, i)) != NULL; i++)
     {
-      double slack
-          = team->by_tokens ? gw->desc.bounds.allowance_slack : 0;
-      bu_set_allowance (&_gw_find_team (gw, team->name)->allowance,
-                        team->rate, team->burst + _GW_SLACK_PART * slack,
-                        gw->now_us);
+      double slack = team->by_tokens ? gw->desc.bounds.allowance_slack : 0;
+      bu_set_allowance (&_gw_find_team (gw, team->name)->allowance, team->rate,
+                        team->burst + _GW_SLACK_PART * slack, gw->now_us);
     }
   _gw_load_changed (gw);
 }
--- a/packages/gateway/gw.h
+++ b/packages/gateway/gw.h
@@ -61,6 +61,12 @@
   double allowance_slack;
 } gw_bounds;
 
+typedef struct
+{
+  bool follows;
+  uint64_t revision;
+} gw_following;
+
 typedef struct
 {
   struct event_base *base;
@@ -74,11 +80,13 @@
   const gw_names *names;
   gw_bounds bounds;
   uint64_t seed;
-  /* The configuration document that this VM holds, for peers that lag; the
-     adapter's own format.  */
-  st_str (*query_document) (void *user, uint64_t *version);
-  /* A document that a peer holds, newer than this VM's.  */
+  /* What the adapter shares with its kind on other VMs, in its own format;
+     see gw_share.  */
+  st_str (*query_document) (void *user, uint64_t since);
   void (*on_document) (void *user, st_str document);
+  /* Whether this VM follows the store, and up to which revision it knows it;
+     told to the cell.  */
+  gw_following (*query_following) (void *user);
   void *user;
 } gw_desc;
 
@@ -123,6 +131,11 @@
   void gw_put_upstream (gw_task *gw, const ut_entry *entry);
   void gw_remove_upstream (gw_task *gw, st_str id, const char *reason);
   void gw_set_vms (gw_task *gw, const gw_listed *vms, uint32_t count);
+  void gw_share (gw_task *gw, st_str document);
+  uint32_t gw_query_followers (const gw_task *gw, uint32_t *first,
+                               uint64_t *newest);
+  uint32_t gw_query_vm_count (const gw_task *gw);
+  void gw_ask_document (gw_task *gw);
   void gw_leave (gw_task *gw);
   void gw_close_callers (gw_task *gw);
   bool gw_query_ready (const gw_task *gw);
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -126,8 +126,7 @@
 /* A sending of R came to nothing: sends it again where that is allowed, else
    ends it.  */
 void
-_gw_retry (_gw_request *r, bool arrived, bool may_have_run,
-           const char *reason)
+_gw_retry (_gw_request *r, bool arrived, bool may_have_run, const char *reason)
 {
   gw_task *gw = r->gw;
   const char *denied = NULL;
--- a/packages/gateway/gw_identify.c
+++ b/packages/gateway/gw_identify.c
@@ -149,9 +149,9 @@
   r->demand.prompt_tokens = (uint32_t)prompt;
   r->max_output_tokens = (uint32_t)output;
   r->demand.tier = r->route->tier;
-  r->demand.rank = gq_rank (r->team != NULL && r->team->has_tier,
-                            r->team != NULL ? r->team->tier : 0,
-                            r->route->tier);
+  r->demand.rank
+      = gq_rank (r->team != NULL && r->team->has_tier,
+                 r->team != NULL ? r->team->tier : 0, r->route->tier);
   if (resume_after.len > 0 && st_parse_u64 (resume_after, &event))
     {
       r->has_last_event = true;
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -20,6 +20,8 @@
 #define _GW_ID_MAX ST_NAME_MAX
 /* Sendings of one request, those included that ran nothing.  */
 #define _GW_SENDS_MAX 4
+/* Teams whose use is told to the other VMs.  */
+#define _GW_TEAMS_MAX 64
 
 typedef enum
 {
@@ -55,9 +57,9 @@
   uint64_t sent_us;
   uint64_t first_us; /* first event or head of the answer */
   uint32_t sends;
-  uint32_t runs; /* sendings that may have run */
+  uint32_t runs;     /* sendings that may have run */
   uint32_t arrivals; /* sendings that may have reached an upstream */
-  bool counted;  /* in the budget of repeats */
+  bool counted;      /* in the budget of repeats */
   ut_id upstream;
   st_name upstream_id;
   uint32_t unread_tokens; /* reported for the upstream */
@@ -118,15 +120,34 @@
 
 typedef struct
 {
-  uint64_t key; /* hash of the incarnation; 0: free */
+  uint64_t key; /* hash of the incarnation, or a cell; 0: free */
+  ms_load_scope scope;
   st_name name;
   char incarnation[MS_INCARNATION_MAX + 1];
   uint64_t heard_us;
   bool ready;
   uint64_t config_version;
-  uint32_t waiting[GQ_RANKS];
+  bool follows;
+  uint64_t store_revision;
+  uint32_t waiting[MS_LOAD_RANKS];
+  ut_row *rows; /* of MS_LOAD_VM, for the sum of the cell */
+  size_t row_count;
+  ms_load_team teams[_GW_TEAMS_MAX];
+  size_t team_count;
 } _gw_peer;
 
+/* Whom this VM tells what: worked out from the members now and then.  */
+typedef struct
+{
+  bool several; /* cells */
+  bool speaker;
+  uint64_t cell;
+  GPtrArray *mates;    /* incarnations; owned */
+  GPtrArray *speakers; /* of other cells */
+  uint32_t vm_count;
+  uint64_t built_us;
+} _gw_cell;
+
 struct gw_task
 {
   gw_desc desc;
@@ -137,7 +158,8 @@
   uc_pool *pool;
   pe_task *peers;
   char incarnation[MS_INCARNATION_MAX + 1];
-  _gw_peer peer[UT_PEERS_MAX];
+  _gw_peer peer[UT_PEERS_MAX]; /* mates, other cells, the rest */
+  _gw_cell cell;
   GPtrArray *services; /* of _gw_service */
   GPtrArray *teams;    /* of _gw_team */
   GPtrArray *conns;
@@ -151,14 +173,17 @@
   struct event *tick;
   struct event *load_timer;
   uint64_t load_sent_us;
+  struct event *cell_timer;
   bool load_dirty;
   uint64_t document_asked_us;
+  struct event *expiry; /* while requests wait */
   uint32_t random;
   uint64_t now_us;
 };
 
 uint64_t _gw_now (gw_task *gw);
 uint32_t _gw_random (gw_task *gw);
+void _gw_watch_queues (gw_task *gw);
 _gw_service *_gw_find_service (gw_task *gw, st_str name);
 _gw_team *_gw_find_team (gw_task *gw, st_str name);
 bool _gw_is_named (const st_str *names, size_t count, st_str name);
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -1,5 +1,6 @@
 /* The other VMs: load that they report, and which of them take callers.  */
 #include "gw_internal.h"
+#include "pc.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -12,11 +13,22 @@
 /* Queues of a VM count for this long after its report.  */
 #define _GW_WAITING_FRESH_US 600000
 #define _GW_ASK_EVERY_US 300000
+/* Mates up to which reports go out as often as they may.  */
+#define _GW_LOAD_MATES 6
+/* Sums between cells are exchanged, and cells worked out, this often.  */
+#define _GW_CELL_US 200000
+#define _GW_CELL_BUILD_US 400000
+/* Without a report for this long a mate no longer counts as a follower of the
+   store: two reports are missing.  */
+#define _GW_FOLLOWER_SILENT_US 1000000
+#define _GW_MEMBERS_MAX 2048
+/* Stands for all other cells among the peers; no hash of a name is even
+   there.  */
+#define _GW_REST_KEY 2
 
 static _gw_peer *
-_gw_find_peer (gw_task *gw, st_str incarnation)
+_gw_find_peer (gw_task *gw, uint64_t key)
 {
-  uint64_t key = ut_hash (incarnation);
   for (int i = 0; i < UT_PEERS_MAX; i++)
     if (gw->peer[i].key == key)
       return &gw->peer[i];
@@ -24,63 +36,233 @@
 }
 
 static _gw_peer *
-_gw_add_peer (gw_task *gw, const pe_sender *sender)
+_gw_add_peer (gw_task *gw, uint64_t key, const pe_sender *sender)
 {
-  _gw_peer *p = _gw_find_peer (gw, sender->incarnation);
-  for (int i = 0; i < UT_PEERS_MAX && p == NULL; i++)
-    if (gw->peer[i].key == 0)
-      p = &gw->peer[i];
+  _gw_peer *p = _gw_find_peer (gw, key);
   if (p == NULL)
-    return NULL;
-  if (p->key == 0)
-    {
-      p->key = ut_hash (sender->incarnation);
-      st_name_set (&p->name, sender->name);
-      st_copy (p->incarnation, sizeof p->incarnation, sender->incarnation);
-      LO_EVENT ("peer_heard", ST_LIT (""), LO_STR ("peer", sender->name));
-    }
+    p = _gw_find_peer (gw, 0);
+  if (p == NULL || p->key != 0)
+    return p;
+  p->key = key;
+  st_name_set (&p->name, sender->name);
+  st_copy (p->incarnation, sizeof p->incarnation, sender->incarnation);
+  LO_EVENT ("peer_heard", ST_LIT (""), LO_STR ("peer", sender->name),
+            LO_BOOL ("cell", key != ut_hash (sender->incarnation)));
   return p;
 }
 
-/* Sends this VM's load to all that are alive.  */
 static void
-_gw_send_load (gw_task *gw)
+_gw_forget_peer (gw_task *gw, _gw_peer *p)
 {
-  static ut_row rows[UT_UPSTREAMS_MAX];
-  static ms_load_row wire_rows[MS_LOAD_ROWS_MAX];
-  ms_load_team teams[64];
-  ms_message m = { .type = MS_LOAD };
+  ut_set_peer (gw->upstreams, p->key, NULL, 0, gw->now_us);
+  for (guint i = 0; i < gw->teams->len; i++)
+    bu_forget_peer (&((_gw_team *)gw->teams->pdata[i])->allowance, p->key);
+  g_free (p->rows);
+  *p = (_gw_peer){ 0 };
+}
+
+/* ---- who is told ---- */
+
+static void
+_gw_sort_member (gw_task *gw, const mb_record *record, const pc_member *all,
+                 uint32_t count)
+{
+  _gw_cell *c = &gw->cell;
+  pc_member member = { record->name, record->data_center };
+  uint64_t cell = pc_cell_of (all, count, &member);
+  char *incarnation
+      = g_strndup (record->incarnation.ptr, record->incarnation.len);
+  if (cell == c->cell)
+    g_ptr_array_add (c->mates, incarnation);
+  else if (pc_is_speaker (all, count, &member, PC_SPEAKERS))
+    g_ptr_array_add (c->speakers, incarnation);
+  else
+    g_free (incarnation);
+}
+
+/* Works out the cell from the members.  */
+static void
+_gw_build_cell (gw_task *gw)
+{
+  static pc_member all[_GW_MEMBERS_MAX];
+  static mb_record records[_GW_MEMBERS_MAX];
+  _gw_cell *c = &gw->cell;
+  uint32_t count = 0;
   uint32_t cursor = 0;
   mb_record record;
-  size_t count = ut_query_rows (gw->upstreams, rows, MS_LOAD_ROWS_MAX);
+  pc_member self = { gw->desc.vm_name, gw->desc.data_center };
+  g_ptr_array_set_size (c->mates, 0);
+  g_ptr_array_set_size (c->speakers, 0);
+  all[count++] = self;
+  while (count < _GW_MEMBERS_MAX
+         && mb_query_member (pe_query_members (gw->peers), &cursor, &record))
+    if (record.state != MB_DEAD && !st_equal (record.name, self.name))
+      {
+        records[count] = record;
+        all[count++] = (pc_member){ record.name, record.data_center };
+      }
+  c->vm_count = count;
+  c->cell = pc_cell_of (all, count, &self);
+  c->several = c->cell != 0;
+  c->speaker = c->several && pc_is_speaker (all, count, &self, PC_SPEAKERS);
+  for (uint32_t i = 1; i < count; i++)
+    if (records[i].incarnation.len > 0)
+      _gw_sort_member (gw, &records[i], all, count);
+  c->built_us = gw->now_us;
+}
+
+static void
+_gw_tell (gw_task *gw, const GPtrArray *incarnations, const ms_message *m)
+{
+  for (guint i = 0; i < incarnations->len; i++)
+    pe_send (gw->peers, st_from_cstr (incarnations->pdata[i]), m);
+}
+
+/* ---- what is told ---- */
+
+/* Adds COUNT rows to SUM, which maps an upstream's hash to its row.  */
+static void
+_gw_add_rows (GHashTable *sum, const ut_row *rows, size_t count)
+{
   for (size_t i = 0; i < count; i++)
-    wire_rows[i] = (ms_load_row){ rows[i].upstream, rows[i].running,
-                                  rows[i].unread_tokens };
-  m.u.load.config_version = gw_query_config_version (gw);
-  m.u.load.ready = gw_query_ready (gw);
-  m.u.load.row_count = count;
-  m.u.load.rows = wire_rows;
-  for (guint i = 0; i < gw->teams->len && m.u.load.team_count < 64; i++)
+    {
+      ms_load_row *row = g_hash_table_lookup (sum, &rows[i].upstream);
+      if (row == NULL)
+        {
+          row = g_new0 (ms_load_row, 1);
+          row->upstream = rows[i].upstream;
+          g_hash_table_insert (sum, &row->upstream, row);
+        }
+      row->running += rows[i].running;
+      row->unread_tokens += rows[i].unread_tokens;
+    }
+}
+
+static void
+_gw_add_teams (ms_load *load, ms_load_team *teams, const ms_load_team *more,
+               size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      size_t at = 0;
+      while (at < load->team_count && teams[at].team != more[i].team)
+        at++;
+      if (at == _GW_TEAMS_MAX)
+        return;
+      if (at == load->team_count)
+        teams[load->team_count++] = (ms_load_team){ more[i].team, 0 };
+      teams[at].admitted += more[i].admitted;
+    }
+}
+
+static size_t
+_gw_own_teams (const gw_task *gw, ms_load_team teams[_GW_TEAMS_MAX])
+{
+  size_t count = 0;
+  for (guint i = 0; i < gw->teams->len && count < _GW_TEAMS_MAX; i++)
     {
       const _gw_team *team = gw->teams->pdata[i];
       if (team->allowance.admitted > 0)
-        teams[m.u.load.team_count++]
+        teams[count++]
             = (ms_load_team){ team->hash, team->allowance.admitted };
     }
-  m.u.load.teams = teams;
+  return count;
+}
+
+static void
+_gw_own_waiting (const gw_task *gw, uint32_t waiting[MS_LOAD_RANKS])
+{
   for (guint i = 0; i < gw->services->len; i++)
     {
       const _gw_service *service = gw->services->pdata[i];
       for (uint32_t rank = 0; rank < GQ_RANKS && rank < MS_LOAD_RANKS; rank++)
-        m.u.load.waiting[rank] += service->queue.count[rank];
+        waiting[rank] += service->queue.count[rank];
     }
-  while (mb_query_member (pe_query_members (gw->peers), &cursor, &record))
-    if (record.state != MB_DEAD && !st_equal (record.name, gw->desc.vm_name))
-      pe_send (gw->peers, record.incarnation, &m);
+}
+
+static ms_message
+_gw_load_message (gw_task *gw, ms_load_scope scope)
+{
+  ms_message m = { .type = MS_LOAD };
+  gw_following following = { 0 };
+  if (gw->desc.query_following != NULL)
+    following = gw->desc.query_following (gw->desc.user);
+  m.u.load.scope = scope;
+  m.u.load.cell = gw->cell.cell;
+  m.u.load.follows = following.follows;
+  m.u.load.store_revision = following.revision;
+  m.u.load.config_version = gw_query_config_version (gw);
+  m.u.load.ready = gw_query_ready (gw);
+  return m;
+}
+
+/* Tells the cell this VM's load.  */
+static void
+_gw_send_load (gw_task *gw)
+{
+  static ut_row rows[MS_LOAD_ROWS_MAX];
+  static ms_load_row wire_rows[MS_LOAD_ROWS_MAX];
+  ms_load_team teams[_GW_TEAMS_MAX];
+  ms_message m = _gw_load_message (gw, MS_LOAD_VM);
+  size_t count = ut_query_rows (gw->upstreams, rows, MS_LOAD_ROWS_MAX);
+  for (size_t i = 0; i < count; i++)
+    wire_rows[i] = (ms_load_row){ rows[i].upstream, rows[i].running,
+                                  rows[i].unread_tokens };
+  m.u.load.row_count = count;
+  m.u.load.rows = wire_rows;
+  m.u.load.team_count = _gw_own_teams (gw, teams);
+  m.u.load.teams = teams;
+  _gw_own_waiting (gw, m.u.load.waiting);
+  _gw_tell (gw, gw->cell.mates, &m);
   gw->load_dirty = false;
   gw->load_sent_us = gw->now_us;
 }
 
+/* Sends the sum of the peers for which WANTED is the scope: the cell's to the
+   other cells, the other cells' to the mates.  */
+static void
+_gw_send_sum (gw_task *gw, ms_load_scope scope)
+{
+  static ut_row own[MS_LOAD_ROWS_MAX];
+  static ms_load_row rows[MS_LOAD_ROWS_MAX];
+  ms_load_team teams[_GW_TEAMS_MAX];
+  ms_load_team own_teams[_GW_TEAMS_MAX];
+  ms_message m = _gw_load_message (gw, scope);
+  ms_load *load = &m.u.load;
+  GHashTable *sum
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  GHashTableIter iter;
+  gpointer value;
+  if (scope == MS_LOAD_CELL)
+    {
+      _gw_add_rows (sum, own,
+                    ut_query_rows (gw->upstreams, own, MS_LOAD_ROWS_MAX));
+      _gw_add_teams (load, teams, own_teams, _gw_own_teams (gw, own_teams));
+      _gw_own_waiting (gw, load->waiting);
+    }
+  for (int i = 0; i < UT_PEERS_MAX; i++)
+    {
+      const _gw_peer *p = &gw->peer[i];
+      ms_load_scope of = scope == MS_LOAD_CELL ? MS_LOAD_VM : MS_LOAD_CELL;
+      if (p->key == 0 || p->scope != of
+          || gw->now_us - p->heard_us > _GW_PEER_SILENT_US)
+        continue;
+      _gw_add_rows (sum, p->rows, p->row_count);
+      _gw_add_teams (load, teams, p->teams, p->team_count);
+      for (uint32_t rank = 0; rank < GQ_RANKS; rank++)
+        load->waiting[rank] += p->waiting[rank];
+    }
+  g_hash_table_iter_init (&iter, sum);
+  while (load->row_count < MS_LOAD_ROWS_MAX
+         && g_hash_table_iter_next (&iter, NULL, &value))
+    rows[load->row_count++] = *(const ms_load_row *)value;
+  load->rows = rows;
+  load->teams = teams;
+  _gw_tell (gw, scope == MS_LOAD_CELL ? gw->cell.speakers : gw->cell.mates,
+            &m);
+  g_hash_table_destroy (sum);
+}
+
 static void
 _gw_on_load_timer (evutil_socket_t fd, short what, void *user)
 {
@@ -93,61 +275,110 @@
   event_add (gw->load_timer, &tv);
 }
 
-/* Tells the others soon that this VM's load has changed.  */
+static void
+_gw_on_cell_timer (evutil_socket_t fd, short what, void *user)
+{
+  gw_task *gw = user;
+  (void)fd;
+  (void)what;
+  _gw_now (gw);
+  if (gw->now_us - gw->cell.built_us > _GW_CELL_BUILD_US)
+    _gw_build_cell (gw);
+  if (gw->cell.speaker)
+    {
+      _gw_send_sum (gw, MS_LOAD_CELL);
+      _gw_send_sum (gw, MS_LOAD_REST);
+    }
+}
+
+/* Tells the cell soon that this VM's load has changed.  */
 void
 _gw_load_changed (gw_task *gw)
 {
   if (gw->peers == NULL || gw->load_dirty)
     return;
   gw->load_dirty = true;
+  /* What a VM sends does not grow with its cell beyond a few mates.  */
+  uint64_t pause = _GW_LOAD_MIN_US;
+  if (gw->cell.mates->len > _GW_LOAD_MATES)
+    pause = pause * gw->cell.mates->len / _GW_LOAD_MATES;
   uint64_t since = gw->now_us - gw->load_sent_us;
-  struct timeval tv = { 0, since >= _GW_LOAD_MIN_US
-                               ? 1000
-                               : (suseconds_t)(_GW_LOAD_MIN_US - since) };
+  struct timeval tv
+      = { 0, since >= pause ? 1000 : (suseconds_t)(pause - since) };
   event_add (gw->load_timer, &tv);
 }
 
-/* Asks SENDER for the configuration that it says is newer.  */
-static void
-_gw_ask_document (gw_task *gw, const pe_sender *sender)
-{
-  if (gw->document_asked_us != 0
-      && gw->now_us - gw->document_asked_us < _GW_ASK_EVERY_US)
-    return;
-  gw->document_asked_us = gw->now_us;
-  ms_message m = { .type = MS_SETTINGS_GET };
-  m.u.settings_get.since = gw_query_config_version (gw);
-  pe_send (gw->peers, sender->incarnation, &m);
-}
+/* ---- what is heard ---- */
 
 static void
-_gw_on_load (gw_task *gw, const pe_sender *sender, const ms_load *load)
+_gw_keep_load (gw_task *gw, _gw_peer *p, const ms_load *load)
 {
-  static ut_row rows[MS_LOAD_ROWS_MAX];
-  _gw_peer *p = _gw_add_peer (gw, sender);
-  if (p == NULL)
-    return;
   p->heard_us = gw->now_us;
+  p->scope = load->scope;
   p->ready = load->ready;
   p->config_version = load->config_version;
-  for (uint32_t rank = 0; rank < GQ_RANKS && rank < MS_LOAD_RANKS; rank++)
-    p->waiting[rank] = load->waiting[rank];
-  size_t count = load->row_count < MS_LOAD_ROWS_MAX ? load->row_count
-                                                    : MS_LOAD_ROWS_MAX;
-  for (size_t i = 0; i < count; i++)
-    rows[i] = (ut_row){ load->rows[i].upstream, load->rows[i].running,
-                        load->rows[i].unread_tokens };
-  ut_set_peer (gw->upstreams, p->key, rows, count, gw->now_us);
-  for (size_t i = 0; i < load->team_count; i++)
+  p->follows = load->follows;
+  p->store_revision = load->store_revision;
+  memcpy (p->waiting, load->waiting, sizeof p->waiting);
+  g_free (p->rows);
+  p->row_count = load->row_count;
+  p->rows = g_new (ut_row, load->row_count + 1);
+  for (size_t i = 0; i < load->row_count; i++)
+    p->rows[i] = (ut_row){ load->rows[i].upstream, load->rows[i].running,
+                           load->rows[i].unread_tokens };
+  p->team_count
+      = load->team_count < _GW_TEAMS_MAX ? load->team_count : _GW_TEAMS_MAX;
+  if (p->team_count > 0)
+    memcpy (p->teams, load->teams, p->team_count * sizeof *p->teams);
+}
+
+static void
+_gw_count_teams (gw_task *gw, const _gw_peer *p)
+{
+  for (size_t i = 0; i < p->team_count; i++)
     for (guint k = 0; k < gw->teams->len; k++)
       {
         _gw_team *team = gw->teams->pdata[k];
-        if (team->hash == load->teams[i].team)
-          bu_report_allowance (&team->allowance, p->key,
-                               load->teams[i].admitted, gw->now_us);
+        if (team->hash == p->teams[i].team)
+          bu_report_allowance (&team->allowance, p->key, p->teams[i].admitted,
+                               gw->now_us);
       }
-  if (load->config_version > gw_query_config_version (gw))
-    _gw_ask_document (gw, sender);
+}
+
+static void
+_gw_on_load (gw_task *gw, const pe_sender *sender, const ms_load *load)
+{
+  uint64_t key = 0;
+  switch (load->scope)
+    {
+    case MS_LOAD_VM:
+      key = ut_hash (sender->incarnation);
+      break;
+    case MS_LOAD_CELL:
+      /* The speaker passes the sum of the cells on; for itself it is the
+         rest as well.  */
+      key = load->cell;
+      break;
+    case MS_LOAD_REST:
+      key = _GW_REST_KEY;
+      break;
+    case MS_LOAD_SCOPES:
+      return;
+    }
+  /* A speaker knows the cells themselves, the others their sum.  */
+  if ((load->scope == MS_LOAD_REST && gw->cell.speaker)
+      || (load->scope == MS_LOAD_CELL
+          && (!gw->cell.speaker || load->cell == gw->cell.cell)))
+    return;
+  _gw_peer *p = key != 0 ? _gw_add_peer (gw, key, sender) : NULL;
+  if (p == NULL)
+    return;
+  _gw_keep_load (gw, p, load);
+  ut_set_peer (gw->upstreams, p->key, p->rows, p->row_count, gw->now_us);
+  _gw_count_teams (gw, p);
+  if (load->scope == MS_LOAD_VM
+      && load->config_version > gw_query_config_version (gw))
+    gw_ask_document (gw);
   _gw_schedule_all (gw);
 }
 
@@ -160,12 +391,11 @@
     _gw_on_load (gw, sender, &m->u.load);
   else if (m->type == MS_SETTINGS_GET && gw->desc.query_document != NULL)
     {
-      uint64_t version = 0;
       ms_message answer = { .type = MS_SETTINGS_VALUE };
-      answer.u.settings_value.hash = ST_LIT ("configuration");
+      answer.u.settings_value.hash = ST_LIT ("document");
       answer.u.settings_value.bytes
-          = gw->desc.query_document (gw->desc.user, &version);
-      if (version > m->u.settings_get.since)
+          = gw->desc.query_document (gw->desc.user, m->u.settings_get.since);
+      if (answer.u.settings_value.bytes.len > 0)
         pe_send (gw->peers, sender->incarnation, &answer);
     }
   else if (m->type == MS_SETTINGS_VALUE && gw->desc.on_document != NULL
@@ -173,16 +403,91 @@
     gw->desc.on_document (gw->desc.user, m->u.settings_value.bytes);
 }
 
+/* Sends DOCUMENT of the adapter to the cell.  */
+void
+gw_share (gw_task *gw, st_str document)
+{
+  ms_message m = { .type = MS_SETTINGS_VALUE };
+  m.u.settings_value.hash = ST_LIT ("document");
+  m.u.settings_value.bytes = document;
+  if (gw->peers != NULL)
+    _gw_tell (gw, gw->cell.mates, &m);
+}
+
+/* Asks the mate that knows the store best for what this VM does not know;
+   at most every so often.  */
+void
+gw_ask_document (gw_task *gw)
+{
+  const _gw_peer *best = NULL;
+  gw_following own = { 0 };
+  _gw_now (gw);
+  if (gw->peers == NULL
+      || (gw->document_asked_us != 0
+          && gw->now_us - gw->document_asked_us < _GW_ASK_EVERY_US))
+    return;
+  for (int i = 0; i < UT_PEERS_MAX; i++)
+    {
+      const _gw_peer *p = &gw->peer[i];
+      if (p->key != 0 && p->scope == MS_LOAD_VM && p->config_version > 0
+          && gw->now_us - p->heard_us < _GW_PEER_SILENT_US
+          && (best == NULL || p->config_version > best->config_version
+              || (p->config_version == best->config_version
+                  && p->store_revision > best->store_revision)))
+        best = p;
+    }
+  if (best == NULL)
+    return;
+  gw->document_asked_us = gw->now_us;
+  if (gw->desc.query_following != NULL)
+    own = gw->desc.query_following (gw->desc.user);
+  ms_message m = { .type = MS_SETTINGS_GET };
+  m.u.settings_get.since = own.revision;
+  pe_send (gw->peers, st_from_cstr (best->incarnation), &m);
+}
+
+/* Counts the mates that follow the store and come before this VM by name in
+   FIRST, all that follow it as the result, and tells the newest revision
+   among them.  */
+uint32_t
+gw_query_followers (const gw_task *gw, uint32_t *first, uint64_t *newest)
+{
+  uint32_t count = 0;
+  *first = 0;
+  *newest = 0;
+  for (int i = 0; i < UT_PEERS_MAX; i++)
+    {
+      const _gw_peer *p = &gw->peer[i];
+      if (p->key == 0 || p->scope != MS_LOAD_VM || !p->follows
+          || ck_now_us (gw->desc.clock) - p->heard_us > _GW_FOLLOWER_SILENT_US)
+        continue;
+      count++;
+      if (pc_compare_names (st_name_str (&p->name), gw->desc.vm_name) < 0)
+        (*first)++;
+      if (p->store_revision > *newest)
+        *newest = p->store_revision;
+    }
+  return count;
+}
+
+/* VMs that are known and not dead, this one included.  */
+uint32_t
+gw_query_vm_count (const gw_task *gw)
+{
+  return gw->cell.vm_count > 0 ? gw->cell.vm_count : 1;
+}
+
 static void
 _gw_on_member (void *user, mb_event event, st_str name, st_str incarnation)
 {
   gw_task *gw = user;
-  _gw_peer *p = _gw_find_peer (gw, incarnation);
+  _gw_peer *p = _gw_find_peer (gw, ut_hash (incarnation));
   _gw_now (gw);
   switch (event)
     {
     case MB_JOINED:
       LO_EVENT ("peer_joined", ST_LIT (""), LO_STR ("peer", name));
+      _gw_build_cell (gw);
       _gw_load_changed (gw);
       break;
     case MB_LEFT:
@@ -190,10 +495,7 @@
       LO_EVENT ("peer_left", ST_LIT (""), LO_STR ("peer", name),
                 LO_BOOL ("died", event == MB_DIED));
       if (p != NULL)
-        {
-          ut_set_peer (gw->upstreams, p->key, NULL, 0, gw->now_us);
-          *p = (_gw_peer){ 0 };
-        }
+        _gw_forget_peer (gw, p);
       break;
     case MB_OWN_DEAD:
       {
@@ -242,8 +544,13 @@
   if (gw->peers == NULL)
     return false;
   gw->load_timer = evtimer_new (gw->desc.base, _gw_on_load_timer, gw);
+  gw->cell_timer
+      = event_new (gw->desc.base, -1, EV_PERSIST, _gw_on_cell_timer, gw);
   struct timeval soon = { 0, 1000 };
+  struct timeval often = { 0, _GW_CELL_US };
+  _gw_build_cell (gw);
   event_add (gw->load_timer, &soon);
+  event_add (gw->cell_timer, &often);
   return true;
 }
 
@@ -266,15 +573,7 @@
 uint32_t
 _gw_live_vms (const gw_task *gw)
 {
-  uint32_t count = 1;
-  uint32_t cursor = 0;
-  mb_record record;
-  if (gw->peers == NULL)
-    return 1;
-  while (mb_query_member (pe_query_members (gw->peers), &cursor, &record))
-    if (record.state != MB_DEAD && !st_equal (record.name, gw->desc.vm_name))
-      count++;
-  return count;
+  return gw_query_vm_count (gw);
 }
 
 /* Requests that wait at the other VMs, by tier.  */
@@ -301,13 +600,15 @@
     {
       if (record.state == MB_DEAD || st_equal (record.name, gw->desc.vm_name))
         continue;
-      const _gw_peer *p = _gw_find_peer ((gw_task *)gw, record.incarnation);
+      const _gw_peer *p
+          = _gw_find_peer ((gw_task *)gw, ut_hash (record.incarnation));
+      bool mate = p != NULL && p->scope == MS_LOAD_VM;
       *vm = (gw_vm){ .name = record.name,
                      .region = record.region,
                      .data_center = record.data_center,
                      .callers_address = record.callers_address,
-                     .ready
-                     = p != NULL && p->ready && record.state != MB_LEAVING };
+                     .ready = (mate ? p->ready : gw->cell.several)
+                              && record.state != MB_LEAVING };
       return true;
     }
   return false;
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -48,6 +48,7 @@
       q->last[rank] = r;
     }
   q->count[rank]++;
+  _gw_watch_queues (r->gw);
   _gw_load_changed (r->gw);
 }
 
@@ -150,13 +151,13 @@
       return;
     }
   gq_verdict verdict = gq_admit (&backlog, &r->demand, gw->now_us, &decision);
-  LO_EVENT (verdict == GQ_WAIT ? "queue" : "refuse", st_name_str (&r->id),
-            LO_INT ("rank", r->demand.rank),
-            LO_INT ("expected_wait_ms", decision.expected_us / CK_MS_US),
-            LO_INT ("slots", backlog.slots),
-            LO_INT ("running", backlog.running),
-            LO_INT ("waiting_here", backlog.waiting[r->demand.rank]),
-            LO_INT ("waiting_elsewhere", backlog.peer_waiting[r->demand.rank]));
+  LO_EVENT (
+      verdict == GQ_WAIT ? "queue" : "refuse", st_name_str (&r->id),
+      LO_INT ("rank", r->demand.rank),
+      LO_INT ("expected_wait_ms", decision.expected_us / CK_MS_US),
+      LO_INT ("slots", backlog.slots), LO_INT ("running", backlog.running),
+      LO_INT ("waiting_here", backlog.waiting[r->demand.rank]),
+      LO_INT ("waiting_elsewhere", backlog.peer_waiting[r->demand.rank]));
   switch (verdict)
     {
     case GQ_WAIT:
@@ -175,8 +176,7 @@
 _gw_may_yield (const _gw_request *v, const _gw_request *r)
 {
   return v->exchange != NULL && v->route->kind == RC_STREAM && v->repeatable
-         && v->demand.tier > r->demand.tier
-         && v->runs + 1 < v->route->attempts
+         && v->demand.tier > r->demand.tier && v->runs + 1 < v->route->attempts
          && v->sends + 1 < _GW_SENDS_MAX
          && st_equal (st_name_str (&v->service), st_name_str (&r->service));
 }
@@ -219,10 +219,9 @@
   _gw_end_exchange (victim, UT_ABANDONED);
   uc_cancel (x);
   victim->runs++;
-  victim->give_up_us
-      = (victim->last_event_us > 0 ? victim->last_event_us
-                                   : victim->demand.arrived_us)
-        + _gw_pause_us (victim);
+  victim->give_up_us = (victim->last_event_us > 0 ? victim->last_event_us
+                                                  : victim->demand.arrived_us)
+                       + _gw_pause_us (victim);
   _gw_enqueue (victim, true);
   _gw_dispatch (r, place);
   return true;
@@ -244,9 +243,9 @@
     {
       const bu_allowance *a = &_gw_find_team (gw, r->team->name)->allowance;
       LO_EVENT ("over_allowance", st_name_str (&r->id),
-                LO_STR ("team", r->team->name),
-                LO_INT ("asked", r->allowance), LO_INT ("left", a->level),
-                LO_INT ("rate", a->rate), LO_INT ("burst", a->burst),
+                LO_STR ("team", r->team->name), LO_INT ("asked", r->allowance),
+                LO_INT ("left", a->level), LO_INT ("rate", a->rate),
+                LO_INT ("burst", a->burst),
                 LO_INT ("config", rc_query_version (r->config)));
       _gw_refuse (r, 429, "over_allowance", retry_after_us);
       return;
--- a/packages/wire/ms.c
+++ b/packages/wire/ms.c
@@ -678,8 +678,12 @@
 _ms_io_load (_ms_io *io, ms_load *m)
 {
   _ms_io saved;
-  if (!_ms_enter (io, "body", 4 + MS_LOAD_RANKS, &saved))
+  if (!_ms_enter (io, "body", 8 + MS_LOAD_RANKS, &saved))
     return;
+  _MS_ENUM (io, "scope", m->scope, MS_LOAD_SCOPES);
+  _ms_u64 (io, "cell", &m->cell, UINT64_MAX);
+  _ms_bool (io, "follows", &m->follows);
+  _ms_u64 (io, "store_revision", &m->store_revision, UINT64_MAX);
   _ms_u64 (io, "config_version", &m->config_version, UINT64_MAX);
   _ms_bool (io, "ready", &m->ready);
   for (int rank = 0; rank < MS_LOAD_RANKS; rank++)
--- a/packages/wire/ms.h
+++ b/packages/wire/ms.h
@@ -350,9 +350,21 @@
   uint64_t admitted;
 } ms_load_team;
 
-/* Load of a VM that proxies routes, sent to the other VMs on change.  */
+typedef enum
+{
+  MS_LOAD_VM = 0, /* of the sender */
+  MS_LOAD_CELL,   /* of all VMs of the sender's cell */
+  MS_LOAD_REST,   /* of all VMs of other cells */
+  MS_LOAD_SCOPES
+} ms_load_scope;
+
+/* Load of VMs that proxy routes, sent to other VMs on change.  */
 typedef struct
 {
+  ms_load_scope scope;
+  uint64_t cell;           /* of MS_LOAD_CELL */
+  bool follows;            /* the sender follows the store, and it answers */
+  uint64_t store_revision; /* up to which the sender knows the store */
   uint64_t config_version; /* newest that the sender knows; 0: none */
   bool ready;
   uint32_t waiting[MS_LOAD_RANKS]; /* queued requests by rank */
