--- /dev/null
+++ b/packages/decide/tests/bu_test.cc
@@ -0,0 +1,163 @@
+#include "bu.h"
+
+#include <gtest/gtest.h>
+#include <vector>
+
+namespace
+{
+const uint64_t second = 1000000;
+
+bu_terms
+terms (uint32_t vms)
+{
+  bu_terms t = {};
+  t.share = 0.2;
+  t.fixed = 54;
+  t.window_us = 10 * second;
+  t.vms = vms;
+  return t;
+}
+
+// Guards against a storm of repeats: over any window all VMs together stay
+// within the share of the requests plus the fixed part.
+TEST (Bu, RepeatsStayWithinTheWindowOfAllVms)
+{
+  const uint32_t vms = 7;
+  bu_terms t = terms (vms);
+  std::vector<bu_repeats> budgets (vms);
+  std::vector<uint64_t> requests, repeats;
+  for (uint64_t now = 0; now < 60 * second; now += 10000)
+    for (uint32_t v = 0; v < vms; v++)
+      {
+        if (now / 10000 % 10 == v)
+          {
+            bu_count_request (&budgets[v], &t, now);
+            requests.push_back (now);
+          }
+        while (bu_take_repeat (&budgets[v], &t, now))
+          repeats.push_back (now);
+      }
+  for (uint64_t from = 0; from < 50 * second; from += second / 2)
+    {
+      auto in = [&] (const std::vector<uint64_t> &times) {
+        size_t n = 0;
+        for (uint64_t at : times)
+          n += at >= from && at < from + 10 * second;
+        return n;
+      };
+      EXPECT_LE (in (repeats), 0.2 * in (requests) + 54) << "from " << from;
+    }
+  EXPECT_GT (repeats.size (), 50u);
+}
+
+// Guards against a restart of the clock's window leaving old counts in place.
+TEST (Bu, OldRequestsGiveNoRepeats)
+{
+  bu_terms t = terms (1);
+  t.fixed = 0;
+  bu_repeats b = {};
+  for (int i = 0; i < 100; i++)
+    bu_count_request (&b, &t, second);
+  EXPECT_TRUE (bu_take_repeat (&b, &t, second));
+  EXPECT_FALSE (bu_take_repeat (&b, &t, 30 * second));
+}
+
+// Guards against a team getting more than its rate over all VMs, whatever the
+// split of its requests among them, while reports take their time.
+TEST (Bu, AllowanceHoldsOverAllVms)
+{
+  const int vms = 7;
+  const double rate = 10000, burst = 10000, slack = 5000;
+  std::vector<bu_allowance> a (vms);
+  for (bu_allowance &one : a)
+    bu_set_allowance (&one, rate, burst, 1);
+  std::vector<std::pair<uint64_t, double> > admitted;
+  uint64_t retry;
+  for (uint64_t now = 1000; now < 30 * second; now += 5000)
+    {
+      for (int v = 0; v < vms; v++)
+        if (bu_take_allowance (&a[v], 300, now, &retry))
+          admitted.push_back ({ now, 300 });
+      if (now % 50000 == 1000)
+        for (int v = 0; v < vms; v++)
+          for (int from = 0; from < vms; from++)
+            if (from != v)
+              bu_report_allowance (&a[v], from + 1, a[from].admitted, now);
+    }
+  for (uint64_t from = 0; from < 22 * second; from += second)
+    {
+      double sum = 0;
+      for (auto &one : admitted)
+        if (one.first >= from && one.first < from + 8 * second)
+          sum += one.second;
+      EXPECT_LE (sum, (rate * 8 + burst) * 1.1 + slack + vms * burst / 2)
+          << "from " << from;
+      if (from >= 8 * second)
+        {
+          EXPECT_LE (sum, (rate * 8 + burst) * 1.1 + slack)
+              << "from " << from;
+        }
+      EXPECT_GE (sum, rate * 8 * 0.9) << "from " << from;
+    }
+}
+
+// Guards against refusing what is within the limit when nobody else asks.
+TEST (Bu, OneVmMayUseTheWholeRate)
+{
+  bu_allowance a = {};
+  uint64_t retry;
+  double admitted = 0;
+  bu_set_allowance (&a, 1000, 1000, 1);
+  for (uint64_t now = 2; now < 20 * second; now += 10000)
+    if (bu_take_allowance (&a, 9, now, &retry))
+      admitted += 9;
+  EXPECT_GE (admitted, 900 * 19.0);
+}
+
+// Guards against a team using its whole rate on both sides of a cut: what a
+// silent VM used is reserved for it, until it is known to have ended.
+TEST (Bu, ReservesWhatASilentVmUsed)
+{
+  auto admit = [] (bu_allowance *a, uint64_t from, uint64_t to) {
+    double sum = 0;
+    uint64_t retry;
+    for (uint64_t now = from; now < to; now += 10000)
+      while (bu_take_allowance (a, 10, now, &retry))
+        sum += 10;
+    return sum;
+  };
+  bu_allowance a = {};
+  bu_set_allowance (&a, 1000, 100, 1);
+  uint64_t used = 0;
+  for (uint64_t now = 100000; now < 10 * second; now += 100000)
+    bu_report_allowance (&a, 7, used += 50, now);
+  admit (&a, 10 * second, 10 * second + 1);
+  double cut = admit (&a, 11 * second, 13 * second);
+  EXPECT_LT (cut, 0.7 * 2000);
+  bu_forget_peer (&a, 7);
+  double alone = admit (&a, 14 * second, 16 * second);
+  EXPECT_GT (alone, 0.9 * 2000);
+}
+
+TEST (Bu, NoRateMeansNoLimit)
+{
+  bu_allowance a = {};
+  uint64_t retry = 1;
+  bu_set_allowance (&a, 0, 0, 1);
+  for (int i = 0; i < 1000; i++)
+    ASSERT_TRUE (bu_take_allowance (&a, 1e9, 2, &retry));
+  EXPECT_EQ (retry, 0u);
+}
+
+// Guards against a refusal that does not say when to come back.
+TEST (Bu, SaysWhenItWillDo)
+{
+  bu_allowance a = {};
+  uint64_t retry = 0;
+  bu_set_allowance (&a, 1000, 1000, 1);
+  while (bu_take_allowance (&a, 100, 2, &retry))
+    ;
+  EXPECT_GT (retry, 0u);
+  EXPECT_TRUE (bu_take_allowance (&a, 100, 2 + retry + 1000, &retry));
+}
+} // namespace
--- /dev/null
+++ b/packages/decide/tests/ut_test.cc
@@ -0,0 +1,155 @@
+#include "ut.h"
+
+#include <gtest/gtest.h>
+
+namespace
+{
+ut_entry
+entry (const char *id, const char *service = "llm", const char *dc = "west-a",
+       uint64_t started_ms = 1)
+{
+  ut_entry e = {};
+  st_name_set (&e.id, st_from_cstr (id));
+  st_name_set (&e.service, st_from_cstr (service));
+  st_name_set (&e.address, ST_LIT ("127.0.0.1:1"));
+  st_name_set (&e.data_center, st_from_cstr (dc));
+  st_name_set (&e.region, ST_LIT ("west"));
+  e.slots = 4;
+  e.started_ms = started_ms;
+  return e;
+}
+
+struct Table
+{
+  ut_table *t;
+  Table ()
+  {
+    ut_desc desc = {};
+    st_name_set (&desc.data_center, ST_LIT ("west-a"));
+    st_name_set (&desc.region, ST_LIT ("west"));
+    t = ut_make (&desc);
+  }
+  ~Table () { ut_destroy (t); }
+  ut_id
+  put (const ut_entry &e, uint64_t now_us = 0)
+  {
+    return ut_put (t, &e, now_us);
+  }
+};
+
+// Guards against a request being accounted to the upstream that took the
+// place of its own.
+TEST (Ut, AnIdOfARemovedUpstreamNamesNothing)
+{
+  Table table;
+  ut_id a = table.put (entry ("a"));
+  ut_remove (table.t, a);
+  ut_id b = table.put (entry ("b"));
+  EXPECT_EQ (a.index, b.index);
+  EXPECT_EQ (ut_query (table.t, a), nullptr);
+  ut_begin (table.t, a, 10);
+  ut_end (table.t, a, 0, UT_FAILED, 0);
+  EXPECT_EQ (ut_query (table.t, b)->own_running, 0u);
+  EXPECT_EQ (ut_query (table.t, b)->failures, 0.0);
+}
+
+// Guards against measurements of a process counting for the next one under
+// the same id.
+TEST (Ut, AnotherStartTimeIsAnotherProcess)
+{
+  Table table;
+  ut_id a = table.put (entry ("a"));
+  ut_pace (table.t, a, 9000);
+  ut_id same = table.put (entry ("a"));
+  EXPECT_EQ (same.generation, a.generation);
+  EXPECT_EQ (ut_query (table.t, same)->pace_us, 9000);
+  ut_id other = table.put (entry ("a", "llm", "west-a", 2));
+  EXPECT_EQ (ut_query (table.t, a), nullptr);
+  EXPECT_EQ (ut_query (table.t, other)->pace_us, 0);
+}
+
+// Guards against load of other VMs being counted twice or for ever.
+TEST (Ut, ReportsReplaceEachOtherAndExpire)
+{
+  Table table;
+  ut_id a = table.put (entry ("a"));
+  ut_row rows[] = { { ut_hash (ST_LIT ("a")), 3, 700 },
+                    { ut_hash (ST_LIT ("unknown")), 9, 9 } };
+  ut_set_peer (table.t, 1, rows, 2, 0);
+  ut_set_peer (table.t, 2, rows, 1, 1000000);
+  EXPECT_EQ (ut_query (table.t, a)->peer_running, 6u);
+  rows[0].running = 1;
+  ut_set_peer (table.t, 1, rows, 1, 1000000);
+  EXPECT_EQ (ut_query (table.t, a)->peer_running, 4u);
+  EXPECT_EQ (ut_query (table.t, a)->peer_unread_tokens, 1400u);
+  ut_set_peer (table.t, 2, nullptr, 0, 2000000);
+  EXPECT_EQ (ut_query (table.t, a)->peer_running, 1u);
+  ut_expire_peers (table.t, 2400000);
+  EXPECT_EQ (ut_query (table.t, a)->peer_running, 1u);
+  ut_expire_peers (table.t, 2600000);
+  EXPECT_EQ (ut_query (table.t, a)->peer_running, 0u);
+}
+
+// Guards against load that was reported before the upstream was known being
+// lost, or taken off twice when the report goes.
+TEST (Ut, CountsReportsFromBeforeTheUpstreamWasKnown)
+{
+  Table table;
+  ut_row row = { ut_hash (ST_LIT ("late")), 2, 5 };
+  ut_set_peer (table.t, 7, &row, 1, 0);
+  ut_id id = table.put (entry ("late"));
+  EXPECT_EQ (ut_query (table.t, id)->peer_running, 2u);
+  ut_set_peer (table.t, 7, nullptr, 0, 0);
+  EXPECT_EQ (ut_query (table.t, id)->peer_running, 0u);
+}
+
+// Guards against sending on to an upstream that refuses connections.
+TEST (Ut, AvoidsAnUpstreamThatCannotBeReached)
+{
+  Table table;
+  ut_id a = table.put (entry ("a"));
+  for (int i = 0; i < 2; i++)
+    {
+      ut_begin (table.t, a, 0);
+      ut_end (table.t, a, 0, UT_UNREACHABLE, 1000);
+    }
+  uint64_t first = ut_query (table.t, a)->avoid_until_us;
+  EXPECT_GT (first, 1000u);
+  ut_begin (table.t, a, 0);
+  ut_end (table.t, a, 0, UT_UNREACHABLE, first);
+  EXPECT_GT (ut_query (table.t, a)->avoid_until_us - first, first - 1000);
+  ut_begin (table.t, a, 0);
+  ut_end (table.t, a, 0, UT_SERVED, first);
+  EXPECT_EQ (ut_query (table.t, a)->unreachable_in_row, 0u);
+}
+
+// Guards against one failure condemning an upstream, and against failures
+// never being forgotten.
+TEST (Ut, FailuresCountByTheirShareAndAreForgotten)
+{
+  Table table;
+  ut_id a = table.put (entry ("a"));
+  ut_begin (table.t, a, 0);
+  ut_end (table.t, a, 0, UT_FAILED, 0);
+  EXPECT_LT (ut_query_failure_share (table.t, a, 0), 0.4);
+  for (int i = 0; i < 20; i++)
+    {
+      ut_begin (table.t, a, 0);
+      ut_end (table.t, a, 0, UT_FAILED, 0);
+    }
+  EXPECT_GT (ut_query_failure_share (table.t, a, 0), 0.8);
+  EXPECT_LT (ut_query_failure_share (table.t, a, 30 * UT_HALF_LIFE_US),
+             0.01);
+}
+
+TEST (Ut, RefusesMoreThanItHolds)
+{
+  Table table;
+  for (int i = 0; i < UT_UPSTREAMS_MAX; i++)
+    ASSERT_NE (table.put (entry (std::to_string (i).c_str ())).generation,
+               0u);
+  EXPECT_EQ (table.put (entry ("one too many")).generation, 0u);
+  EXPECT_NE (ut_find (table.t, ST_LIT ("1023")).generation, 0u);
+  EXPECT_EQ (ut_find (table.t, ST_LIT ("1024")).generation, 0u);
+}
+} // namespace
