Test the gateway against an upstream with faults

Found by the tests: an upstream's own error was replaced by 502 where the budget of repeats was used up; it is passed on now. Port 0 was refused as a listening address.

--- a/packages/decide/tests/bu_test.cc
+++ b/packages/decide/tests/bu_test.cc
@@ -71,7 +71,7 @@
   std::vector<bu_allowance> a (vms);
   for (bu_allowance &one : a)
     bu_set_allowance (&one, rate, burst, 1);
-  std::vector<std::pair<uint64_t, double> > admitted;
+  std::vector<std::pair<uint64_t, double>> admitted;
   uint64_t retry;
   for (uint64_t now = 1000; now < 30 * second; now += 5000)
     {
@@ -94,8 +94,7 @@
           << "from " << from;
       if (from >= 8 * second)
         {
-          EXPECT_LE (sum, (rate * 8 + burst) * 1.1 + slack)
-              << "from " << from;
+          EXPECT_LE (sum, (rate * 8 + burst) * 1.1 + slack) << "from " << from;
         }
       EXPECT_GE (sum, rate * 8 * 0.9) << "from " << from;
     }
--- a/packages/decide/tests/pc_test.cc
+++ b/packages/decide/tests/pc_test.cc
@@ -25,10 +25,10 @@
       members.push_back ({ { names[i].data (), names[i].size () },
                            { places[i].data (), places[i].size () } });
   }
-  std::map<uint64_t, std::vector<size_t> >
+  std::map<uint64_t, std::vector<size_t>>
   cells () const
   {
-    std::map<uint64_t, std::vector<size_t> > found;
+    std::map<uint64_t, std::vector<size_t>> found;
     for (size_t i = 0; i < members.size (); i++)
       found[pc_cell_of (members.data (), (uint32_t)members.size (),
                         &members[i])]
--- a/packages/decide/tests/ut_test.cc
+++ b/packages/decide/tests/ut_test.cc
@@ -138,16 +138,14 @@
       ut_end (table.t, a, 0, UT_FAILED, 0);
     }
   EXPECT_GT (ut_query_failure_share (table.t, a, 0), 0.8);
-  EXPECT_LT (ut_query_failure_share (table.t, a, 30 * UT_HALF_LIFE_US),
-             0.01);
+  EXPECT_LT (ut_query_failure_share (table.t, a, 30 * UT_HALF_LIFE_US), 0.01);
 }
 
 TEST (Ut, RefusesMoreThanItHolds)
 {
   Table table;
   for (int i = 0; i < UT_UPSTREAMS_MAX; i++)
-    ASSERT_NE (table.put (entry (std::to_string (i).c_str ())).generation,
-               0u);
+    ASSERT_NE (table.put (entry (std::to_string (i).c_str ())).generation, 0u);
   EXPECT_EQ (table.put (entry ("one too many")).generation, 0u);
   EXPECT_NE (ut_find (table.t, ST_LIT ("1023")).generation, 0u);
   EXPECT_EQ (ut_find (table.t, ST_LIT ("1024")).generation, 0u);
--- a/packages/gateway/gw_accept.c
+++ b/packages/gateway/gw_accept.c
@@ -381,22 +381,19 @@
 bool
 _gw_listen (gw_task *gw, er_error *err)
 {
-  struct sockaddr_storage address;
-  int len = sizeof address;
-  char text[ST_NAME_MAX + 1];
-  st_copy (text, sizeof text, gw->desc.listen);
-  if (evutil_parse_sockaddr_port (text, (struct sockaddr *)&address, &len)
-      != 0)
-    return er_set (err, ER_INVALID, "\"%s\" is no address; write IP:PORT",
-                   text);
+  struct sockaddr_in address;
+  st_str text = gw->desc.listen;
+  if (!nt_parse_address (text, &address))
+    return er_set (err, ER_INVALID, "\"%.*s\" is no address; write IP:PORT",
+                   ST_FMT (text));
   gw->listener = evconnlistener_new_bind (
       gw->desc.base, _gw_on_accept, gw,
       LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, 512,
-      (struct sockaddr *)&address, len);
+      (struct sockaddr *)&address, sizeof address);
   if (gw->listener == NULL)
-    return er_set (err, ER_UNAVAILABLE,
-                   "cannot listen on %s: %s; free the address", text,
-                   evutil_socket_error_to_string (EVUTIL_SOCKET_ERROR ()));
+    return er_set (
+        err, ER_UNAVAILABLE, "cannot listen on %.*s: %s; free the address",
+        ST_FMT (text), evutil_socket_error_to_string (EVUTIL_SOCKET_ERROR ()));
   evconnlistener_set_error_cb (gw->listener, _gw_on_accept_error);
   return true;
 }
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -123,32 +123,50 @@
   _gw_load_changed (gw);
 }
 
-/* A sending of R came to nothing: sends it again where that is allowed, else
-   ends it.  */
-void
-_gw_retry (_gw_request *r, bool arrived, bool may_have_run, const char *reason)
+/* Why R may not be sent once more, given that RUNS sendings may have run;
+   NULL when it may, and one repeat has then been taken from the budget.  */
+static const char *
+_gw_repeat_denied (_gw_request *r, uint32_t runs, uint32_t arrivals)
 {
-  gw_task *gw = r->gw;
-  const char *denied = NULL;
-  if (may_have_run)
-    r->runs++;
-  if (arrived)
-    r->arrivals++;
-  if (r->demand.tried_count < GQ_TRIED_MAX)
-    r->demand.tried[r->demand.tried_count++] = r->upstream;
-  if (r->runs > 0 && (!r->repeatable || r->runs >= r->route->attempts))
-    denied = "may_have_run";
-  else if (r->sends >= _GW_SENDS_MAX)
-    denied = "sends_used_up";
-  else if (gw->now_us + _GW_SEND_MIN_US >= r->end_us)
-    denied = "no_time_left";
-  else if (r->arrivals > 0 && !_gw_take_repeat (r))
-    denied = "repeat_budget_used_up";
-  LO_EVENT ("retry", st_name_str (&r->id), LO_CSTR ("reason", reason),
+  if (runs > 0 && (!r->repeatable || runs >= r->route->attempts))
+    return "may_have_run";
+  if (r->sends >= _GW_SENDS_MAX)
+    return "sends_used_up";
+  if (r->gw->now_us + _GW_SEND_MIN_US >= r->end_us)
+    return "no_time_left";
+  if (arrivals > 0 && !_gw_take_repeat (r))
+    return "repeat_budget_used_up";
+  return NULL;
+}
+
+static void
+_gw_log_repeat (const _gw_request *r, bool may_have_run, const char *reason,
+                const char *denied)
+{
+  LO_EVENT ("repeat", st_name_str (&r->id), LO_CSTR ("reason", reason),
             LO_STR ("upstream", st_name_str (&r->upstream_id)),
             LO_BOOL ("may_have_run", may_have_run),
             LO_CSTR ("denied", denied != NULL ? denied : ""),
             LO_INT ("events", r->events));
+}
+
+static void
+_gw_note_tried (_gw_request *r, bool arrived, bool may_have_run)
+{
+  r->runs += may_have_run;
+  r->arrivals += arrived;
+  if (r->demand.tried_count < GQ_TRIED_MAX)
+    r->demand.tried[r->demand.tried_count++] = r->upstream;
+}
+
+/* A sending of R came to nothing: sends it again where that is allowed, else
+   ends it.  */
+void
+_gw_retry (_gw_request *r, bool arrived, bool may_have_run, const char *reason)
+{
+  _gw_note_tried (r, arrived, may_have_run);
+  const char *denied = _gw_repeat_denied (r, r->runs, r->arrivals);
+  _gw_log_repeat (r, may_have_run, reason, denied);
   if (denied == NULL)
     _gw_requeue (r);
   else if (r->runs == 0)
@@ -232,22 +250,24 @@
 static void
 _gw_on_bad_answer (_gw_request *r, bool trusted)
 {
-  bool again = r->repeatable && r->runs + 1 < r->route->attempts
-               && r->sends < _GW_SENDS_MAX;
-  _gw_end_exchange (r, UT_FAILED);
+  const char *reason = trusted ? "upstream_error" : "unsigned_answer";
   /* These statuses promise that nothing has run, which the upstream did not
      state.  */
   bool promises = r->status == 429 || r->status == 503 || r->status == 408
                   || r->status == 421;
-  if (again)
-    _gw_retry (r, true, true, "upstream_error");
-  else if (!trusted || promises)
+  _gw_end_exchange (r, UT_FAILED);
+  const char *denied = _gw_repeat_denied (r, r->runs + 1, r->arrivals + 1);
+  if (denied != NULL && trusted && !promises)
     {
-      r->runs++;
-      _gw_fail (r, 502, trusted ? "upstream_error" : "unsigned_answer");
+      _gw_pass_on (r);
+      return;
     }
+  _gw_note_tried (r, true, true);
+  _gw_log_repeat (r, true, reason, denied);
+  if (denied == NULL)
+    _gw_requeue (r);
   else
-    _gw_pass_on (r);
+    _gw_fail (r, 502, reason);
 }
 
 static void
--- /dev/null
+++ b/packages/gateway/tests/support.hh
@@ -0,0 +1,584 @@
+// support.hh -- an upstream with faults and a raw caller, for tests of the
+// gateway on one event loop.
+#pragma once
+
+#include "gw.h"
+#include "hp.h"
+
+#include <arpa/inet.h>
+#include <deque>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <functional>
+#include <gtest/gtest.h>
+#include <memory>
+#include <set>
+#include <string>
+#include <sys/socket.h>
+#include <vector>
+
+namespace support
+{
+
+inline st_str
+str (const std::string &s)
+{
+  return { s.data (), s.size () };
+}
+
+enum Behaviour
+{
+  Answer,
+  Unsigned,       // 200 without a signature
+  OtherId,        // the answer of another request only
+  LateOtherFirst, // the late answer of another request, then the right one
+  Extra,          // the right answer, then one more
+  Cut,            // half a body, then the end of the connection
+  Reset,          // no answer, reset
+  Shed,           // 503, states that it did not run
+  Plain503,       // 503 that states nothing
+  OtherInstance,  // 421
+  Error,          // 500, signed
+  Silent,         // never answers
+  Unframed,       // no length, ends with the connection
+  UnframedReset,  // no length, ends with a reset
+  Early,          // answers before the body was read
+  Encoded,        // an encoding that nobody asked for
+  Stream,         // events 1 to 6, or from the one after Last-Event-Id
+  StreamCut,      // two events and half of one, then the end
+  StreamGap,      // leaves out an event
+  StreamStall,    // two events, then nothing
+};
+
+// An upstream on a loopback port.  Each request takes the next behaviour, or
+// Answer when none is left.
+class Upstream
+{
+public:
+  struct Conn
+  {
+    Upstream *owner;
+    struct bufferevent *bev;
+    hp_reader *reader;
+    std::string body;
+  };
+
+  std::deque<Behaviour> behaviours;
+  Behaviour fallback = Answer;
+  std::vector<std::string> heads; // of requests, in order of arrival
+  std::vector<std::string> bodies;
+  uint32_t runs = 0;
+  uint32_t connections = 0;
+  uint32_t closed_by_peer = 0;
+  uint16_t port = 0;
+
+  explicit Upstream (struct event_base *base) : base_ (base)
+  {
+    struct sockaddr_in sin = {};
+    socklen_t len = sizeof sin;
+    sin.sin_family = AF_INET;
+    sin.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    listener_ = evconnlistener_new_bind (
+        base, on_accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+        (struct sockaddr *)&sin, sizeof sin);
+    getsockname (evconnlistener_get_fd (listener_), (struct sockaddr *)&sin,
+                 &len);
+    port = ntohs (sin.sin_port);
+  }
+  ~Upstream ()
+  {
+    stop ();
+    while (!conns_.empty ())
+      drop (*conns_.begin ());
+  }
+  // Refuses connections from here on.
+  void
+  stop ()
+  {
+    if (listener_ != nullptr)
+      evconnlistener_free (listener_);
+    listener_ = nullptr;
+  }
+  std::string
+  address () const
+  {
+    return "127.0.0.1:" + std::to_string (port);
+  }
+
+private:
+  struct event_base *base_;
+  struct evconnlistener *listener_;
+  std::set<Conn *> conns_;
+
+  void
+  drop (Conn *c, bool reset = false)
+  {
+    if (reset)
+      {
+        struct linger now = { 1, 0 };
+        setsockopt (bufferevent_getfd (c->bev), SOL_SOCKET, SO_LINGER, &now,
+                    sizeof now);
+      }
+    conns_.erase (c);
+    bufferevent_free (c->bev);
+    hp_destroy (c->reader);
+    delete c;
+  }
+  static void
+  on_accept (struct evconnlistener *, evutil_socket_t fd, struct sockaddr *,
+             int, void *user)
+  {
+    Upstream *self = static_cast<Upstream *> (user);
+    Conn *c = new Conn{ self, nullptr, nullptr, "" };
+    hp_desc desc = {};
+    desc.kind = HP_REQUEST;
+    desc.on_body = [] (void *to, st_str bytes) {
+      static_cast<Conn *> (to)->body.append (bytes.ptr, bytes.len);
+    };
+    desc.user = c;
+    c->reader = hp_make (&desc);
+    c->bev = bufferevent_socket_new (self->base_, fd, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb (c->bev, on_read, nullptr, on_event, c);
+    bufferevent_enable (c->bev, EV_READ | EV_WRITE);
+    self->conns_.insert (c);
+    self->connections++;
+  }
+  static void
+  on_event (struct bufferevent *, short, void *user)
+  {
+    Conn *c = static_cast<Conn *> (user);
+    c->owner->closed_by_peer++;
+    c->owner->drop (c);
+  }
+  static void
+  on_read (struct bufferevent *bev, void *user)
+  {
+    Conn *c = static_cast<Conn *> (user);
+    Upstream *self = c->owner;
+    for (;;)
+      {
+        hp_result result = hp_read (c->reader, bufferevent_get_input (bev));
+        if (result == HP_HEAD)
+          {
+            if (!self->behaviours.empty ()
+                && self->behaviours.front () == Early)
+              {
+                self->behaviours.pop_front ();
+                self->note (c);
+                self->answer (c, 200, "early", true);
+              }
+            continue;
+          }
+        if (result != HP_END)
+          return;
+        self->note (c);
+        bool open = self->act (c);
+        if (!open)
+          return;
+        hp_next (c->reader);
+        c->body.clear ();
+      }
+  }
+  void
+  note (Conn *c)
+  {
+    const hp_head *h = hp_query_head (c->reader);
+    std::string text (h->method.ptr, h->method.len);
+    text += " " + std::string (h->target.ptr, h->target.len) + "\n";
+    for (size_t i = 0; i < h->field_count; i++)
+      text += std::string (h->fields[i].name.ptr, h->fields[i].name.len) + ": "
+              + std::string (h->fields[i].value.ptr, h->fields[i].value.len)
+              + "\n";
+    heads.push_back (text);
+    bodies.push_back (c->body);
+  }
+  std::string
+  field (Conn *c, const char *name)
+  {
+    st_str value;
+    if (!hp_get (hp_query_head (c->reader), st_from_cstr (name), &value))
+      return "";
+    return std::string (value.ptr, value.len);
+  }
+  void
+  send (Conn *c, const std::string &text)
+  {
+    // At once: a bufferevent would write it from the loop only, and the
+    // close may come before.
+    ssize_t n = ::send (bufferevent_getfd (c->bev), text.data (),
+                        text.size (), MSG_NOSIGNAL);
+    EXPECT_EQ (n, (ssize_t)text.size ());
+  }
+  void
+  answer (Conn *c, int status, const std::string &body, bool is_signed,
+          const std::string &id = "", const std::string &more = "")
+  {
+    send (c, "HTTP/1.1 " + std::to_string (status) + " X\r\nX-Id: "
+                 + (id.empty () ? field (c, "X-Id") : id) + "\r\n"
+                 + (is_signed ? "X-Sign: s1\r\n" : "") + more
+                 + "Content-Length: " + std::to_string (body.size ())
+                 + "\r\n\r\n" + body);
+  }
+  static std::string
+  chunk (const std::string &text)
+  {
+    char size[16];
+    snprintf (size, sizeof size, "%zx\r\n", text.size ());
+    return size + text + "\r\n";
+  }
+  static std::string
+  event_text (int id)
+  {
+    return "id: " + std::to_string (id) + "\ndata: part-"
+           + std::to_string (id) + "\n\n";
+  }
+  void
+  stream (Conn *c, Behaviour b)
+  {
+    std::string from = field (c, "Last-Event-Id");
+    int first = from.empty () ? 1 : atoi (from.c_str ()) + 1;
+    send (c, "HTTP/1.1 200 OK\r\nX-Id: " + field (c, "X-Id")
+                 + "\r\nX-Sign: s1\r\nContent-Type: text/event-stream\r\n"
+                   "Transfer-Encoding: chunked\r\n\r\n");
+    for (int id = first; id <= 6; id++)
+      {
+        if (b == StreamGap && id == first + 2)
+          continue;
+        if ((b == StreamCut || b == StreamStall) && id == first + 2)
+          {
+            if (b == StreamCut)
+              send (c, chunk ("id: " + std::to_string (id) + "\nda"));
+            return;
+          }
+        send (c, chunk (event_text (id)));
+      }
+    send (c, "0\r\n\r\n");
+  }
+  void
+  finish (Conn *c, bool reset = false)
+  {
+    drop (c, reset);
+  }
+  // False when the connection is gone.
+  bool
+  act (Conn *c)
+  {
+    Behaviour b = fallback;
+    if (!behaviours.empty ())
+      {
+        b = behaviours.front ();
+        behaviours.pop_front ();
+      }
+    if (b != Shed && b != OtherInstance)
+      runs++;
+    switch (b)
+      {
+      case Answer:
+      case Early:
+        answer (c, 200, "body of " + field (c, "X-Id"), true);
+        return true;
+      case Unsigned:
+        answer (c, 200, "unsigned", false);
+        return true;
+      case OtherId:
+        answer (c, 200, "not yours", true, "other");
+        return true;
+      case LateOtherFirst:
+        answer (c, 200, "not yours", true, "other");
+        answer (c, 200, "body of " + field (c, "X-Id"), true);
+        return true;
+      case Extra:
+        answer (c, 200, "body of " + field (c, "X-Id"), true);
+        answer (c, 200, "again", true);
+        return true;
+      case Cut:
+        send (c, "HTTP/1.1 200 OK\r\nX-Id: " + field (c, "X-Id")
+                     + "\r\nX-Sign: s1\r\nContent-Length: 100\r\n\r\nhalf");
+        finish (c);
+        return false;
+      case Reset:
+        finish (c, true);
+        return false;
+      case Shed:
+        answer (c, 503, "", false, "", "X-Not-Run: 1\r\n");
+        return true;
+      case Plain503:
+        answer (c, 503, "busy", true);
+        return true;
+      case OtherInstance:
+        answer (c, 421, "", false);
+        return true;
+      case Error:
+        answer (c, 500, "failed", true);
+        return true;
+      case Silent:
+        return true;
+      case Unframed:
+      case UnframedReset:
+        send (c, "HTTP/1.1 200 OK\r\nX-Id: " + field (c, "X-Id")
+                     + "\r\nX-Sign: s1\r\n\r\nunframed");
+        if (b == Unframed)
+          finish (c);
+        else
+          reset_soon (c);
+        return false;
+      case Encoded:
+        answer (c, 200, "zip", true, "", "Content-Encoding: gzip\r\n");
+        return true;
+      case Stream:
+      case StreamCut:
+      case StreamGap:
+      case StreamStall:
+        stream (c, b);
+        if (b != StreamCut)
+          return true;
+        finish (c);
+        return false;
+      }
+    return true;
+  }
+  // Resets C once the bytes before have been read at the other side.
+  void
+  reset_soon (Conn *c)
+  {
+    struct timeval tv = { 0, 30000 };
+    bufferevent_disable (c->bev, EV_READ);
+    event_base_once (
+        base_, -1, EV_TIMEOUT,
+        [] (evutil_socket_t, short, void *user) {
+          Conn *conn = static_cast<Conn *> (user);
+          conn->owner->drop (conn, true);
+        },
+        c, &tv);
+  }
+};
+
+// A connection of a caller that writes what it is told and keeps what it
+// reads.
+class Caller
+{
+public:
+  std::string got;
+  bool closed = false;
+  bool was_reset = false;
+
+  Caller (struct event_base *base, uint16_t port)
+  {
+    struct sockaddr_in sin = {};
+    sin.sin_family = AF_INET;
+    sin.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    sin.sin_port = htons (port);
+    bev_ = bufferevent_socket_new (base, -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb (bev_, on_read, nullptr, on_event, this);
+    bufferevent_enable (bev_, EV_READ | EV_WRITE);
+    bufferevent_socket_connect (bev_, (struct sockaddr *)&sin, sizeof sin);
+  }
+  ~Caller () { leave (); }
+  void
+  send (const std::string &text)
+  {
+    bufferevent_write (bev_, text.data (), text.size ());
+  }
+  // A request for PATH with further FIELDS, each "Name: value\r\n".
+  void
+  request (const std::string &id, const std::string &path,
+           const std::string &fields = "", const std::string &body = "")
+  {
+    send ("POST " + path + " HTTP/1.1\r\nHost: api.example\r\nX-Id: " + id
+          + "\r\nAuthorization: Token key-1\r\n" + fields
+          + "Content-Length: " + std::to_string (body.size ()) + "\r\n\r\n"
+          + body);
+  }
+  void
+  leave ()
+  {
+    if (bev_ != nullptr)
+      bufferevent_free (bev_);
+    bev_ = nullptr;
+  }
+  int
+  status () const
+  {
+    return got.compare (0, 9, "HTTP/1.1 ") == 0 ? atoi (got.c_str () + 9) : 0;
+  }
+  bool
+  has (const std::string &text) const
+  {
+    return got.find (text) != std::string::npos;
+  }
+  // A whole answer with a length has arrived.
+  bool
+  whole () const
+  {
+    size_t end = got.find ("\r\n\r\n");
+    size_t at = got.find ("Content-Length: ");
+    if (end == std::string::npos || at == std::string::npos || at > end)
+      return false;
+    return got.size () >= end + 4 + strtoul (got.c_str () + at + 16, nullptr,
+                                             10);
+  }
+
+private:
+  struct bufferevent *bev_;
+
+  static void
+  on_read (struct bufferevent *bev, void *user)
+  {
+    Caller *self = static_cast<Caller *> (user);
+    char bytes[4096];
+    size_t n;
+    while ((n = bufferevent_read (bev, bytes, sizeof bytes)) > 0)
+      self->got.append (bytes, n);
+  }
+  static void
+  on_event (struct bufferevent *, short what, void *user)
+  {
+    Caller *self = static_cast<Caller *> (user);
+    if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+      self->closed = true;
+    if (what & BEV_EVENT_ERROR)
+      self->was_reset = true;
+  }
+};
+
+// A gateway with one route of each kind before two upstreams.
+class Gateway
+{
+public:
+  struct event_base *base = event_base_new ();
+  gw_task *gw = nullptr;
+  std::vector<std::unique_ptr<Upstream> > upstreams;
+  rc_config *config = nullptr;
+  gw_names names = {};
+  std::vector<st_str> drop = { ST_LIT ("X-Hold") };
+  std::vector<st_str> keep = { ST_LIT ("X-Id") };
+
+  explicit Gateway (uint32_t upstream_count = 1, double repeats = 100)
+  {
+    names.request_id = ST_LIT ("X-Id");
+    names.deadline_ms = ST_LIT ("X-Deadline");
+    names.team = ST_LIT ("X-Team");
+    names.expect_instance = ST_LIT ("X-Expect");
+    names.signature = ST_LIT ("X-Sign");
+    names.not_run = ST_LIT ("X-Not-Run");
+    names.token_usage = ST_LIT ("X-Tokens");
+    names.resume_after = ST_LIT ("Last-Event-Id");
+    names.key_scheme = ST_LIT ("Token");
+    names.drop = drop.data ();
+    names.drop_count = drop.size ();
+    names.keep = keep.data ();
+    names.keep_count = keep.size ();
+    gw_desc desc = {};
+    desc.base = base;
+    desc.vm_name = ST_LIT ("vm-1");
+    desc.region = ST_LIT ("west");
+    desc.data_center = ST_LIT ("west-a");
+    desc.listen = ST_LIT ("127.0.0.1:0");
+    desc.names = &names;
+    desc.bounds.repeat_share = 0;
+    desc.bounds.repeat_fixed = repeats;
+    desc.bounds.repeat_window_ms = 10000;
+    desc.seed = 7;
+    er_error err = {};
+    gw = gw_make (&desc, &err);
+    EXPECT_NE (gw, nullptr) << err.message;
+    for (uint32_t i = 0; i < upstream_count; i++)
+      {
+        upstreams.push_back (std::make_unique<Upstream> (base));
+        put (i);
+      }
+    configure (1, [] (rc_config *) {});
+  }
+  ~Gateway ()
+  {
+    gw_destroy (gw);
+    upstreams.clear ();
+    rc_unref (config);
+    event_base_free (base);
+  }
+  Upstream &
+  up (size_t i = 0)
+  {
+    return *upstreams[i];
+  }
+  void
+  put (uint32_t i, bool leaving = false, uint32_t slots = 4)
+  {
+    ut_entry e = {};
+    st_name_set (&e.id, str ("up-" + std::to_string (i)));
+    st_name_set (&e.service, ST_LIT ("llm"));
+    st_name_set (&e.address, str (up (i).address ()));
+    st_name_set (&e.data_center, ST_LIT ("west-a"));
+    st_name_set (&e.region, ST_LIT ("west"));
+    e.slots = slots;
+    e.leaving = leaving;
+    gw_put_upstream (gw, &e);
+  }
+  // Puts a configuration in force: routes /once/, /again/, /stream/ and
+  // /resume/, one team, and what CHANGE does to it.
+  void
+  configure (uint64_t version, const std::function<void (rc_config *)> &change)
+  {
+    static const struct
+    {
+      const char *prefix;
+      rc_kind kind;
+      bool resumable;
+      uint32_t attempts;
+    } routes[] = { { "/once/", RC_NON_IDEMPOTENT, false, 1 },
+                   { "/again/", RC_IDEMPOTENT, false, 2 },
+                   { "/stream/", RC_STREAM, false, 1 },
+                   { "/resume/", RC_STREAM, true, 2 } };
+    rc_config *c = rc_make (version);
+    for (auto &row : routes)
+      {
+        rc_route *r = rc_add_route (c, ST_LIT ("api.example"),
+                                    st_from_cstr (row.prefix));
+        r->name = st_from_cstr (row.prefix);
+        r->kind = row.kind;
+        r->resumable = row.resumable;
+        r->attempts = row.attempts;
+        r->timeout_ms = 700;
+        r->target_ms = 300;
+        r->gap_ms = 100;
+        r->tier = row.resumable ? 2 : 0;
+        rc_add_share (c, r, ST_LIT ("llm"), 1);
+      }
+    rc_add_service (c, ST_LIT ("llm"))->engine = true;
+    rc_team *team = rc_add_team (c, ST_LIT ("team-1"));
+    rc_add_key (c, team, ST_LIT ("key-1"));
+    change (c);
+    rc_seal (c);
+    gw_set_config (gw, c);
+    rc_unref (config);
+    config = c;
+  }
+  std::unique_ptr<Caller>
+  caller ()
+  {
+    return std::make_unique<Caller> (base, gw_query_port (gw));
+  }
+  // Runs the loop until DONE or for at most LIMIT_MS.
+  bool
+  run (const std::function<bool ()> &done, int limit_ms = 3000)
+  {
+    ck_clock clock = {};
+    uint64_t end = ck_now_us (&clock) + (uint64_t)limit_ms * 1000;
+    while (!done () && ck_now_us (&clock) < end)
+      {
+        struct timeval tv = { 0, 2000 };
+        event_base_loopexit (base, &tv);
+        event_base_dispatch (base);
+      }
+    return done ();
+  }
+  void
+  wait (int ms)
+  {
+    run ([] { return false; }, ms);
+  }
+};
+
+} // namespace support
--- a/packages/gateway/uc.c
+++ b/packages/gateway/uc.c
@@ -333,10 +333,7 @@
 static _uc_conn *
 _uc_connect (uc_pool *pool, const uc_request *request)
 {
-  struct sockaddr_storage address;
-  int len = sizeof address;
-  char text[ST_NAME_MAX + 1];
-  st_copy (text, sizeof text, request->address);
+  struct sockaddr_in address;
   _uc_conn *conn = g_new0 (_uc_conn, 1);
   conn->pool = pool;
   st_name_set (&conn->instance, request->instance);
@@ -349,9 +346,9 @@
   bufferevent_setcb (conn->bev, _uc_on_read, NULL, _uc_on_event, conn);
   g_ptr_array_add (pool->conns, conn);
   pool->connects++;
-  if (evutil_parse_sockaddr_port (text, (struct sockaddr *)&address, &len) != 0
+  if (!nt_parse_address (request->address, &address)
       || bufferevent_socket_connect (conn->bev, (struct sockaddr *)&address,
-                                     len)
+                                     sizeof address)
              != 0)
     {
       _uc_free_conn (conn);
--- a/packages/http/nt.c
+++ b/packages/http/nt.c
@@ -1,7 +1,9 @@
 #include "nt.h"
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <string.h>
 #include <sys/socket.h>
 
 /* A connection whose other side does not answer is given up after this
@@ -11,6 +13,25 @@
 #define _NT_PROBE_EVERY_S 1
 #define _NT_PROBES 2
 
+/* Reads "IP:PORT" with an IPv4 address; port 0 lets the system choose.  */
+bool
+nt_parse_address (st_str text, struct sockaddr_in *out)
+{
+  size_t colon;
+  uint64_t port;
+  char host[INET_ADDRSTRLEN];
+  memset (out, 0, sizeof *out);
+  if (!st_find_char (text, ':', &colon) || colon >= sizeof host
+      || !st_parse_u64 (st_slice (text, colon + 1, text.len), &port)
+      || port > UINT16_MAX)
+    return false;
+  memcpy (host, text.ptr, colon);
+  host[colon] = 0;
+  out->sin_family = AF_INET;
+  out->sin_port = htons ((uint16_t)port);
+  return inet_pton (AF_INET, host, &out->sin_addr) == 1;
+}
+
 /* Sends small writes at once and finds silent connections.  */
 void
 nt_tune (evutil_socket_t fd)
--- a/packages/http/tests/hp_test.cc
+++ b/packages/http/tests/hp_test.cc
@@ -69,8 +69,7 @@
       r.add (text.substr (cut));
       ASSERT_EQ (r.read (), HP_END) << "cut at " << cut;
       const hp_head *head = hp_query_head (r.reader);
-      EXPECT_EQ (std::string (head->target.ptr, head->target.len),
-                 "/a/b?c=1");
+      EXPECT_EQ (std::string (head->target.ptr, head->target.len), "/a/b?c=1");
       EXPECT_EQ (r.field ("x-name"), "some value");
       EXPECT_EQ (r.body, "hello");
     }
