--- a/packages/decide/gq.c
+++ b/packages/decide/gq.c
@@ -12,9 +12,13 @@
 #define _GQ_PLAIN_PACE_US 30000.0
 /* Time to read one prompt token, relative to the time of one step.  */
 #define _GQ_READ_STEPS_PER_TOKEN 0.005
-/* One way between regions is some 8 ms; traffic there is also the dearest.  */
+/* One way between regions is some 8 ms; traffic there is also the dearest.
+   Where other cells' loads are known late, a place there is worth less.  */
 #define _GQ_SAME_REGION_US 1500.0
 #define _GQ_OTHER_REGION_US 20000.0
+#define _GQ_OTHER_CELL_US 100000.0
+/* Weight of a VM's own order of preference.  */
+#define _GQ_BIAS 0.3
 /* Expected cost of a failed answer: it has to be sent again.  */
 #define _GQ_FAILURE_US 800000.0
 /* Part of the target that may be spent waiting; the rest is for the answer
@@ -82,7 +86,10 @@
   double pace = up->pace_us > 0  ? up->pace_us
                 : demand->engine ? _GQ_ENGINE_PACE_US
                                  : _GQ_PLAIN_PACE_US;
-  double cost = far[ut_query_distance (t, id)]
+  uint32_t distance = ut_query_distance (t, id);
+  double cost = far[distance]
+                + (demand->several_cells && distance > 0 ? _GQ_OTHER_CELL_US
+                                                         : 0)
                 + _GQ_FAILURE_US * ut_query_failure_share (t, id, now_us);
   if (demand->engine)
     {
@@ -96,7 +103,7 @@
     cost += pace * (1 + (double)running / slots);
   if (up->entry.cold_ms > 0)
     cost *= 2;
-  return cost;
+  return cost * (1 + _GQ_BIAS * up->bias);
 }
 
 /* Best upstream of SERVICE for DEMAND; generation 0 when none has room.
--- a/packages/decide/ut.c
+++ b/packages/decide/ut.c
@@ -6,9 +6,8 @@
 #define _UT_REPORT_MAX_AGE_US 1500000
 /* Weight of the newest sample in the measured pace.  */
 #define _UT_PACE_WEIGHT 0.1
-/* Failed connections in a row after which an upstream is left out, and for
-   how long: first, doubled up to the last.  */
-#define _UT_UNREACHABLE_LIMIT 2
+/* How long an upstream is left out after a failed connection: first, doubled
+   with each one in a row up to the last.  */
 #define _UT_AVOID_FIRST_US 400000
 #define _UT_AVOID_LAST_US 1600000
 
@@ -159,6 +158,16 @@
         }
 }
 
+/* A number that differs for each pair of a VM and an upstream, so that VMs
+   which know the same do not all choose the same upstream.  */
+static double
+_ut_bias (const ut_table *t, const ut_entry *entry)
+{
+  uint64_t hash = st_hash (st_name_str (&entry->id),
+                           st_hash (st_name_str (&t->desc.vm), 3));
+  return (double)(hash >> 32) / 4294967296.0;
+}
+
 /* Adds ENTRY or brings a known one up to date.  An entry with another start
    time is another process: what was measured of it is forgotten.  Returns
    generation 0 when the table is full.  */
@@ -185,6 +194,7 @@
   slot->generation++;
   slot->up = (ut_upstream){ .entry = *entry,
                             .hash = ut_hash (st_name_str (&entry->id)),
+                            .bias = _ut_bias (t, entry),
                             .decayed_at_us = now_us };
   _ut_sum_reports (t, &slot->up);
   _ut_reindex (t);
@@ -294,6 +304,14 @@
   up->decayed_at_us = now_us;
 }
 
+static uint64_t
+_ut_pause_us (uint32_t failures_in_row)
+{
+  uint32_t doublings = failures_in_row > 3 ? 2 : failures_in_row - 1;
+  uint64_t pause = (uint64_t)_UT_AVOID_FIRST_US << doublings;
+  return pause < _UT_AVOID_LAST_US ? pause : _UT_AVOID_LAST_US;
+}
+
 /* A request at ID has ended as OUTCOME says.  UNREAD_TOKENS are those that
    ut_first has not taken off.  */
 void
@@ -322,15 +340,7 @@
       up->failures += 1;
       up->answers += 1;
       up->unreachable_in_row++;
-      if (up->unreachable_in_row >= _UT_UNREACHABLE_LIMIT)
-        {
-          uint32_t doublings = up->unreachable_in_row - _UT_UNREACHABLE_LIMIT;
-          uint64_t pause = (uint64_t)_UT_AVOID_FIRST_US
-                           << (doublings < 2 ? doublings : 2);
-          up->avoid_until_us
-              = now_us
-                + (pause < _UT_AVOID_LAST_US ? pause : _UT_AVOID_LAST_US);
-        }
+      ut_avoid (t, id, now_us + _ut_pause_us (up->unreachable_in_row));
       break;
     case UT_REFUSED:
     case UT_ABANDONED:
--- a/packages/decide/ut.h
+++ b/packages/decide/ut.h
@@ -62,6 +62,7 @@
 {
   ut_entry entry;
   uint64_t hash;
+  double bias; /* 0 to 1: how far down this VM's own order it stands */
   uint32_t own_running;
   uint32_t own_unread_tokens;
   uint32_t peer_running;
@@ -76,7 +77,8 @@
 
 typedef struct
 {
-  st_name data_center; /* of this VM */
+  st_name vm; /* this VM: each has its own order of preference */
+  st_name data_center;
   st_name region;
   uint64_t report_max_age_us; /* 0 means 1.5 s */
   al_allocator allocator;
--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -120,6 +120,7 @@
   gw->cell.speakers = g_ptr_array_new_with_free_func (g_free);
   gw->requests = g_new0 (_gw_request, GW_REQUESTS_MAX);
   ut_desc table = { 0 };
+  st_name_set (&table.vm, desc->vm_name);
   st_name_set (&table.data_center, desc->data_center);
   st_name_set (&table.region, desc->region);
   gw->upstreams = ut_make (&table);
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -94,6 +94,7 @@
   uint32_t waiting[GQ_RANKS];
   _gw_peer_waiting (gw, waiting);
   r->demand.urgent_elsewhere = false;
+  r->demand.several_cells = gw->cell.several;
   for (uint32_t i = 0; i < r->demand.rank; i++)
     r->demand.urgent_elsewhere |= waiting[i] > 0;
   return gq_place (gw->upstreams, st_name_str (&r->service), &r->demand,
