Deal the slots of a cell's engines out among its VMs

Change: each slot is one VM's to fill; others' slots only while two more are free; no urgent extra where VMs hear of each other late.

--- a/packages/decide/gq.c
+++ b/packages/decide/gq.c
@@ -6,6 +6,11 @@
 /* Requests beyond its slots that an engine gets of the first tier: the queue
    of the engine hides the time until a freed slot is seen here.  */
 #define _GQ_URGENT_EXTRA 1
+/* Requests of others that may be seen for longer than they run.  */
+#define _GQ_LATE_REPORTS 1
+/* Slots that have to be free for one that is not this VM's to be taken, in a
+   deployment whose VMs hear of each other late.  */
+#define _GQ_BORROW_MARGIN 2
 /* Pace of an upstream that has not been measured: like a fast one, so that
    it gets measured.  */
 #define _GQ_ENGINE_PACE_US 6000.0
@@ -68,13 +73,28 @@
   if (!demand->engine)
     return slots;
   if (demand->tier == 0)
-    return slots + _GQ_URGENT_EXTRA;
+    return slots + (demand->several_cells ? 0 : _GQ_URGENT_EXTRA);
   uint32_t reserved
       = (demand->tier >= 2 && !demand->begun ? _GQ_RESERVED_SLOTS : 0)
         + (demand->urgent_elsewhere ? 1 : 0);
   return slots > reserved ? slots - reserved : 1;
 }
 
+/* True when UP has a slot for DEMAND.  A slot that is this VM's to fill is
+   taken by its own count; others only while some are seen to be free, since
+   another VM may be about to take the last ones.  */
+static bool
+_gq_has_room (const ut_upstream *up, const gq_demand *demand)
+{
+  uint32_t running = up->own_running + up->peer_running;
+  uint32_t limit = _gq_limit (up, demand);
+  if (!demand->several_cells)
+    return running < limit;
+  if (up->own_running < up->share)
+    return running < limit + _GQ_LATE_REPORTS;
+  return running + _GQ_BORROW_MARGIN < limit;
+}
+
 /* Expected time until the answer begins, in microseconds.  */
 static double
 _gq_cost (const ut_table *t, ut_id id, const ut_upstream *up,
@@ -132,7 +152,7 @@
             continue;
           if (pass == 1 && _gq_tried (demand, id))
             continue;
-          if (up->own_running + up->peer_running >= _gq_limit (up, demand))
+          if (!_gq_has_room (up, demand))
             continue;
           random = random * 1664525u + 1013904223u;
           double cost = _gq_cost (t, id, up, demand, now_us)
--- a/packages/decide/ut.c
+++ b/packages/decide/ut.c
@@ -271,6 +271,42 @@
              : 2;
 }
 
+static uint32_t
+_ut_share_of (const ut_table *t, const ut_upstream *up, const st_str *vms,
+              uint32_t count)
+{
+  uint64_t own = st_hash (st_name_str (&t->desc.vm), up->hash);
+  uint32_t share = 0;
+  for (uint32_t slot = 0; slot < up->entry.slots; slot++)
+    {
+      uint64_t best = own * (2 * (uint64_t)slot + 3);
+      uint32_t i = 0;
+      while (i < count
+             && st_hash (vms[i], up->hash) * (2 * (uint64_t)slot + 3) <= best)
+        i++;
+      share += i == count;
+    }
+  return share;
+}
+
+/* Deals the slots of the upstreams out among this VM and the COUNT others in
+   VMS, by which each slot is one VM's to fill: reports of load come too late
+   to keep two VMs from filling the same one.  With NEAR_ONLY the VMs share
+   the upstreams of their data centre only.  */
+void
+ut_assign (ut_table *t, const st_str *vms, uint32_t count, bool near_only)
+{
+  for (uint32_t i = 0; i < t->used; i++)
+    if (t->slots[i].generation % 2 == 1)
+      {
+        ut_id id = { i, t->slots[i].generation };
+        ut_upstream *up = &t->slots[i].up;
+        up->share = near_only && ut_query_distance (t, id) > 0
+                        ? 0
+                        : _ut_share_of (t, up, vms, count);
+      }
+}
+
 /* A request with UNREAD_TOKENS of prompt goes to ID.  */
 void
 ut_begin (ut_table *t, ut_id id, uint32_t unread_tokens)
--- a/packages/decide/ut.h
+++ b/packages/decide/ut.h
@@ -63,6 +63,7 @@
   ut_entry entry;
   uint64_t hash;
   double bias; /* 0 to 1: how far down this VM's own order it stands */
+  uint32_t share; /* slots that are this VM's to fill; see ut_assign */
   uint32_t own_running;
   uint32_t own_unread_tokens;
   uint32_t peer_running;
@@ -104,6 +105,8 @@
   uint32_t ut_query_distance (const ut_table *t, ut_id id);
   uint64_t ut_hash (st_str id);
 
+  void ut_assign (ut_table *t, const st_str *vms, uint32_t count,
+                  bool near_only);
   void ut_begin (ut_table *t, ut_id id, uint32_t unread_tokens);
   void ut_first (ut_table *t, ut_id id, uint32_t unread_tokens);
   void ut_end (ut_table *t, ut_id id, uint32_t unread_tokens,
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -80,6 +80,19 @@
     g_free (incarnation);
 }
 
+/* Deals the upstreams' slots out among the VMs of the cell.  */
+static void
+_gw_deal_slots (gw_task *gw, const pc_member *all, uint32_t count)
+{
+  st_str *vms = g_new (st_str, count);
+  uint32_t mates = 0;
+  for (uint32_t i = 1; i < count; i++)
+    if (pc_cell_of (all, count, &all[i]) == gw->cell.cell)
+      vms[mates++] = all[i].name;
+  ut_assign (gw->upstreams, vms, mates, gw->cell.several);
+  g_free (vms);
+}
+
 /* Works out the cell from the members.  */
 static void
 _gw_build_cell (gw_task *gw)
@@ -108,6 +121,7 @@
   for (uint32_t i = 1; i < count; i++)
     if (records[i].incarnation.len > 0)
       _gw_sort_member (gw, &records[i], all, count);
+  _gw_deal_slots (gw, all, count);
   c->built_us = gw->now_us;
 }
 
