--- a/packages/decide/gq.c
+++ b/packages/decide/gq.c
@@ -107,10 +107,10 @@
                 : demand->engine ? _GQ_ENGINE_PACE_US
                                  : _GQ_PLAIN_PACE_US;
   uint32_t distance = ut_query_distance (t, id);
-  double cost = far[distance]
-                + (demand->several_cells && distance > 0 ? _GQ_OTHER_CELL_US
-                                                         : 0)
-                + _GQ_FAILURE_US * ut_query_failure_share (t, id, now_us);
+  double cost
+      = far[distance]
+        + (demand->several_cells && distance > 0 ? _GQ_OTHER_CELL_US : 0)
+        + _GQ_FAILURE_US * ut_query_failure_share (t, id, now_us);
   if (demand->engine)
     {
       double tokens = (double)up->own_unread_tokens + up->peer_unread_tokens
--- a/packages/decide/gq.h
+++ b/packages/decide/gq.h
@@ -36,7 +36,7 @@
   uint32_t tier;         /* of the route; 0 is the most urgent */
   bool engine;           /* the service is a model engine */
   bool begun;            /* the caller has a part of the answer */
-  bool several_cells; /* loads of other data centres are known late */
+  bool several_cells;    /* loads of other data centres are known late */
   bool urgent_elsewhere; /* other VMs have more urgent requests waiting */
   uint32_t prompt_tokens;
   uint64_t target_us; /* an answer after it is late */
--- a/packages/decide/ut.h
+++ b/packages/decide/ut.h
@@ -62,7 +62,7 @@
 {
   ut_entry entry;
   uint64_t hash;
-  double bias; /* 0 to 1: how far down this VM's own order it stands */
+  double bias;    /* 0 to 1: how far down this VM's own order it stands */
   uint32_t share; /* slots that are this VM's to fill; see ut_assign */
   uint32_t own_running;
   uint32_t own_unread_tokens;
