--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -85,7 +85,6 @@
   r->sends++;
   r->status = 0;
   r->is_stream = false;
-  r->broken = false;
   g_string_truncate (r->answer, 0);
   LO_EVENT (
       "dispatch", st_name_str (&r->id),
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -44,8 +44,6 @@
   const rc_route *route;
   const rc_team *team; /* NULL on public routes */
   st_name service;
-  bool engine;
-  bool repeatable; /* may run more than once */
   st_name id;
   GString *head; /* request line and fields that every sending shares */
   GString *body;
@@ -59,27 +57,28 @@
   uint32_t sends;
   uint32_t runs;     /* sendings that may have run */
   uint32_t arrivals; /* sendings that may have reached an upstream */
-  bool counted;      /* in the budget of repeats */
   ut_id upstream;
   st_name upstream_id;
   uint32_t unread_tokens; /* reported for the upstream */
   uc_exchange *exchange;
   /* The answer at hand.  */
   int status;
-  bool is_signed;
-  bool not_run;
-  bool encoded;
-  bool is_stream;
   GString *answer_head; /* fields to pass on */
   GString *answer;      /* body, or the last incomplete event */
   /* Stream.  */
-  bool has_last_event;
   uint64_t last_event;
   uint64_t last_event_us;
   uint64_t events;
-  bool broken; /* its events do not follow each other */
   struct event *timer;
   struct _gw_request *next; /* in the queue */
+  bool engine;
+  bool repeatable; /* may run more than once */
+  bool counted;      /* in the budget of repeats */
+  bool is_signed;
+  bool not_run;
+  bool encoded;
+  bool is_stream;
+  bool has_last_event;
 } _gw_request;
 
 struct _gw_conn
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -239,8 +239,8 @@
 {
   static ut_row own[MS_LOAD_ROWS_MAX];
   static ms_load_row rows[MS_LOAD_ROWS_MAX];
-  ms_load_team teams[_GW_TEAMS_MAX];
-  ms_load_team own_teams[_GW_TEAMS_MAX];
+  ms_load_team teams[_GW_TEAMS_MAX] = { { 0 } };
+  ms_load_team own_teams[_GW_TEAMS_MAX] = { { 0 } };
   ms_message m = _gw_load_message (gw, scope);
   ms_load *load = &m.u.load;
   GHashTable *sum
--- a/packages/gateway/rc.h
+++ b/packages/gateway/rc.h
@@ -53,7 +53,6 @@
 {
   st_str name;
   bool engine;              /* model engine: tokens, prompts, streams */
-  uint32_t max_connections; /* of one upstream, from all VMs; 0: no limit */
 } rc_service;
 
 typedef struct
--- a/packages/gateway/uc.c
+++ b/packages/gateway/uc.c
@@ -11,7 +11,6 @@
 
 #define _UC_CONNECT_MS 400
 #define _UC_IDLE_MS 4000
-#define _UC_IDLE_PER_UPSTREAM 16
 /* An idle connection is given up this long before the upstream closes it, so
    that no request crosses the close.  */
 #define _UC_IDLE_MARGIN_MS 900
@@ -289,8 +288,6 @@
     pool->desc.connect_ms = _UC_CONNECT_MS;
   if (pool->desc.idle_ms == 0)
     pool->desc.idle_ms = _UC_IDLE_MS;
-  if (pool->desc.idle_per_upstream == 0)
-    pool->desc.idle_per_upstream = _UC_IDLE_PER_UPSTREAM;
   pool->idle = g_ptr_array_new ();
   pool->conns = g_ptr_array_new ();
   return pool;
@@ -302,9 +299,9 @@
 {
   if (pool == NULL)
     return;
-  while (pool->conns->len > 0)
+  for (guint i = pool->conns->len; i > 0; i--)
     {
-      _uc_conn *conn = pool->conns->pdata[0];
+      _uc_conn *conn = pool->conns->pdata[i - 1];
       if (conn->x != NULL)
         _uc_free_exchange (conn->x);
       conn->x = NULL;
--- a/packages/gateway/uc.h
+++ b/packages/gateway/uc.h
@@ -63,7 +63,6 @@
   st_str id_field;            /* name of the field that echoes the id */
   uint32_t connect_ms;        /* 0 means 400 */
   uint32_t idle_ms;           /* for upstreams that name no time; 0: 4000 */
-  uint32_t idle_per_upstream; /* 0 means 16 */
 } uc_desc;
 
 #ifdef __cplusplus
