--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -73,7 +73,7 @@
   struct _gw_request *next; /* in the queue */
   bool engine;
   bool repeatable; /* may run more than once */
-  bool counted;      /* in the budget of repeats */
+  bool counted;    /* in the budget of repeats */
   bool is_signed;
   bool not_run;
   bool encoded;
@@ -235,6 +235,7 @@
 void _gw_load_changed (gw_task *gw);
 void _gw_expire_peers (gw_task *gw);
 uint32_t _gw_live_vms (const gw_task *gw);
+uint64_t _gw_reports_age_us (const gw_task *gw);
 void _gw_peer_waiting (gw_task *gw, uint32_t waiting[GQ_RANKS]);
 
 #endif
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -590,6 +590,21 @@
   return gw_query_vm_count (gw);
 }
 
+/* Age of the oldest report of load that counts; 0 when there is none.  */
+uint64_t
+_gw_reports_age_us (const gw_task *gw)
+{
+  uint64_t oldest = 0;
+  for (int i = 0; i < UT_PEERS_MAX; i++)
+    {
+      const _gw_peer *p = &gw->peer[i];
+      uint64_t age = gw->now_us - p->heard_us;
+      if (p->key != 0 && age < _GW_PEER_SILENT_US && age > oldest)
+        oldest = age;
+    }
+  return oldest;
+}
+
 /* Requests that wait at the other VMs, by tier.  */
 void
 _gw_peer_waiting (gw_task *gw, uint32_t waiting[GQ_RANKS])
--- a/packages/gateway/rc.h
+++ b/packages/gateway/rc.h
@@ -52,7 +52,7 @@
 typedef struct
 {
   st_str name;
-  bool engine;              /* model engine: tokens, prompts, streams */
+  bool engine; /* model engine: tokens, prompts, streams */
 } rc_service;
 
 typedef struct
