--- a/packages/gateway/tests/support.hh
+++ b/packages/gateway/tests/support.hh
@@ -7,6 +7,7 @@
 
 #include <arpa/inet.h>
 #include <deque>
+#include <map>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -28,6 +29,14 @@
   return { s.data (), s.size () };
 }
 
+// Names of the fields that the stand-in reads and writes.
+struct FieldNames
+{
+  std::string id = "X-Id";
+  std::string sign = "X-Sign";
+  std::string not_run = "X-Not-Run";
+};
+
 enum Behaviour
 {
   Answer,
@@ -67,9 +76,17 @@
 
   std::deque<Behaviour> behaviours;
   Behaviour fallback = Answer;
+  FieldNames names;
+  bool keep_heads = true;
+  // Answers paths of streams with a stream, whatever the behaviour says of
+  // whole answers, and others never with one.
+  bool streams_by_path = false;
   std::vector<std::string> heads; // of requests, in order of arrival
   std::vector<std::string> bodies;
   uint32_t runs = 0;
+  std::map<std::string, uint32_t> runs_of; // by request id
+  uint64_t last_arrival_us = 0;
+  std::string last_arrival;
   uint32_t connections = 0;
   uint32_t closed_by_peer = 0;
   uint16_t port = 0;
@@ -167,7 +184,10 @@
               {
                 self->behaviours.pop_front ();
                 self->note (c);
-                self->answer (c, 200, "early", true);
+                self->answer (c, 200,
+                              "body of "
+                                  + self->field (c, self->names.id.c_str ()),
+                              true);
               }
             continue;
           }
@@ -184,6 +204,11 @@
   void
   note (Conn *c)
   {
+    ck_clock clock = {};
+    last_arrival_us = ck_now_us (&clock);
+    last_arrival = field (c, names.id.c_str ());
+    if (!keep_heads)
+      return;
     const hp_head *h = hp_query_head (c->reader);
     std::string text (h->method.ptr, h->method.len);
     text += " " + std::string (h->target.ptr, h->target.len) + "\n";
@@ -215,9 +240,9 @@
   answer (Conn *c, int status, const std::string &body, bool is_signed,
           const std::string &id = "", const std::string &more = "")
   {
-    send (c, "HTTP/1.1 " + std::to_string (status) + " X\r\nX-Id: "
-                 + (id.empty () ? field (c, "X-Id") : id) + "\r\n"
-                 + (is_signed ? "X-Sign: s1\r\n" : "") + more
+    send (c, "HTTP/1.1 " + std::to_string (status) + " X\r\n" + names.id + ": "
+                 + (id.empty () ? field (c, names.id.c_str ()) : id) + "\r\n"
+                 + (is_signed ? names.sign + ": s1\r\n" : "") + more
                  + "Content-Length: " + std::to_string (body.size ())
                  + "\r\n\r\n" + body);
   }
@@ -229,18 +254,19 @@
     return size + text + "\r\n";
   }
   static std::string
-  event_text (int id)
+  event_text (int id, const std::string &request)
   {
     return "id: " + std::to_string (id) + "\ndata: part-"
-           + std::to_string (id) + "\n\n";
+           + std::to_string (id) + " of " + request + "\n\n";
   }
   void
   stream (Conn *c, Behaviour b)
   {
     std::string from = field (c, "Last-Event-Id");
     int first = from.empty () ? 1 : atoi (from.c_str ()) + 1;
-    send (c, "HTTP/1.1 200 OK\r\nX-Id: " + field (c, "X-Id")
-                 + "\r\nX-Sign: s1\r\nContent-Type: text/event-stream\r\n"
+    send (c, "HTTP/1.1 200 OK\r\n" + names.id + ": "
+                 + field (c, names.id.c_str ()) + "\r\n" + names.sign
+                 + ": s1\r\nContent-Type: text/event-stream\r\n"
                    "Transfer-Encoding: chunked\r\n\r\n");
     for (int id = first; id <= 6; id++)
       {
@@ -252,7 +278,7 @@
               send (c, chunk ("id: " + std::to_string (id) + "\nda"));
             return;
           }
-        send (c, chunk (event_text (id)));
+        send (c, chunk (event_text (id, field (c, names.id.c_str ()))));
       }
     send (c, "0\r\n\r\n");
   }
@@ -261,6 +287,21 @@
   {
     drop (c, reset);
   }
+  Behaviour
+  by_path (Conn *c, Behaviour b)
+  {
+    std::string target (hp_query_head (c->reader)->target.ptr,
+                        hp_query_head (c->reader)->target.len);
+    bool streams = target.compare (0, 8, "/stream/") == 0
+                   || target.compare (0, 8, "/resume/") == 0;
+    if (streams && (b == Answer || b == Unframed || b == Extra))
+      return Stream;
+    if (!streams
+        && (b == Stream || b == StreamCut || b == StreamGap
+            || b == StreamStall))
+      return Answer;
+    return b;
+  }
   // False when the connection is gone.
   bool
   act (Conn *c)
@@ -271,13 +312,18 @@
         b = behaviours.front ();
         behaviours.pop_front ();
       }
+    if (streams_by_path)
+      b = by_path (c, b);
     if (b != Shed && b != OtherInstance)
-      runs++;
+      {
+        runs++;
+        runs_of[field (c, names.id.c_str ())]++;
+      }
     switch (b)
       {
       case Answer:
       case Early:
-        answer (c, 200, "body of " + field (c, "X-Id"), true);
+        answer (c, 200, "body of " + field (c, names.id.c_str ()), true);
         return true;
       case Unsigned:
         answer (c, 200, "unsigned", false);
@@ -287,22 +333,23 @@
         return true;
       case LateOtherFirst:
         answer (c, 200, "not yours", true, "other");
-        answer (c, 200, "body of " + field (c, "X-Id"), true);
+        answer (c, 200, "body of " + field (c, names.id.c_str ()), true);
         return true;
       case Extra:
-        answer (c, 200, "body of " + field (c, "X-Id"), true);
+        answer (c, 200, "body of " + field (c, names.id.c_str ()), true);
         answer (c, 200, "again", true);
         return true;
       case Cut:
-        send (c, "HTTP/1.1 200 OK\r\nX-Id: " + field (c, "X-Id")
-                     + "\r\nX-Sign: s1\r\nContent-Length: 100\r\n\r\nhalf");
+        send (c, "HTTP/1.1 200 OK\r\n" + names.id + ": "
+                     + field (c, names.id.c_str ()) + "\r\n" + names.sign
+                     + ": s1\r\nContent-Length: 100\r\n\r\nhalf");
         finish (c);
         return false;
       case Reset:
         finish (c, true);
         return false;
       case Shed:
-        answer (c, 503, "", false, "", "X-Not-Run: 1\r\n");
+        answer (c, 503, "", false, "", names.not_run + ": 1\r\n");
         return true;
       case Plain503:
         answer (c, 503, "busy", true);
@@ -317,8 +364,9 @@
         return true;
       case Unframed:
       case UnframedReset:
-        send (c, "HTTP/1.1 200 OK\r\nX-Id: " + field (c, "X-Id")
-                     + "\r\nX-Sign: s1\r\n\r\nunframed");
+        send (c, "HTTP/1.1 200 OK\r\n" + names.id + ": "
+                     + field (c, names.id.c_str ()) + "\r\n" + names.sign
+                     + ": s1\r\n\r\nunframed");
         if (b == Unframed)
           finish (c);
         else
