Let begun streams wait for the budget and try further upstreams

Change: a stream that has begun waits for the budget and may be sent 12 times; an upstream that was tried is taken when there is no other; 0.9 and 0.85 of the budget's parts are spent in place of 0.8 and 0.7.

--- a/packages/decide/bu.c
+++ b/packages/decide/bu.c
@@ -2,10 +2,10 @@
 
 #include <string.h>
 
-/* Part of the fixed repeats that is spent: the windows of the VMs do not
-   start together, so that a part of a bucket may count in two windows.  */
-#define _BU_FIXED_PART 0.7
-#define _BU_SHARE_PART 0.8
+/* Parts that are spent: a window is counted in buckets, so that any window
+   may hold the repeats of one bucket more.  */
+#define _BU_FIXED_PART 0.85
+#define _BU_SHARE_PART 0.9
 /* A peer that has not reported for this long is taken to go on as it did.  */
 #define _BU_SILENT_US 700000
 /* A peer that has been silent for this long has ended.  */
--- a/packages/decide/gq.c
+++ b/packages/decide/gq.c
@@ -126,6 +126,30 @@
   return cost * (1 + _GQ_BIAS * up->bias);
 }
 
+/* Which upstreams are looked at; the next kind only when there is none.  */
+typedef enum
+{
+  _GQ_BEST = 0, /* neither tried nor avoided */
+  _GQ_AVOIDED,  /* not tried */
+  _GQ_ANY
+} _gq_choice;
+
+static bool
+_gq_chosen (_gq_choice choice, const ut_upstream *up, bool tried,
+            uint64_t now_us)
+{
+  switch (choice)
+    {
+    case _GQ_BEST:
+      return !tried && up->avoid_until_us <= now_us;
+    case _GQ_AVOIDED:
+      return !tried;
+    case _GQ_ANY:
+      return true;
+    }
+  return true;
+}
+
 /* Best upstream of SERVICE for DEMAND; generation 0 when none has room.
    RANDOM breaks near ties, so that several VMs do not all choose the same
    one.  Upstreams that were tried or that are avoided are taken only when
@@ -134,24 +158,19 @@
 gq_place (const ut_table *t, st_str service, const gq_demand *demand,
           uint64_t now_us, uint32_t random)
 {
-  for (int pass = 0; pass < 2; pass++)
+  for (_gq_choice choice = _GQ_BEST; choice <= _GQ_ANY; choice++)
     {
       ut_id best = { 0, 0 };
       double best_cost = 0;
-      bool preferred_exists = false;
+      bool some = false;
       ut_id id = { 0, 0 };
       while (ut_next (t, &id))
         {
           const ut_upstream *up = ut_query (t, id);
-          if (!gq_usable (up, service))
-            continue;
-          bool preferred
-              = !_gq_tried (demand, id) && up->avoid_until_us <= now_us;
-          preferred_exists |= preferred;
-          if (pass == 0 && !preferred)
-            continue;
-          if (pass == 1 && _gq_tried (demand, id))
+          if (!gq_usable (up, service)
+              || !_gq_chosen (choice, up, _gq_tried (demand, id), now_us))
             continue;
+          some = true;
           if (!_gq_has_room (up, demand))
             continue;
           random = random * 1664525u + 1013904223u;
@@ -163,7 +182,7 @@
               best_cost = cost;
             }
         }
-      if (best.generation != 0 || preferred_exists)
+      if (some)
         return best;
     }
   return (ut_id){ 0, 0 };
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -129,12 +129,17 @@
 {
   if (runs > 0 && (!r->repeatable || runs >= r->route->attempts))
     return "may_have_run";
-  if (r->sends >= _GW_SENDS_MAX)
+  if (r->sends >= (r->events > 0 ? _GW_SENDS_MAX_BEGUN : _GW_SENDS_MAX))
     return "sends_used_up";
   if (r->gw->now_us + _GW_SEND_MIN_US >= r->end_us)
     return "no_time_left";
   if (arrivals > 0 && !_gw_take_repeat (r))
-    return "repeat_budget_used_up";
+    {
+      /* A stream that has begun waits for the budget: its caller bears a
+         pause, and what it has got is lost otherwise.  */
+      r->repeat_due = r->events > 0;
+      return r->repeat_due ? NULL : "repeat_budget_used_up";
+    }
   return NULL;
 }
 
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -20,6 +20,9 @@
 #define _GW_ID_MAX ST_NAME_MAX
 /* Sendings of one request, those included that ran nothing.  */
 #define _GW_SENDS_MAX 4
+/* Of a stream that has begun: its caller bears a pause in which several
+   upstreams may turn it away, as they do while all of them are replaced.  */
+#define _GW_SENDS_MAX_BEGUN 12
 /* Teams whose use is told to the other VMs.  */
 #define _GW_TEAMS_MAX 64
 
@@ -73,6 +76,7 @@
   struct _gw_request *next; /* in the queue */
   bool engine;
   bool repeatable; /* may run more than once */
+  bool repeat_due; /* its next sending still has to be taken from the budget */
   bool counted;    /* in the budget of repeats */
   bool is_signed;
   bool not_run;
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -267,7 +267,9 @@
 void
 _gw_requeue (_gw_request *r)
 {
-  ut_id to = _gw_place (r);
+  ut_id to = { 0, 0 };
+  if (!r->repeat_due)
+    to = _gw_place (r);
   if (to.generation != 0)
     _gw_dispatch (r, to);
   else
@@ -288,6 +290,9 @@
         ut_id to = _gw_place (r);
         if (to.generation == 0)
           return;
+        if (r->repeat_due && !_gw_take_repeat (r))
+          break;
+        r->repeat_due = false;
         _gw_dequeue (r);
         _gw_dispatch (r, to);
       }
