--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -45,6 +45,13 @@
   return service;
 }
 
+/* State of R's service.  */
+_gw_service *
+_gw_service_of (_gw_request *r)
+{
+  return _gw_find_service (r->gw, st_name_str (&r->service));
+}
+
 /* State of the team NAME, made when it is first asked for.  */
 _gw_team *
 _gw_find_team (gw_task *gw, st_str name)
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -36,9 +36,7 @@
 _gw_take_repeat (_gw_request *r)
 {
   bu_terms terms = _gw_terms (r->gw);
-  return bu_take_repeat (
-      &_gw_find_service (r->gw, st_name_str (&r->service))->repeats, &terms,
-      r->gw->now_us);
+  return bu_take_repeat (&_gw_service_of (r)->repeats, &terms, r->gw->now_us);
 }
 
 static void _gw_on_exchange (void *user, const uc_event *event);
@@ -72,9 +70,7 @@
   bu_terms terms = _gw_terms (gw);
   const ut_upstream *up = ut_query (gw->upstreams, to);
   if (!r->counted)
-    bu_count_request (
-        &_gw_find_service (gw, st_name_str (&r->service))->repeats, &terms,
-        gw->now_us);
+    bu_count_request (&_gw_service_of (r)->repeats, &terms, gw->now_us);
   r->counted = true;
   r->state = r->events > 0 ? _GW_RELAYING : _GW_SENT;
   r->upstream = to;
@@ -212,7 +208,7 @@
 {
   gw_task *gw = r->gw;
   _gw_conn *conn = r->conn;
-  _gw_service *service = _gw_find_service (gw, st_name_str (&r->service));
+  _gw_service *service = _gw_service_of (r);
   r->runs++;
   _gw_reply (conn, r->status,
              (st_str){ r->answer_head->str, r->answer_head->len },
@@ -223,11 +219,12 @@
   _gw_schedule (gw, service);
 }
 
-static void
+/* Takes the time that R was at its upstream into the means.  */
+void
 _gw_measure (_gw_request *r)
 {
   gw_task *gw = r->gw;
-  _gw_service *service = _gw_find_service (gw, st_name_str (&r->service));
+  _gw_service *service = _gw_service_of (r);
   double took_us = (double)(gw->now_us - r->sent_us);
   if (service->service_us <= 0)
     service->service_us = took_us;
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -39,50 +39,48 @@
 typedef struct _gw_request
 {
   struct gw_task *gw;
-  uint32_t index;
-  uint32_t generation;
-  _gw_state state;
   _gw_conn *conn;
   rc_config *config;
   const rc_route *route;
   const rc_team *team; /* NULL on public routes */
-  st_name service;
-  st_name id;
-  GString *head; /* request line and fields that every sending shares */
+  GString *head;       /* request line and fields that every sending shares */
   GString *body;
-  uint32_t max_output_tokens;
   double allowance; /* that it takes */
   gq_demand demand;
   uint64_t give_up_us; /* refused when it still waits then */
   uint64_t end_us;     /* the caller or the route waits no longer */
   uint64_t sent_us;
   uint64_t first_us; /* first event or head of the answer */
-  uint32_t sends;
-  uint32_t runs;     /* sendings that may have run */
-  uint32_t arrivals; /* sendings that may have reached an upstream */
   ut_id upstream;
-  st_name upstream_id;
-  uint32_t unread_tokens; /* reported for the upstream */
   uc_exchange *exchange;
-  /* The answer at hand.  */
-  int status;
   GString *answer_head; /* fields to pass on */
   GString *answer;      /* body, or the last incomplete event */
-  /* Stream.  */
-  uint64_t last_event;
+  uint64_t last_event;  /* id */
   uint64_t last_event_us;
-  uint64_t events;
+  uint64_t events; /* passed on */
   struct event *timer;
   struct _gw_request *next; /* in the queue */
+  uint32_t index;
+  uint32_t generation;
+  _gw_state state;
+  uint32_t max_output_tokens;
+  uint32_t sends;
+  uint32_t runs;          /* sendings that may have run */
+  uint32_t arrivals;      /* sendings that may have reached an upstream */
+  uint32_t unread_tokens; /* reported for the upstream */
+  int status;             /* of the answer at hand */
+  st_name id;
+  st_name service;
+  st_name upstream_id;
   bool engine;
   bool repeatable; /* may run more than once */
   bool repeat_due; /* its next sending still has to be taken from the budget */
   bool counted;    /* in the budget of repeats */
-  bool is_signed;
-  bool not_run;
-  bool encoded;
-  bool is_stream;
   bool has_last_event;
+  bool is_signed; /* the answer at hand has a signature */
+  bool not_run;   /* it states that the request did not run */
+  bool encoded;   /* it has an encoding that the caller did not ask for */
+  bool is_stream; /* its events are passed on as they arrive */
 } _gw_request;
 
 struct _gw_conn
@@ -189,6 +187,7 @@
 void _gw_watch_queues (gw_task *gw);
 _gw_service *_gw_find_service (gw_task *gw, st_str name);
 _gw_team *_gw_find_team (gw_task *gw, st_str name);
+_gw_service *_gw_service_of (_gw_request *r);
 bool _gw_is_named (const st_str *names, size_t count, st_str name);
 
 /* Requests: gw_request.c.  */
@@ -226,6 +225,7 @@
 /* Dispatch: gw_dispatch.c.  */
 void _gw_dispatch (_gw_request *r, ut_id to);
 void _gw_end_exchange (_gw_request *r, ut_outcome outcome);
+void _gw_measure (_gw_request *r);
 bool _gw_take_repeat (_gw_request *r);
 void _gw_retry (_gw_request *r, bool arrived, bool may_have_run,
                 const char *reason);
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -10,12 +10,6 @@
 #define _GW_ENGINE_SERVICE_US 600000.0
 #define _GW_PLAIN_SERVICE_US 40000.0
 
-static _gw_service *
-_gw_service_of (_gw_request *r)
-{
-  return _gw_find_service (r->gw, st_name_str (&r->service));
-}
-
 /* What has begun goes before new requests of the next tier up: its work is
    lost if it does not go on.  R is not in a queue.  */
 static void
--- a/packages/gateway/gw_relay.c
+++ b/packages/gateway/gw_relay.c
@@ -121,7 +121,7 @@
 {
   gw_task *gw = r->gw;
   _gw_conn *conn = r->conn;
-  _gw_service *service = _gw_find_service (gw, st_name_str (&r->service));
+  _gw_service *service = _gw_service_of (r);
   r->exchange = NULL;
   if (r->answer->len > 0 || r->events == 0)
     {
@@ -129,12 +129,7 @@
       return;
     }
   r->runs++;
-  service->service_us = service->service_us <= 0
-                            ? (double)(gw->now_us - r->sent_us)
-                            : service->service_us
-                                  + 0.05
-                                        * ((double)(gw->now_us - r->sent_us)
-                                           - service->service_us);
+  _gw_measure (r);
   _gw_end_exchange (r, UT_SERVED);
   _gw_reply_end (conn);
   _gw_account (r, "answered", 200, "");
--- a/packages/gateway/gw_request.c
+++ b/packages/gateway/gw_request.c
@@ -129,12 +129,6 @@
     }
 }
 
-static _gw_service *
-_gw_service_of (_gw_request *r)
-{
-  return _gw_find_service (r->gw, st_name_str (&r->service));
-}
-
 /* The caller has left: nobody waits for the answer.  */
 void
 _gw_abandon (_gw_request *r, const char *reason)
