--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -23,6 +23,8 @@
 /* Of a stream that has begun: its caller bears a pause in which several
    upstreams may turn it away, as they do while all of them are replaced.  */
 #define _GW_SENDS_MAX_BEGUN 12
+/* A VM that has not reported for this long takes no callers.  */
+#define _GW_PEER_SILENT_US 1300000
 /* Teams whose use is told to the other VMs.  */
 #define _GW_TEAMS_MAX 64
 
@@ -234,6 +236,12 @@
 void _gw_relay (_gw_request *r, st_str bytes);
 void _gw_relay_end (_gw_request *r);
 
+/* Reports of load: gw_load.c.  */
+void _gw_start_reports (gw_task *gw);
+void _gw_build_cell (gw_task *gw);
+void _gw_tell (gw_task *gw, const GPtrArray *incarnations,
+               const ms_message *m);
+
 /* The other VMs: gw_peers.c.  */
 bool _gw_start_peers (gw_task *gw, er_error *err);
 void _gw_load_changed (gw_task *gw);
