--- a/packages/base/lo.h
+++ b/packages/base/lo.h
@@ -1,6 +1,6 @@
 /* lo.h -- event log: one JSON line on standard output for each decision.
 
-     lo_setup (&(lo_desc){ .vm = "rajkot-a-1" });
+     lo_setup (&(lo_desc){ .vm = "vm-1" });
      LO_EVENT ("dispatch", request_id, LO_STR ("upstream", id),
                LO_INT ("waited_ms", 12));
 
--- a/packages/decide/bu.c
+++ b/packages/decide/bu.c
@@ -58,7 +58,7 @@
 }
 
 static void
-_bu_refill (bu_allowance *a, uint64_t now_us)
+_bu_refill (bu_quota *a, uint64_t now_us)
 {
   double reserved = 0;
   double elapsed_s = (double)(now_us - a->filled_at_us) / 1e6;
@@ -80,7 +80,7 @@
 
 /* Sets the limits of A.  A zeroed A starts with a part of the burst.  */
 void
-bu_set_allowance (bu_allowance *a, double rate, double burst, uint64_t now_us)
+bu_set_quota (bu_quota *a, double rate, double burst, uint64_t now_us)
 {
   if (a->filled_at_us == 0)
     {
@@ -96,8 +96,8 @@
 
 /* True when AMOUNT is left; else RETRY_AFTER_US says when it will be.  */
 bool
-bu_has_allowance (bu_allowance *a, double amount, uint64_t now_us,
-                  uint64_t *retry_after_us)
+bu_has_quota (bu_quota *a, double amount, uint64_t now_us,
+              uint64_t *retry_after_us)
 {
   *retry_after_us = 0;
   if (a->rate <= 0)
@@ -111,12 +111,12 @@
   return false;
 }
 
-/* Takes AMOUNT off the allowance; nothing when it is used up.  */
+/* Takes AMOUNT off the quota; nothing when it is used up.  */
 bool
-bu_take_allowance (bu_allowance *a, double amount, uint64_t now_us,
-                   uint64_t *retry_after_us)
+bu_take_quota (bu_quota *a, double amount, uint64_t now_us,
+               uint64_t *retry_after_us)
 {
-  if (!bu_has_allowance (a, amount, now_us, retry_after_us))
+  if (!bu_has_quota (a, amount, now_us, retry_after_us))
     return false;
   if (a->rate > 0)
     a->level -= amount;
@@ -126,8 +126,8 @@
 
 /* Takes a report of PEER (any number but 0): ADMITTED since its start.  */
 void
-bu_report_allowance (bu_allowance *a, uint64_t peer, uint64_t admitted,
-                     uint64_t now_us)
+bu_report_quota (bu_quota *a, uint64_t peer, uint64_t admitted,
+                 uint64_t now_us)
 {
   bu_peer *p = NULL;
   for (int i = 0; i < BU_PEERS_MAX && p == NULL; i++)
@@ -161,7 +161,7 @@
 
 /* PEER has ended: what it may be using is no longer reserved.  */
 void
-bu_forget_peer (bu_allowance *a, uint64_t peer)
+bu_forget_peer (bu_quota *a, uint64_t peer)
 {
   for (int i = 0; i < BU_PEERS_MAX; i++)
     if (a->peers[i].peer == peer)
--- a/packages/decide/bu.h
+++ b/packages/decide/bu.h
@@ -7,12 +7,12 @@
 
      if (bu_take_repeat (&budget, &terms, now_us)) send again
 
-   Allowances.  A team's tokens (or requests) refill a bucket at its rate.
+   Quotas.  A team's tokens (or requests) refill a bucket at its rate.
    Every VM keeps the whole bucket and takes off what it admits and what the
    others report.  What a silent VM may be using is reserved: its last rate.
 
-     if (!bu_take_allowance (&allowance, 1460, now_us, &retry_after_us)) 429
-     bu_report_allowance (&allowance, peer, admitted_since_its_start, now_us)
+     if (!bu_take_quota (&quota, 1460, now_us, &retry_after_us)) 429
+     bu_report_quota (&quota, peer, admitted_since_its_start, now_us)
  */
 #ifndef BU_H
 #define BU_H
@@ -55,7 +55,7 @@
   uint64_t admitted; /* by this VM since its start */
   uint32_t vms;      /* VMs that are expected to report */
   bu_peer peers[BU_PEERS_MAX];
-} bu_allowance;
+} bu_quota;
 
 #ifdef __cplusplus
 extern "C"
@@ -66,15 +66,14 @@
                          uint64_t now_us);
   bool bu_take_repeat (bu_repeats *b, const bu_terms *terms, uint64_t now_us);
 
-  void bu_set_allowance (bu_allowance *a, double rate, double burst,
-                         uint64_t now_us);
-  bool bu_has_allowance (bu_allowance *a, double amount, uint64_t now_us,
-                         uint64_t *retry_after_us);
-  bool bu_take_allowance (bu_allowance *a, double amount, uint64_t now_us,
-                          uint64_t *retry_after_us);
-  void bu_report_allowance (bu_allowance *a, uint64_t peer, uint64_t admitted,
-                            uint64_t now_us);
-  void bu_forget_peer (bu_allowance *a, uint64_t peer);
+  void bu_set_quota (bu_quota *a, double rate, double burst, uint64_t now_us);
+  bool bu_has_quota (bu_quota *a, double amount, uint64_t now_us,
+                     uint64_t *retry_after_us);
+  bool bu_take_quota (bu_quota *a, double amount, uint64_t now_us,
+                      uint64_t *retry_after_us);
+  void bu_report_quota (bu_quota *a, uint64_t peer, uint64_t admitted,
+                        uint64_t now_us);
+  void bu_forget_peer (bu_quota *a, uint64_t peer);
 
 #ifdef __cplusplus
 }
--- a/packages/decide/tests/bu_test.cc
+++ b/packages/decide/tests/bu_test.cc
@@ -64,25 +64,25 @@
 
 // Guards against a team getting more than its rate over all VMs, whatever the
 // split of its requests among them, while reports take their time.
-TEST (Bu, AllowanceHoldsOverAllVms)
+TEST (Bu, QuotaHoldsOverAllVms)
 {
   const int vms = 7;
   const double rate = 10000, burst = 10000, slack = 5000;
-  std::vector<bu_allowance> a (vms);
-  for (bu_allowance &one : a)
-    bu_set_allowance (&one, rate, burst, 1);
+  std::vector<bu_quota> a (vms);
+  for (bu_quota &one : a)
+    bu_set_quota (&one, rate, burst, 1);
   std::vector<std::pair<uint64_t, double>> admitted;
   uint64_t retry;
   for (uint64_t now = 1000; now < 30 * second; now += 5000)
     {
       for (int v = 0; v < vms; v++)
-        if (bu_take_allowance (&a[v], 300, now, &retry))
+        if (bu_take_quota (&a[v], 300, now, &retry))
           admitted.push_back ({ now, 300 });
       if (now % 50000 == 1000)
         for (int v = 0; v < vms; v++)
           for (int from = 0; from < vms; from++)
             if (from != v)
-              bu_report_allowance (&a[v], from + 1, a[from].admitted, now);
+              bu_report_quota (&a[v], from + 1, a[from].admitted, now);
     }
   for (uint64_t from = 0; from < 22 * second; from += second)
     {
@@ -103,12 +103,12 @@
 // Guards against refusing what is within the limit when nobody else asks.
 TEST (Bu, OneVmMayUseTheWholeRate)
 {
-  bu_allowance a = {};
+  bu_quota a = {};
   uint64_t retry;
   double admitted = 0;
-  bu_set_allowance (&a, 1000, 1000, 1);
+  bu_set_quota (&a, 1000, 1000, 1);
   for (uint64_t now = 2; now < 20 * second; now += 10000)
-    if (bu_take_allowance (&a, 9, now, &retry))
+    if (bu_take_quota (&a, 9, now, &retry))
       admitted += 9;
   EXPECT_GE (admitted, 900 * 19.0);
 }
@@ -117,19 +117,19 @@
 // silent VM used is reserved for it, until it is known to have ended.
 TEST (Bu, ReservesWhatASilentVmUsed)
 {
-  auto admit = [] (bu_allowance *a, uint64_t from, uint64_t to) {
+  auto admit = [] (bu_quota *a, uint64_t from, uint64_t to) {
     double sum = 0;
     uint64_t retry;
     for (uint64_t now = from; now < to; now += 10000)
-      while (bu_take_allowance (a, 10, now, &retry))
+      while (bu_take_quota (a, 10, now, &retry))
         sum += 10;
     return sum;
   };
-  bu_allowance a = {};
-  bu_set_allowance (&a, 1000, 100, 1);
+  bu_quota a = {};
+  bu_set_quota (&a, 1000, 100, 1);
   uint64_t used = 0;
   for (uint64_t now = 100000; now < 10 * second; now += 100000)
-    bu_report_allowance (&a, 7, used += 50, now);
+    bu_report_quota (&a, 7, used += 50, now);
   admit (&a, 10 * second, 10 * second + 1);
   double cut = admit (&a, 11 * second, 13 * second);
   EXPECT_LT (cut, 0.7 * 2000);
@@ -140,23 +140,23 @@
 
 TEST (Bu, NoRateMeansNoLimit)
 {
-  bu_allowance a = {};
+  bu_quota a = {};
   uint64_t retry = 1;
-  bu_set_allowance (&a, 0, 0, 1);
+  bu_set_quota (&a, 0, 0, 1);
   for (int i = 0; i < 1000; i++)
-    ASSERT_TRUE (bu_take_allowance (&a, 1e9, 2, &retry));
+    ASSERT_TRUE (bu_take_quota (&a, 1e9, 2, &retry));
   EXPECT_EQ (retry, 0u);
 }
 
 // Guards against a refusal that does not say when to come back.
 TEST (Bu, SaysWhenItWillDo)
 {
-  bu_allowance a = {};
+  bu_quota a = {};
   uint64_t retry = 0;
-  bu_set_allowance (&a, 1000, 1000, 1);
-  while (bu_take_allowance (&a, 100, 2, &retry))
+  bu_set_quota (&a, 1000, 1000, 1);
+  while (bu_take_quota (&a, 100, 2, &retry))
     ;
   EXPECT_GT (retry, 0u);
-  EXPECT_TRUE (bu_take_allowance (&a, 100, 2 + retry + 1000, &retry));
+  EXPECT_TRUE (bu_take_quota (&a, 100, 2 + retry + 1000, &retry));
 }
 } // namespace
--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -199,9 +199,9 @@
   const rc_team *team;
   for (uint32_t i = 0; (team = rc_query_team (config, i)) != NULL; i++)
     {
-      double slack = team->by_tokens ? gw->desc.bounds.allowance_slack : 0;
-      bu_set_allowance (&_gw_find_team (gw, team->name)->allowance, team->rate,
-                        team->burst + _GW_SLACK_PART * slack, gw->now_us);
+      double slack = team->by_tokens ? gw->desc.bounds.quota_slack : 0;
+      bu_set_quota (&_gw_find_team (gw, team->name)->quota, team->rate,
+                    team->burst + _GW_SLACK_PART * slack, gw->now_us);
     }
   _gw_load_changed (gw);
 }
--- a/packages/gateway/gw.h
+++ b/packages/gateway/gw.h
@@ -56,9 +56,9 @@
   double repeat_share; /* repeats for each request to a service */
   double repeat_fixed; /* and beside these, in a window */
   uint32_t repeat_window_ms;
-  /* Units of a team's allowance by which a window may exceed it: room for
+  /* Units of a team's quota by which a window may exceed it: room for
      bursts and for reports under way.  */
-  double allowance_slack;
+  double quota_slack;
 } gw_bounds;
 
 typedef struct
--- a/packages/gateway/gw_identify.c
+++ b/packages/gateway/gw_identify.c
@@ -142,9 +142,9 @@
   uint64_t output;
   uint64_t event;
   bool known = _gw_parse_usage (usage, &prompt, &output);
-  r->allowance = 1;
+  r->quota = 1;
   if (r->team != NULL && r->team->by_tokens)
-    r->allowance
+    r->quota
         = known ? (double)(prompt + output) : (double)r->team->plain_tokens;
   r->demand.prompt_tokens = (uint32_t)prompt;
   r->max_output_tokens = (uint32_t)output;
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -47,7 +47,7 @@
   const rc_team *team; /* NULL on public routes */
   GString *head;       /* request line and fields that every sending shares */
   GString *body;
-  double allowance; /* that it takes */
+  double quota; /* that it takes */
   gq_demand demand;
   uint64_t give_up_us; /* refused when it still waits then */
   uint64_t end_us;     /* the caller or the route waits no longer */
@@ -118,7 +118,7 @@
 {
   st_name name;
   uint64_t hash;
-  bu_allowance allowance;
+  bu_quota quota;
 } _gw_team;
 
 typedef struct
--- a/packages/gateway/gw_load.c
+++ b/packages/gateway/gw_load.c
@@ -125,9 +125,8 @@
   for (guint i = 0; i < gw->teams->len && count < _GW_TEAMS_MAX; i++)
     {
       const _gw_team *team = gw->teams->pdata[i];
-      if (team->allowance.admitted > 0)
-        teams[count++]
-            = (ms_load_team){ team->hash, team->allowance.admitted };
+      if (team->quota.admitted > 0)
+        teams[count++] = (ms_load_team){ team->hash, team->quota.admitted };
     }
   return count;
 }
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -45,7 +45,7 @@
 {
   ut_set_peer (gw->upstreams, p->key, NULL, 0, gw->now_us);
   for (guint i = 0; i < gw->teams->len; i++)
-    bu_forget_peer (&((_gw_team *)gw->teams->pdata[i])->allowance, p->key);
+    bu_forget_peer (&((_gw_team *)gw->teams->pdata[i])->quota, p->key);
   g_free (p->rows);
   *p = (_gw_peer){ 0 };
 }
@@ -80,8 +80,8 @@
       {
         _gw_team *team = gw->teams->pdata[k];
         if (team->hash == p->teams[i].team)
-          bu_report_allowance (&team->allowance, p->key, p->teams[i].admitted,
-                               gw->now_us);
+          bu_report_quota (&team->quota, p->key, p->teams[i].admitted,
+                           gw->now_us);
       }
 }
 
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -233,16 +233,16 @@
                           (suseconds_t)((r->end_us - gw->now_us) % CK_S_US) };
   event_add (r->timer, &left);
   if (r->team != NULL
-      && !bu_take_allowance (&_gw_find_team (gw, r->team->name)->allowance,
-                             r->allowance, gw->now_us, &retry_after_us))
+      && !bu_take_quota (&_gw_find_team (gw, r->team->name)->quota, r->quota,
+                         gw->now_us, &retry_after_us))
     {
-      const bu_allowance *a = &_gw_find_team (gw, r->team->name)->allowance;
-      LO_EVENT ("over_allowance", st_name_str (&r->id),
-                LO_STR ("team", r->team->name), LO_INT ("asked", r->allowance),
+      const bu_quota *a = &_gw_find_team (gw, r->team->name)->quota;
+      LO_EVENT ("over_quota", st_name_str (&r->id),
+                LO_STR ("team", r->team->name), LO_INT ("asked", r->quota),
                 LO_INT ("left", a->level), LO_INT ("rate", a->rate),
                 LO_INT ("burst", a->burst),
                 LO_INT ("config", rc_query_version (r->config)));
-      _gw_refuse (r, 429, "over_allowance", retry_after_us);
+      _gw_refuse (r, 429, "over_quota", retry_after_us);
       return;
     }
   ut_id to = { 0, 0 };
--- a/packages/gateway/rc.h
+++ b/packages/gateway/rc.h
@@ -60,7 +60,7 @@
   st_str name;
   bool has_tier; /* goes before the route's tier */
   uint32_t tier;
-  bool by_tokens;        /* the allowance counts tokens, not requests */
+  bool by_tokens;        /* the quota counts tokens, not requests */
   uint32_t plain_tokens; /* tokens of a request that names none */
   double rate;           /* per second; 0: no limit */
   double burst;
--- a/packages/gateway/tests/gw_test.cc
+++ b/packages/gateway/tests/gw_test.cc
@@ -455,7 +455,7 @@
   EXPECT_EQ (g.up (0).runs, 0u);
 }
 
-TEST (GwQueue, ATeamOverItsAllowanceIsTold429)
+TEST (GwQueue, ATeamOverItsQuotaIsTold429)
 {
   Gateway g;
   g.configure (2, [] (rc_config *c) {
