Never pass a further run's error on inside a stream

Ruled out: the soak's reader; the log of the VM shows upstream_error with events 2. Change: a stream that has begun is broken off instead. Test: GwStream.AnErrorOfTheSecondRunIsNoPartOfTheAnswer, red before.

--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -202,11 +202,18 @@
     }
 }
 
-/* Passes the checked answer on.  */
+/* Passes the checked answer on.  A stream that has begun cannot take another
+   head: it is broken off.  */
 static void
 _gw_pass_on (_gw_request *r)
 {
   gw_task *gw = r->gw;
+  if (r->events > 0)
+    {
+      r->runs++;
+      _gw_fail (r, 502, "error_of_a_further_run");
+      return;
+    }
   _gw_conn *conn = r->conn;
   _gw_service *service = _gw_service_of (r);
   r->runs++;
--- a/packages/gateway/tests/gw_test.cc
+++ b/packages/gateway/tests/gw_test.cc
@@ -334,6 +334,24 @@
   EXPECT_EQ (g.up (0).runs + g.up (1).runs, 2u);
 }
 
+// Guards against a second head in the middle of an answer: the error of the
+// upstream at which a stream was to go on (found by the soak, seed 1).
+TEST (GwStream, AnErrorOfTheSecondRunIsNoPartOfTheAnswer)
+{
+  for (Behaviour b : { Error, Plain503, Unsigned, OtherId })
+    {
+      Gateway g;
+      g.up ().behaviours = { StreamCut, b };
+      auto c = g.caller ();
+      c->request ("r1", "/resume/x");
+      EXPECT_TRUE (g.run ([&] { return c->closed; })) << b;
+      EXPECT_TRUE (c->has ("part-2")) << b;
+      EXPECT_EQ (c->got.find ("HTTP/1.1", 1), std::string::npos)
+          << b << ": " << c->got;
+      EXPECT_FALSE (c->has ("\r\n0\r\n")) << b;
+    }
+}
+
 // Guards against streams being broken off because many upstreams end at once:
 // what has begun waits for the budget of repeats.
 TEST (GwStream, AStreamThatHasBegunWaitsForTheBudget)
