--- a/packages/bench/membership_main.c
+++ b/packages/bench/membership_main.c
@@ -129,7 +129,8 @@
                       .peer_address = r->peer_address,
                       .callers_address = r->callers_address,
                       .state = (ms_member_state)r->state,
-                      .counter = r->counter };
+                      .counter = r->counter,
+                      .capacity = r->capacity };
 }
 
 static mb_record
@@ -142,7 +143,8 @@
                       .peer_address = m->peer_address,
                       .callers_address = m->callers_address,
                       .state = (mb_member_state)m->state,
-                      .counter = m->counter };
+                      .counter = m->counter,
+                      .capacity = m->capacity };
 }
 
 static bool
--- a/packages/decide/mb.c
+++ b/packages/decide/mb.c
@@ -45,6 +45,7 @@
   uint16_t transmits;
   uint64_t name_hash;
   uint64_t counter;
+  uint32_t capacity;
   uint64_t suspect_until_us;
   uint64_t ping_due_us;
 } _mb_member;
@@ -162,7 +163,8 @@
                       .peer_address = _mb_text (m, _MB_PEER),
                       .callers_address = _mb_text (m, _MB_CALLERS),
                       .state = state,
-                      .counter = m->counter };
+                      .counter = m->counter,
+                      .capacity = m->capacity };
 }
 
 static bool
@@ -181,6 +183,7 @@
   const st_str texts[_MB_TEXTS]
       = { r->name,        r->incarnation,  r->region,
           r->data_center, r->peer_address, r->callers_address };
+  m->capacity = r->capacity > 0 ? r->capacity : m->capacity;
   size_t n = 0;
   bool same = m->text != NULL;
   for (unsigned i = 0; i < _MB_TEXTS; i++)
@@ -638,7 +641,8 @@
                       .region = e->region,
                       .data_center = e->data_center,
                       .peer_address = e->peer_address,
-                      .callers_address = e->callers_address };
+                      .callers_address = e->callers_address,
+                      .capacity = e->capacity };
       if (!_mb_validate_record (&r))
         continue;
       r.incarnation = ST_LIT ("");
--- a/packages/decide/mb.h
+++ b/packages/decide/mb.h
@@ -59,6 +59,7 @@
   st_str callers_address;
   mb_member_state state;
   uint64_t counter;
+  uint32_t capacity; /* thousandths of a core; 0: unknown */
 } mb_record;
 
 /* An entry of the VM list.  */
@@ -70,6 +71,7 @@
   st_str peer_address;
   st_str callers_address;
   bool leaving;
+  uint32_t capacity; /* thousandths of a core; 0: unknown */
 } mb_listed;
 
 typedef enum
--- a/packages/decide/pc.c
+++ b/packages/decide/pc.c
@@ -1,5 +1,6 @@
 #include "pc.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 static uint32_t
@@ -50,3 +51,54 @@
       before++;
   return before < speakers;
 }
+
+/* Members of unknown size come last.  */
+static int
+_pc_compare_size (const void *left, const void *right)
+{
+  const pc_member *a = *(const pc_member *const *)left;
+  const pc_member *b = *(const pc_member *const *)right;
+  int place = pc_compare_names (a->data_center, b->data_center);
+  if (place != 0)
+    return place;
+  if (a->capacity != b->capacity)
+    return a->capacity > b->capacity ? -1 : 1;
+  return pc_compare_names (a->name, b->name);
+}
+
+static uint64_t
+_pc_capacity (const pc_member *member)
+{
+  return member->capacity > 0 ? member->capacity : 1;
+}
+
+/* Tells in ACTIVE which of the MEMBERS, at most PC_MEMBERS_MAX, take callers
+   in a deployment of several cells; further ones do not.  */
+void
+pc_choose_active (const pc_member *members, uint32_t count, bool *active)
+{
+  const pc_member *order[PC_MEMBERS_MAX];
+  uint32_t known = count < PC_MEMBERS_MAX ? count : PC_MEMBERS_MAX;
+  memset (active, 0, count * sizeof *active);
+  for (uint32_t i = 0; i < known; i++)
+    order[i] = &members[i];
+  qsort (order, known, sizeof (const pc_member *), _pc_compare_size);
+  for (uint32_t from = 0, to; from < known; from = to)
+    {
+      uint64_t all = 0;
+      uint64_t chosen = 0;
+      for (to = from;
+           to < known
+           && st_equal (order[to]->data_center, order[from]->data_center);
+           to++)
+        all += _pc_capacity (order[to]);
+      for (uint32_t i = from; i < to; i++)
+        {
+          if (i - from >= PC_ACTIVE_MIN
+              && (double)chosen >= PC_ACTIVE_PART * (double)all)
+            break;
+          chosen += _pc_capacity (order[i]);
+          active[order[i] - members] = true;
+        }
+    }
+}
--- a/packages/decide/pc.h
+++ b/packages/decide/pc.h
@@ -1,10 +1,20 @@
-/* pc.h -- cells of VMs that tell each other their load.
+/* pc.h -- which VMs take callers, and which tell each other their load.
 
-   A small deployment is one cell.  In a larger one the VMs of a data centre
-   are a cell, so that what a VM sends grows with its cell and not with the
-   fleet; large data centres are split.  Within a cell each VM reports to all.
-   The first VMs of a cell by name speak for it: they exchange sums with the
-   speakers of the other cells and pass them on to their own.
+   Who takes callers.  The fewer VMs share the work, the more each of them
+   knows: a VM cannot put the requests of another one in order, and sees its
+   load late.  In a deployment of more than PC_ONE_CELL_MAX VMs the largest
+   ones of each data centre are active, up to a part of its capacity; the
+   others stand by and become active as larger ones end.
+
+     if (cell != 0) // else all of them are
+       pc_choose_active (members, count, active);
+
+   Cells.
+   A small deployment is one cell.  In a larger one the VMs of a data
+   centre are a cell, so that what a VM sends grows with its cell and not with
+   the fleet; large data centres are split.  Within a cell each VM reports to
+   all. The first VMs of a cell by name speak for it: they exchange sums with
+   the speakers of the other cells and pass them on to their own.
 
      uint64_t cell = pc_cell_of (members, count, &self);
      if (cell != 0 && pc_is_speaker (members, count, &self, PC_SPEAKERS))
@@ -23,11 +33,18 @@
    PC_CELL_MAX VMs.  */
 #define PC_CELL_MAX 24
 #define PC_SPEAKERS 2
+/* Part of a data centre's capacity that is active.  Fleets are sized to lose
+   most of their VMs, so that less than half of them can carry the traffic.  */
+#define PC_ACTIVE_PART 0.4
+/* Active VMs of a data centre at least: callers need another address.  */
+#define PC_ACTIVE_MIN 2
+#define PC_MEMBERS_MAX 2048
 
 typedef struct
 {
   st_str name;
   st_str data_center;
+  uint32_t capacity; /* thousandths of a core; 0: unknown */
 } pc_member;
 
 #ifdef __cplusplus
@@ -35,6 +52,8 @@
 {
 #endif
 
+  void pc_choose_active (const pc_member *members, uint32_t count,
+                         bool *active);
   uint64_t pc_cell_of (const pc_member *members, uint32_t count,
                        const pc_member *member);
   int pc_compare_names (st_str a, st_str b);
--- a/packages/decide/tests/mb_test.cc
+++ b/packages/decide/tests/mb_test.cc
@@ -48,19 +48,20 @@
   std::string f[6];
   mb_member_state state;
   uint64_t counter;
+  uint32_t capacity;
 
   explicit Record (const mb_record &r)
       : f{ text (r.name),         text (r.incarnation),
            text (r.region),       text (r.data_center),
            text (r.peer_address), text (r.callers_address) },
-        state (r.state), counter (r.counter)
+        state (r.state), counter (r.counter), capacity (r.capacity)
   {
   }
   mb_record
   get () const
   {
-    return { view (f[0]), view (f[1]), view (f[2]), view (f[3]),
-             view (f[4]), view (f[5]), state,       counter };
+    return { view (f[0]), view (f[1]), view (f[2]), view (f[3]), view (f[4]),
+             view (f[5]), state,       counter,     capacity };
   }
 };
 
@@ -259,7 +260,7 @@
     std::vector<mb_listed> list;
     for (int j = 0; j < n; j++)
       list.push_back ({ view (names[j]), ST_LIT ("r"), ST_LIT ("d"),
-                        view (addresses[j]), view (addresses[j]), false });
+                        view (addresses[j]), view (addresses[j]), false, 0 });
     mb_set_vm_list (vms[i].mb, list.data (), (uint32_t)list.size (), now);
   }
   void
@@ -600,8 +601,15 @@
       mb_state *mb = mb_make (&d, 0);
       mb_message m = {};
       m.kind = MB_PING;
-      m.self = { ST_LIT ("b"), ST_LIT ("b-1"), ST_LIT (""), ST_LIT (""),
-                 ST_LIT ("2"), ST_LIT (""),    MB_ALIVE,    1 };
+      m.self = { ST_LIT ("b"),
+                 ST_LIT ("b-1"),
+                 ST_LIT (""),
+                 ST_LIT (""),
+                 ST_LIT ("2"),
+                 ST_LIT (""),
+                 MB_ALIVE,
+                 1,
+                 0 };
       mb_on_message (mb, &m, 0);
       mb_action a;
       bool probed = false;
@@ -634,8 +642,15 @@
   mb_state *mb = mb_make (&d, 0);
   mb_message m = {};
   m.kind = MB_PING;
-  m.self = { ST_LIT ("b"), ST_LIT ("b-1"), ST_LIT ("r"), ST_LIT ("d1"),
-             ST_LIT ("2"), ST_LIT (""),    MB_ALIVE,     1 };
+  m.self = { ST_LIT ("b"),
+             ST_LIT ("b-1"),
+             ST_LIT ("r"),
+             ST_LIT ("d1"),
+             ST_LIT ("2"),
+             ST_LIT (""),
+             MB_ALIVE,
+             1,
+             0 };
   mb_on_message (mb, &m, 0);
   mb_record r;
   uint32_t cursor = 0;
@@ -670,19 +685,33 @@
   mb_state *mb = mb_make (&d, 0);
   mb_message m = {};
   m.kind = MB_ACK;
-  m.self = { ST_LIT ("b"), ST_LIT ("b-1"), ST_LIT (""), ST_LIT (""),
-             ST_LIT ("2"), ST_LIT (""),    MB_ALIVE,    1 };
+  m.self = { ST_LIT ("b"),
+             ST_LIT ("b-1"),
+             ST_LIT (""),
+             ST_LIT (""),
+             ST_LIT ("2"),
+             ST_LIT (""),
+             MB_ALIVE,
+             1,
+             0 };
   mb_on_message (mb, &m, 0);
   mb_set_vm_list (mb, nullptr, 0, 0);
   EXPECT_EQ (mb_query_counts (mb).members, 2u);
   m.self.state = MB_DEAD;
   m.update_count = 1;
   m.updates[0] = m.self;
-  m.self = { ST_LIT ("c"), ST_LIT ("c-1"), ST_LIT (""), ST_LIT (""),
-             ST_LIT ("3"), ST_LIT (""),    MB_ALIVE,    1 };
+  m.self = { ST_LIT ("c"),
+             ST_LIT ("c-1"),
+             ST_LIT (""),
+             ST_LIT (""),
+             ST_LIT ("3"),
+             ST_LIT (""),
+             MB_ALIVE,
+             1,
+             0 };
   mb_on_message (mb, &m, 0);
   mb_listed list[] = { { ST_LIT ("b"), ST_LIT (""), ST_LIT (""), ST_LIT ("2"),
-                         ST_LIT (""), false } };
+                         ST_LIT (""), false, 0 } };
   mb_set_vm_list (mb, list, 1, 0);
   mb_member_state state;
   ASSERT_TRUE (mb_query_incarnation (mb, ST_LIT ("b-1"), &state));
--- a/packages/decide/tests/pc_test.cc
+++ b/packages/decide/tests/pc_test.cc
@@ -23,7 +23,8 @@
         }
     for (size_t i = 0; i < names.size (); i++)
       members.push_back ({ { names[i].data (), names[i].size () },
-                           { places[i].data (), places[i].size () } });
+                           { places[i].data (), places[i].size () },
+                           0 });
   }
   std::map<uint64_t, std::vector<size_t>>
   cells () const
@@ -96,4 +97,49 @@
   EXPECT_GT (pc_compare_names (ST_LIT ("a-2"), ST_LIT ("a-1")), 0);
   EXPECT_EQ (pc_compare_names (ST_LIT ("a-2"), ST_LIT ("a-2")), 0);
 }
+// Guards against callers at VMs of a large deployment that others could serve
+// better.
+TEST (Pc, LargeVmsTakeTheCallersOfALargeDeployment)
+{
+  Vms vms (3, 8);
+  bool active[24];
+  for (size_t i = 0; i < vms.members.size (); i++)
+    vms.members[i].capacity = i % 8 == 3 || i % 8 == 6 ? 500 : 120;
+  pc_choose_active (vms.members.data (), 24, active);
+  for (size_t i = 0; i < 24; i++)
+    EXPECT_EQ (active[i], i % 8 == 3 || i % 8 == 6) << i;
+}
+
+// Guards against too few VMs where all are alike, or none is known.
+TEST (Pc, EqualVmsShareByPart)
+{
+  for (uint32_t capacity : { 0u, 250u })
+    {
+      Vms vms (2, 50);
+      bool active[100];
+      for (pc_member &m : vms.members)
+        m.capacity = capacity;
+      pc_choose_active (vms.members.data (), 100, active);
+      for (int d = 0; d < 2; d++)
+        EXPECT_EQ (std::count (active + 50 * d, active + 50 * d + 50, true),
+                   (int)(50 * PC_ACTIVE_PART));
+    }
+}
+
+// Guards against a data centre whose callers have nowhere to go when a large
+// VM has ended.
+TEST (Pc, TheNextLargestTakesOver)
+{
+  Vms vms (3, 8);
+  bool active[24];
+  vms.members[9].capacity = 4000;
+  for (size_t i : { 10, 14 })
+    vms.members[i].capacity = 300;
+  pc_choose_active (vms.members.data (), 24, active);
+  EXPECT_TRUE (active[9] && active[10]);
+  EXPECT_FALSE (active[14]);
+  vms.members.erase (vms.members.begin () + 9);
+  pc_choose_active (vms.members.data (), 23, active);
+  EXPECT_TRUE (active[9] && active[13]);
+}
 } // namespace
--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -123,8 +123,7 @@
   gw->services = g_ptr_array_new_with_free_func (g_free);
   gw->teams = g_ptr_array_new_with_free_func (g_free);
   gw->conns = g_ptr_array_new ();
-  gw->cell.mates = g_ptr_array_new_with_free_func (g_free);
-  gw->cell.speakers = g_ptr_array_new_with_free_func (g_free);
+  _gw_make_cell (&gw->cell);
   gw->requests = g_new0 (_gw_request, GW_REQUESTS_MAX);
   ut_desc table = { 0 };
   st_name_set (&table.vm, desc->vm_name);
@@ -175,8 +174,7 @@
   g_ptr_array_free (gw->services, TRUE);
   g_ptr_array_free (gw->teams, TRUE);
   g_ptr_array_free (gw->conns, TRUE);
-  g_ptr_array_free (gw->cell.mates, TRUE);
-  g_ptr_array_free (gw->cell.speakers, TRUE);
+  _gw_destroy_cell (&gw->cell);
   for (int i = 0; i < UT_PEERS_MAX; i++)
     g_free (gw->peer[i].rows);
   g_free (gw->requests);
@@ -254,7 +252,8 @@
                              .region = vms[i].region,
                              .data_center = vms[i].data_center,
                              .peer_address = vms[i].peer_address,
-                             .callers_address = vms[i].callers_address };
+                             .callers_address = vms[i].callers_address,
+                             .capacity = vms[i].capacity };
   if (gw->peers != NULL)
     pe_set_vm_list (gw->peers, listed, count);
   g_free (listed);
--- a/packages/gateway/gw.h
+++ b/packages/gateway/gw.h
@@ -29,6 +29,8 @@
 
 /* Requests open at one time; more are refused.  */
 #define GW_REQUESTS_MAX 4096
+/* VMs that callers may be sent to at most.  */
+#define GW_VMS_MAX 2048
 
 /* Names of header fields, given by the adapter.  */
 typedef struct
@@ -75,6 +77,7 @@
   st_str vm_name;
   st_str region;
   st_str data_center;
+  uint32_t capacity;  /* thousandths of a core; 0: unknown */
   st_str listen;      /* IP:PORT of callers; port 0: any */
   st_str peer_listen; /* IP:PORT of the other VMs; "": runs alone */
   const gw_names *names;
@@ -90,7 +93,7 @@
   void *user;
 } gw_desc;
 
-/* Another VM, as far as callers may be sent to it.  */
+/* A VM, as far as callers may be sent to it.  */
 typedef struct
 {
   st_str name;
@@ -98,6 +101,7 @@
   st_str data_center;
   st_str callers_address;
   bool ready;
+  bool active; /* it is among those that are to take callers; see pc.h */
 } gw_vm;
 
 /* A VM that the registry knows.  */
@@ -108,6 +112,7 @@
   st_str data_center;
   st_str peer_address;
   st_str callers_address;
+  uint32_t capacity; /* thousandths of a core; 0: unknown */
 } gw_listed;
 
 typedef struct
@@ -139,7 +144,7 @@
   void gw_leave (gw_task *gw);
   void gw_close_callers (gw_task *gw);
   bool gw_query_ready (const gw_task *gw);
-  bool gw_next_vm (const gw_task *gw, uint32_t *cursor, gw_vm *vm);
+  uint32_t gw_query_vms (const gw_task *gw, gw_vm *vms, uint32_t max);
   gw_counts gw_query_counts (const gw_task *gw);
   const ut_table *gw_query_upstreams (const gw_task *gw);
   uint64_t gw_query_config_version (const gw_task *gw);
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -14,6 +14,9 @@
 /* Longest whole answer.  */
 #define _GW_ANSWER_MAX_BYTES (8 * 1024 * 1024)
 #define _GW_SERVICE_WEIGHT 0.05
+/* Part of the budget of repeats that the active VMs share; the rest is for
+   callers that come to others, as they do when active ones end.  */
+#define _GW_ACTIVE_PART 0.8
 
 static const st_str _gw_answer_drop[] = {
   { "Connection", 10 },       { "Keep-Alive", 10 },
@@ -22,13 +25,22 @@
   { "Upgrade", 7 },
 };
 
+/* The fixed part of the budget is split among all VMs; the active ones have
+   more use for it.  */
 static bu_terms
 _gw_terms (const gw_task *gw)
 {
-  return (bu_terms){ .share = gw->desc.bounds.repeat_share,
+  const _gw_cell *c = &gw->cell;
+  bu_terms terms = { .share = gw->desc.bounds.repeat_share,
                      .fixed = gw->desc.bounds.repeat_fixed,
                      .window_us = gw->desc.bounds.repeat_window_ms * CK_MS_US,
-                     .vms = _gw_live_vms (gw) };
+                     .vms = gw_query_vm_count (gw) };
+  uint32_t standby = terms.vms - c->active_count;
+  if (c->cell == 0 || standby == 0)
+    return terms;
+  terms.vms = c->active ? c->active_count : standby;
+  terms.fixed *= c->active ? _GW_ACTIVE_PART : 1 - _GW_ACTIVE_PART;
+  return terms;
 }
 
 /* Takes one repeat of R from the budget that the VMs share.  */
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -125,6 +125,8 @@
 {
   uint64_t key; /* hash of the incarnation, or a cell; 0: free */
   ms_load_scope scope;
+  uint64_t cell; /* of the VM */
+  bool active;   /* takes callers */
   st_name name;
   char incarnation[MS_INCARNATION_MAX + 1];
   uint64_t heard_us;
@@ -139,15 +141,26 @@
   size_t team_count;
 } _gw_peer;
 
-/* Whom this VM tells what: worked out from the members now and then.  */
+/* Whom this VM tells what: worked out from the members now and then.  The
+   VMs of a cell pass configurations on to each other.  Active VMs are few,
+   and where they are few enough for it, they are one cell of their own for
+   their loads, across the data centres.  The arrays hold incarnations and
+   own them.  */
 typedef struct
 {
-  bool several; /* cells */
-  bool speaker;
   uint64_t cell;
-  GPtrArray *mates;    /* incarnations; owned */
+  bool speaker;        /* for the cell, to the speakers of others */
+  bool active;         /* this VM takes callers */
+  bool active_apart;   /* the active VMs tell each other their loads */
+  bool several;        /* the loads of some VMs with callers come late */
+  GPtrArray *mates;    /* the cell */
+  GPtrArray *close;    /* told of each change of load */
+  GPtrArray *distant;  /* told of the load now and then */
+  GPtrArray *standby;  /* mates that take no callers; of a speaker */
+  GPtrArray *working;  /* mates that do; of a speaker */
   GPtrArray *speakers; /* of other cells */
   uint32_t vm_count;
+  uint32_t active_count;
   uint64_t built_us;
 } _gw_cell;
 
@@ -176,6 +189,7 @@
   struct event *tick;
   struct event *load_timer;
   uint64_t load_sent_us;
+  uint64_t distant_sent_us;
   struct event *cell_timer;
   bool load_dirty;
   uint64_t document_asked_us;
@@ -238,6 +252,8 @@
 
 /* Reports of load: gw_load.c.  */
 void _gw_start_reports (gw_task *gw);
+void _gw_make_cell (_gw_cell *cell);
+void _gw_destroy_cell (_gw_cell *cell);
 void _gw_build_cell (gw_task *gw);
 void _gw_tell (gw_task *gw, const GPtrArray *incarnations,
                const ms_message *m);
@@ -246,7 +262,6 @@
 bool _gw_start_peers (gw_task *gw, er_error *err);
 void _gw_load_changed (gw_task *gw);
 void _gw_expire_peers (gw_task *gw);
-uint32_t _gw_live_vms (const gw_task *gw);
 uint64_t _gw_reports_age_us (const gw_task *gw);
 void _gw_peer_waiting (gw_task *gw, uint32_t waiting[GQ_RANKS]);
 
--- a/packages/gateway/gw_load.c
+++ b/packages/gateway/gw_load.c
@@ -2,44 +2,137 @@
 #include "gw_internal.h"
 #include "pc.h"
 
+#include <string.h>
+
 /* Reports go out at most this often, and at least this often.  */
 #define _GW_LOAD_MIN_US 25000
 #define _GW_LOAD_MAX_US 400000
-/* Mates up to which reports go out as often as they may.  */
+/* VMs up to which reports go out as often as they may.  */
 #define _GW_LOAD_MATES 6
 /* Sums between cells are exchanged, and cells worked out, this often.  */
 #define _GW_CELL_US 200000
 #define _GW_CELL_BUILD_US 400000
-/* Members that are looked at; more are in no cell.  */
-#define _GW_MEMBERS_MAX 2048
+
+typedef struct
+{
+  mb_record records[PC_MEMBERS_MAX];
+  pc_member members[PC_MEMBERS_MAX];
+  bool active[PC_MEMBERS_MAX];
+  pc_member working[PC_MEMBERS_MAX]; /* the active ones */
+  uint32_t count;
+  uint32_t active_count;
+} _gw_fleet;
+
+/* Makes the arrays of CELL.  */
+void
+_gw_make_cell (_gw_cell *cell)
+{
+  cell->mates = g_ptr_array_new_with_free_func (g_free);
+  cell->close = g_ptr_array_new_with_free_func (g_free);
+  cell->distant = g_ptr_array_new_with_free_func (g_free);
+  cell->standby = g_ptr_array_new_with_free_func (g_free);
+  cell->working = g_ptr_array_new_with_free_func (g_free);
+  cell->speakers = g_ptr_array_new_with_free_func (g_free);
+}
 
 static void
-_gw_sort_member (gw_task *gw, const mb_record *record, const pc_member *all,
-                 uint32_t count)
+_gw_clear_cell (_gw_cell *cell)
 {
-  _gw_cell *c = &gw->cell;
-  pc_member member = { record->name, record->data_center };
-  uint64_t cell = pc_cell_of (all, count, &member);
-  char *incarnation
-      = g_strndup (record->incarnation.ptr, record->incarnation.len);
-  if (cell == c->cell)
-    g_ptr_array_add (c->mates, incarnation);
-  else if (pc_is_speaker (all, count, &member, PC_SPEAKERS))
-    g_ptr_array_add (c->speakers, incarnation);
+  g_ptr_array_set_size (cell->mates, 0);
+  g_ptr_array_set_size (cell->close, 0);
+  g_ptr_array_set_size (cell->distant, 0);
+  g_ptr_array_set_size (cell->standby, 0);
+  g_ptr_array_set_size (cell->working, 0);
+  g_ptr_array_set_size (cell->speakers, 0);
+}
+
+/* Releases the arrays of CELL.  */
+void
+_gw_destroy_cell (_gw_cell *cell)
+{
+  g_ptr_array_free (cell->mates, TRUE);
+  g_ptr_array_free (cell->close, TRUE);
+  g_ptr_array_free (cell->distant, TRUE);
+  g_ptr_array_free (cell->standby, TRUE);
+  g_ptr_array_free (cell->working, TRUE);
+  g_ptr_array_free (cell->speakers, TRUE);
+}
+
+/* Reads the members that are not dead; this VM is the first.  */
+static void
+_gw_read_fleet (const gw_task *gw, _gw_fleet *fleet)
+{
+  uint32_t cursor = 0;
+  mb_record record;
+  fleet->count = 1;
+  fleet->members[0] = (pc_member){ gw->desc.vm_name, gw->desc.data_center,
+                                   gw->desc.capacity };
+  while (fleet->count < PC_MEMBERS_MAX
+         && mb_query_member (pe_query_members (gw->peers), &cursor, &record))
+    if (record.state != MB_DEAD && !st_equal (record.name, gw->desc.vm_name))
+      {
+        fleet->records[fleet->count] = record;
+        fleet->members[fleet->count++]
+            = (pc_member){ record.name, record.data_center, record.capacity };
+      }
+  if (fleet->count > PC_ONE_CELL_MAX)
+    pc_choose_active (fleet->members, fleet->count, fleet->active);
   else
-    g_free (incarnation);
+    memset (fleet->active, true, sizeof fleet->active);
+  fleet->active_count = 0;
+  for (uint32_t i = 0; i < fleet->count; i++)
+    if (fleet->active[i])
+      fleet->working[fleet->active_count++] = fleet->members[i];
+}
+
+static void
+_gw_add_incarnation (GPtrArray *array, const mb_record *record)
+{
+  g_ptr_array_add (
+      array, g_strndup (record->incarnation.ptr, record->incarnation.len));
+}
+
+/* Puts member I of FLEET among those that this VM tells something.  */
+static void
+_gw_sort_member (gw_task *gw, const _gw_fleet *fleet, uint32_t i)
+{
+  _gw_cell *c = &gw->cell;
+  const mb_record *record = &fleet->records[i];
+  const pc_member *member = &fleet->members[i];
+  uint64_t cell = pc_cell_of (fleet->members, fleet->count, member);
+  bool mate = cell == c->cell;
+  bool speaker
+      = !mate
+        && pc_is_speaker (fleet->members, fleet->count, member, PC_SPEAKERS);
+  bool both_active = c->active && fleet->active[i];
+  if (mate)
+    {
+      _gw_add_incarnation (c->mates, record);
+      _gw_add_incarnation (fleet->active[i] ? c->working : c->standby, record);
+    }
+  else if (speaker)
+    _gw_add_incarnation (c->speakers, record);
+  /* A VM without callers has nothing to tell beyond its cell.  */
+  if (both_active && (mate || c->active_apart))
+    _gw_add_incarnation (c->close, record);
+  else if (mate)
+    _gw_add_incarnation (c->active ? c->distant : c->close, record);
+  else if (speaker && c->active && c->active_apart)
+    _gw_add_incarnation (c->distant, record);
 }
 
-/* Deals the upstreams' slots out among the VMs of the cell.  */
+/* Deals the upstreams' slots out among the active VMs of the cell.  */
 static void
-_gw_deal_slots (gw_task *gw, const pc_member *all, uint32_t count)
+_gw_deal_slots (gw_task *gw, const _gw_fleet *fleet)
 {
-  st_str *vms = g_new (st_str, count);
-  uint32_t mates = 0;
-  for (uint32_t i = 1; i < count; i++)
-    if (pc_cell_of (all, count, &all[i]) == gw->cell.cell)
-      vms[mates++] = all[i].name;
-  ut_assign (gw->upstreams, vms, mates, gw->cell.several);
+  st_str *vms = g_new (st_str, fleet->count);
+  uint32_t others = 0;
+  for (uint32_t i = 1; i < fleet->count; i++)
+    if (fleet->active[i]
+        && pc_cell_of (fleet->members, fleet->count, &fleet->members[i])
+               == gw->cell.cell)
+      vms[others++] = fleet->members[i].name;
+  ut_assign (gw->upstreams, vms, others, gw->cell.several);
   g_free (vms);
 }
 
@@ -47,32 +140,29 @@
 void
 _gw_build_cell (gw_task *gw)
 {
-  static pc_member all[_GW_MEMBERS_MAX];
-  static mb_record records[_GW_MEMBERS_MAX];
+  static _gw_fleet fleet;
   _gw_cell *c = &gw->cell;
-  uint32_t count = 0;
-  uint32_t cursor = 0;
-  mb_record record;
-  pc_member self = { gw->desc.vm_name, gw->desc.data_center };
-  g_ptr_array_set_size (c->mates, 0);
-  g_ptr_array_set_size (c->speakers, 0);
-  all[count++] = self;
-  while (count < _GW_MEMBERS_MAX
-         && mb_query_member (pe_query_members (gw->peers), &cursor, &record))
-    if (record.state != MB_DEAD && !st_equal (record.name, self.name))
-      {
-        records[count] = record;
-        all[count++] = (pc_member){ record.name, record.data_center };
-      }
-  c->vm_count = count;
-  c->cell = pc_cell_of (all, count, &self);
-  c->several = c->cell != 0;
-  c->speaker = c->several && pc_is_speaker (all, count, &self, PC_SPEAKERS);
-  for (uint32_t i = 1; i < count; i++)
-    if (records[i].incarnation.len > 0)
-      _gw_sort_member (gw, &records[i], all, count);
-  _gw_deal_slots (gw, all, count);
+  _gw_clear_cell (c);
+  _gw_read_fleet (gw, &fleet);
+  bool was_active = c->active;
+  c->vm_count = fleet.count;
+  c->active_count = fleet.active_count;
+  c->active = fleet.active[0];
+  c->cell = pc_cell_of (fleet.members, fleet.count, &fleet.members[0]);
+  c->active_apart = c->cell != 0 && fleet.active_count <= PC_ONE_CELL_MAX;
+  c->several = c->cell != 0 && !(c->active && c->active_apart);
+  c->speaker = c->cell != 0
+               && pc_is_speaker (fleet.members, fleet.count, &fleet.members[0],
+                                 PC_SPEAKERS);
+  for (uint32_t i = 1; i < fleet.count; i++)
+    if (fleet.records[i].incarnation.len > 0)
+      _gw_sort_member (gw, &fleet, i);
+  _gw_deal_slots (gw, &fleet);
   c->built_us = gw->now_us;
+  if (c->active != was_active)
+    LO_EVENT ("takes_callers", ST_LIT (""), LO_BOOL ("active", c->active),
+              LO_INT ("active_vms", c->active_count),
+              LO_INT ("vms", c->vm_count));
 }
 
 /* Sends M to each of INCARNATIONS.  */
@@ -151,6 +241,7 @@
     following = gw->desc.query_following (gw->desc.user);
   m.u.load.scope = scope;
   m.u.load.cell = gw->cell.cell;
+  m.u.load.active = gw->cell.active;
   m.u.load.follows = following.follows;
   m.u.load.store_revision = following.revision;
   m.u.load.config_version = gw_query_config_version (gw);
@@ -158,13 +249,15 @@
   return m;
 }
 
-/* Tells the cell this VM's load.  */
+/* Tells the VMs in TO this VM's load.  */
 static void
-_gw_send_load (gw_task *gw)
+_gw_send_load (gw_task *gw, const GPtrArray *to)
 {
   static ut_row rows[MS_LOAD_ROWS_MAX];
   static ms_load_row wire_rows[MS_LOAD_ROWS_MAX];
   ms_load_team teams[_GW_TEAMS_MAX];
+  if (to->len == 0)
+    return;
   ms_message m = _gw_load_message (gw, MS_LOAD_VM);
   size_t count = ut_query_rows (gw->upstreams, rows, MS_LOAD_ROWS_MAX);
   for (size_t i = 0; i < count; i++)
@@ -175,27 +268,54 @@
   m.u.load.team_count = _gw_own_teams (gw, teams);
   m.u.load.teams = teams;
   _gw_own_waiting (gw, m.u.load.waiting);
-  _gw_tell (gw, gw->cell.mates, &m);
-  gw->load_dirty = false;
-  gw->load_sent_us = gw->now_us;
+  _gw_tell (gw, to, &m);
 }
 
-/* Sends the sum of the peers for which WANTED is the scope: the cell's to the
-   other cells, the other cells' to the mates.  */
+/* Which loads a sum holds.  */
+typedef enum
+{
+  _GW_SUM_CELL = 0,  /* of the cell, for other cells */
+  _GW_SUM_REST,      /* of the other cells */
+  _GW_SUM_REST_FULL, /* and of the active VMs there, for VMs that are not */
+} _gw_sum;
+
+/* True when the load of P belongs to WHAT.  Active VMs apart tell their loads
+   themselves to each other and to the speakers.  */
+static bool
+_gw_belongs (const _gw_cell *c, const _gw_peer *p, _gw_sum what)
+{
+  bool apart = c->active_apart && p->active;
+  switch (what)
+    {
+    case _GW_SUM_CELL:
+      return p->scope == MS_LOAD_VM && p->cell == c->cell && !apart;
+    case _GW_SUM_REST:
+      return p->scope == MS_LOAD_CELL;
+    case _GW_SUM_REST_FULL:
+      return p->scope == MS_LOAD_CELL
+             || (p->scope == MS_LOAD_VM && p->cell != c->cell);
+    }
+  return false;
+}
+
+/* Sends the sum of the loads that WHAT names to the VMs in TO.  */
 static void
-_gw_send_sum (gw_task *gw, ms_load_scope scope)
+_gw_send_sum (gw_task *gw, _gw_sum what, const GPtrArray *to)
 {
   static ut_row own[MS_LOAD_ROWS_MAX];
   static ms_load_row rows[MS_LOAD_ROWS_MAX];
   ms_load_team teams[_GW_TEAMS_MAX] = { { 0 } };
   ms_load_team own_teams[_GW_TEAMS_MAX] = { { 0 } };
-  ms_message m = _gw_load_message (gw, scope);
+  if (to->len == 0)
+    return;
+  ms_message m = _gw_load_message (gw, what == _GW_SUM_CELL ? MS_LOAD_CELL
+                                                            : MS_LOAD_REST);
   ms_load *load = &m.u.load;
   GHashTable *sum
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   GHashTableIter iter;
   gpointer value;
-  if (scope == MS_LOAD_CELL)
+  if (what == _GW_SUM_CELL && !(gw->cell.active && gw->cell.active_apart))
     {
       _gw_add_rows (sum, own,
                     ut_query_rows (gw->upstreams, own, MS_LOAD_ROWS_MAX));
@@ -205,8 +325,7 @@
   for (int i = 0; i < UT_PEERS_MAX; i++)
     {
       const _gw_peer *p = &gw->peer[i];
-      ms_load_scope of = scope == MS_LOAD_CELL ? MS_LOAD_VM : MS_LOAD_CELL;
-      if (p->key == 0 || p->scope != of
+      if (p->key == 0 || !_gw_belongs (&gw->cell, p, what)
           || gw->now_us - p->heard_us > _GW_PEER_SILENT_US)
         continue;
       _gw_add_rows (sum, p->rows, p->row_count);
@@ -220,8 +339,7 @@
     rows[load->row_count++] = *(const ms_load_row *)value;
   load->rows = rows;
   load->teams = teams;
-  _gw_tell (gw, scope == MS_LOAD_CELL ? gw->cell.speakers : gw->cell.mates,
-            &m);
+  _gw_tell (gw, to, &m);
   g_hash_table_destroy (sum);
 }
 
@@ -232,7 +350,14 @@
   (void)fd;
   (void)what;
   _gw_now (gw);
-  _gw_send_load (gw);
+  _gw_send_load (gw, gw->cell.close);
+  if (gw->now_us - gw->distant_sent_us >= _GW_LOAD_MAX_US)
+    {
+      _gw_send_load (gw, gw->cell.distant);
+      gw->distant_sent_us = gw->now_us;
+    }
+  gw->load_dirty = false;
+  gw->load_sent_us = gw->now_us;
   struct timeval tv = { 0, _GW_LOAD_MAX_US };
   event_add (gw->load_timer, &tv);
 }
@@ -248,8 +373,9 @@
     _gw_build_cell (gw);
   if (gw->cell.speaker)
     {
-      _gw_send_sum (gw, MS_LOAD_CELL);
-      _gw_send_sum (gw, MS_LOAD_REST);
+      _gw_send_sum (gw, _GW_SUM_CELL, gw->cell.speakers);
+      _gw_send_sum (gw, _GW_SUM_REST, gw->cell.working);
+      _gw_send_sum (gw, _GW_SUM_REST_FULL, gw->cell.standby);
     }
 }
 
@@ -260,10 +386,10 @@
   if (gw->peers == NULL || gw->load_dirty)
     return;
   gw->load_dirty = true;
-  /* What a VM sends does not grow with its cell beyond a few mates.  */
+  /* What a VM sends does not grow with its cell beyond a few VMs.  */
   uint64_t pause = _GW_LOAD_MIN_US;
-  if (gw->cell.mates->len > _GW_LOAD_MATES)
-    pause = pause * gw->cell.mates->len / _GW_LOAD_MATES;
+  if (gw->cell.close->len > _GW_LOAD_MATES)
+    pause = pause * gw->cell.close->len / _GW_LOAD_MATES;
   uint64_t since = gw->now_us - gw->load_sent_us;
   struct timeval tv
       = { 0, since >= pause ? 1000 : (suseconds_t)(pause - since) };
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -55,6 +55,8 @@
 {
   p->heard_us = gw->now_us;
   p->scope = load->scope;
+  p->cell = load->cell;
+  p->active = load->active;
   p->ready = load->ready;
   p->config_version = load->config_version;
   p->follows = load->follows;
@@ -199,6 +201,7 @@
     {
       const _gw_peer *p = &gw->peer[i];
       if (p->key == 0 || p->scope != MS_LOAD_VM || !p->follows
+          || p->cell != gw->cell.cell
           || ck_now_us (gw->desc.clock) - p->heard_us > _GW_FOLLOWER_SILENT_US)
         continue;
       count++;
@@ -273,6 +276,7 @@
                              .incarnation = st_from_cstr (gw->incarnation),
                              .region = gw->desc.region,
                              .data_center = gw->desc.data_center,
+                             .capacity = gw->desc.capacity,
                              .peer_address = gw->desc.peer_listen,
                              .callers_address = gw->desc.listen,
                              .counter = counter,
@@ -302,13 +306,6 @@
       }
 }
 
-/* VMs that share the budgets: those known and not known to be dead.  */
-uint32_t
-_gw_live_vms (const gw_task *gw)
-{
-  return gw_query_vm_count (gw);
-}
-
 /* Age of the oldest report of load that counts; 0 when there is none.  */
 uint64_t
 _gw_reports_age_us (const gw_task *gw)
@@ -336,28 +333,67 @@
         waiting[rank] += gw->peer[i].waiting[rank];
 }
 
-/* Tells the next VM after CURSOR, which starts at 0; this VM is not among
-   them.  */
-bool
-gw_next_vm (const gw_task *gw, uint32_t *cursor, gw_vm *vm)
+/* Whether callers may be sent to the VM of RECORD.  VMs of the own cell are
+   ready when they say so all the time; of others no more may be known than
+   that they are alive.  */
+static bool
+_gw_takes_callers (const gw_task *gw, const mb_record *record)
 {
-  mb_record record;
-  if (gw->peers == NULL)
+  const _gw_peer *p
+      = _gw_find_peer ((gw_task *)gw, ut_hash (record->incarnation));
+  bool reports = p != NULL && p->scope == MS_LOAD_VM;
+  if (record->state == MB_LEAVING)
     return false;
-  while (mb_query_member (pe_query_members (gw->peers), cursor, &record))
+  if (reports
+      && (p->cell == gw->cell.cell
+          || ck_now_us (gw->desc.clock) - p->heard_us <= _GW_PEER_SILENT_US))
+    return p->ready;
+  return gw->cell.cell != 0;
+}
+
+/* Fills VMS with the VMs that are known and not dead, this one first, at most
+   MAX; returns their number.  Of the ready ones those are active that would
+   be if there were no others: a VM that takes no callers is replaced before
+   it is known to have ended.  */
+uint32_t
+gw_query_vms (const gw_task *gw, gw_vm *vms, uint32_t max)
+{
+  static pc_member ready[GW_VMS_MAX];
+  static bool active[GW_VMS_MAX];
+  uint32_t count = 0;
+  uint32_t ready_count = 0;
+  uint32_t cursor = 0;
+  mb_record record;
+  if (max > GW_VMS_MAX)
+    max = GW_VMS_MAX;
+  vms[count++] = (gw_vm){ .name = gw->desc.vm_name,
+                          .region = gw->desc.region,
+                          .data_center = gw->desc.data_center,
+                          .callers_address = gw->desc.listen,
+                          .ready = gw_query_ready (gw) };
+  if (vms[0].ready)
+    ready[ready_count++]
+        = (pc_member){ vms[0].name, vms[0].data_center, gw->desc.capacity };
+  while (gw->peers != NULL && count < max
+         && mb_query_member (pe_query_members (gw->peers), &cursor, &record))
     {
       if (record.state == MB_DEAD || st_equal (record.name, gw->desc.vm_name))
         continue;
-      const _gw_peer *p
-          = _gw_find_peer ((gw_task *)gw, ut_hash (record.incarnation));
-      bool mate = p != NULL && p->scope == MS_LOAD_VM;
-      *vm = (gw_vm){ .name = record.name,
-                     .region = record.region,
-                     .data_center = record.data_center,
-                     .callers_address = record.callers_address,
-                     .ready = (mate ? p->ready : gw->cell.several)
-                              && record.state != MB_LEAVING };
-      return true;
+      vms[count] = (gw_vm){ .name = record.name,
+                            .region = record.region,
+                            .data_center = record.data_center,
+                            .callers_address = record.callers_address,
+                            .ready = _gw_takes_callers (gw, &record) };
+      if (vms[count++].ready)
+        ready[ready_count++]
+            = (pc_member){ record.name, record.data_center, record.capacity };
     }
-  return false;
+  /* In a single cell all are, however many are ready.  */
+  if (gw->cell.cell == 0)
+    memset (active, true, sizeof active);
+  else
+    pc_choose_active (ready, ready_count, active);
+  for (uint32_t i = 0, k = 0; i < count; i++)
+    vms[i].active = vms[i].ready && active[k++];
+  return count;
 }
--- /dev/null
+++ b/packages/gateway/tests/fleet_test.cc
@@ -0,0 +1,248 @@
+// A fleet of gateways on one event loop: which of them take callers, and what
+// they know of each other's load.
+#include "support.hh"
+
+#include <algorithm>
+#include <unistd.h>
+
+using namespace support;
+
+namespace
+{
+const int Each = 9; // VMs of each of two data centres
+
+class Fleet
+{
+public:
+  struct event_base *base = event_base_new ();
+  std::vector<gw_task *> vms;
+  Upstream upstream{ base };
+
+  // The third and the fourth VM of each data centre are the large ones.
+  static bool
+  is_large (int vm)
+  {
+    return vm % Each == 2 || vm % Each == 3;
+  }
+  Fleet ()
+  {
+    fields_.request_id = ST_LIT ("X-Id");
+    fields_.deadline_ms = ST_LIT ("X-Deadline");
+    fields_.team = ST_LIT ("X-Team");
+    fields_.expect_instance = ST_LIT ("X-Expect");
+    fields_.signature = ST_LIT ("X-Sign");
+    fields_.not_run = ST_LIT ("X-Not-Run");
+    fields_.token_usage = ST_LIT ("X-Tokens");
+    fields_.resume_after = ST_LIT ("Last-Event-Id");
+    upstream.fallback = Silent;
+    config_ = rc_make (1);
+    rc_route *r
+        = rc_add_route (config_, ST_LIT ("api.example"), ST_LIT ("/once/"));
+    r->name = ST_LIT ("once");
+    r->kind = RC_NON_IDEMPOTENT;
+    r->attempts = 1;
+    r->timeout_ms = 30000;
+    r->target_ms = 1000;
+    rc_add_share (config_, r, ST_LIT ("llm"), 1);
+    rc_add_service (config_, ST_LIT ("llm"))->engine = true;
+    rc_seal (config_);
+    for (int i = 0; i < 2 * Each; i++)
+      {
+        names_.push_back ((i < Each ? "a-" : "b-")
+                          + std::to_string (i % Each + 1));
+        std::string address = free_address ();
+        while (std::count (addresses_.begin (), addresses_.end (), address))
+          address = free_address ();
+        addresses_.push_back (address);
+      }
+    for (int i = 0; i < 2 * Each; i++)
+      start (i);
+    for (gw_task *gw : vms)
+      list (gw);
+  }
+  ~Fleet ()
+  {
+    for (gw_task *gw : vms)
+      gw_destroy (gw);
+    rc_unref (config_);
+    event_base_free (base);
+  }
+  bool
+  run (const std::function<bool ()> &done, int limit_ms = 8000)
+  {
+    ck_clock clock = {};
+    uint64_t end = ck_now_us (&clock) + (uint64_t)limit_ms * 1000;
+    while (!done () && ck_now_us (&clock) < end)
+      {
+        struct timeval tv = { 0, 5000 };
+        event_base_loopexit (base, &tv);
+        event_base_dispatch (base);
+      }
+    return done ();
+  }
+  // Names of the VMs of data centre PLACE that VM sends callers to.
+  std::set<std::string>
+  active (int vm, const std::string &place)
+  {
+    static gw_vm all[GW_VMS_MAX];
+    std::set<std::string> found;
+    uint32_t count = gw_query_vms (vms[(size_t)vm], all, GW_VMS_MAX);
+    for (uint32_t i = 0; i < count; i++)
+      if (all[i].active && st_equal (all[i].data_center, str (place)))
+        found.insert (std::string (all[i].name.ptr, all[i].name.len));
+    return found;
+  }
+  // The VMs as VM sees them.
+  std::string
+  describe (int vm)
+  {
+    static gw_vm all[GW_VMS_MAX];
+    uint32_t count = gw_query_vms (vms[(size_t)vm], all, GW_VMS_MAX);
+    std::string text = names_[(size_t)vm] + " sees "
+                       + std::to_string (gw_query_vm_count (vms[(size_t)vm]))
+                       + ":";
+    for (uint32_t i = 0; i < count; i++)
+      text += " " + std::string (all[i].name.ptr, all[i].name.len)
+              + (all[i].active  ? "+"
+                 : all[i].ready ? ""
+                                : "-");
+    return text + "\n";
+  }
+  // Requests at the upstream as VM sees them.
+  uint32_t
+  running (int vm)
+  {
+    const ut_table *t = gw_query_upstreams (vms[(size_t)vm]);
+    const ut_upstream *up = ut_query (t, ut_find (t, ST_LIT ("up")));
+    return up != nullptr ? up->own_running + up->peer_running : 0;
+  }
+  bool
+  all_see (uint32_t requests)
+  {
+    for (int i = 0; i < 2 * Each; i++)
+      if (running (i) != requests)
+        return false;
+    return true;
+  }
+
+private:
+  gw_names fields_ = {};
+  rc_config *config_ = nullptr;
+  std::vector<std::string> names_, addresses_;
+
+  // The VMs tell each other their ports before they listen, so that a free
+  // one is looked for, on an address that only this process uses.
+  static std::string
+  free_address ()
+  {
+    uint32_t host = 0x7f010001u + ((uint32_t)getpid () % 0x7f0000 << 1);
+    struct sockaddr_in sin = {};
+    socklen_t len = sizeof sin;
+    int fd = socket (AF_INET, SOCK_STREAM, 0);
+    sin.sin_family = AF_INET;
+    sin.sin_addr.s_addr = htonl (host);
+    EXPECT_EQ (bind (fd, (struct sockaddr *)&sin, sizeof sin), 0);
+    getsockname (fd, (struct sockaddr *)&sin, &len);
+    close (fd);
+    return std::string (inet_ntoa (sin.sin_addr)) + ":"
+           + std::to_string (ntohs (sin.sin_port));
+  }
+  void
+  start (int i)
+  {
+    size_t at = (size_t)i;
+    gw_desc desc = {};
+    er_error err = {};
+    desc.base = base;
+    desc.vm_name = str (names_[at]);
+    desc.region = i < Each ? ST_LIT ("west") : ST_LIT ("east");
+    desc.data_center = i < Each ? ST_LIT ("a") : ST_LIT ("b");
+    desc.capacity = is_large (i) ? 500 : 100;
+    desc.listen = ST_LIT ("127.0.0.1:0");
+    desc.peer_listen = str (addresses_[at]);
+    desc.names = &fields_;
+    desc.seed = at + 1;
+    gw_task *gw = gw_make (&desc, &err);
+    ASSERT_NE (gw, nullptr) << err.message;
+    gw_set_config (gw, config_);
+    ut_entry e = {};
+    st_name_set (&e.id, ST_LIT ("up"));
+    st_name_set (&e.service, ST_LIT ("llm"));
+    st_name_set (&e.address, str (upstream.address ()));
+    st_name_set (&e.data_center, ST_LIT ("a"));
+    st_name_set (&e.region, ST_LIT ("west"));
+    e.slots = 9;
+    gw_put_upstream (gw, &e);
+    vms.push_back (gw);
+  }
+  void
+  list (gw_task *gw)
+  {
+    std::vector<gw_listed> listed;
+    for (size_t i = 0; i < names_.size (); i++)
+      listed.push_back (
+          { str (names_[i]), i < Each ? ST_LIT ("west") : ST_LIT ("east"),
+            i < Each ? ST_LIT ("a") : ST_LIT ("b"), str (addresses_[i]),
+            ST_LIT ("127.0.0.1:1"), is_large ((int)i) ? 500u : 100u });
+    gw_set_vms (gw, listed.data (), (uint32_t)listed.size ());
+  }
+};
+
+const std::set<std::string> large_a = { "a-3", "a-4" };
+const std::set<std::string> large_b = { "b-3", "b-4" };
+
+// Guards against callers spread over all VMs of a large deployment, and
+// against VMs that tell callers different addresses.
+TEST (GwFleet, AllVmsSendCallersToTheLargeOnes)
+{
+  Fleet f;
+  std::string differs;
+  EXPECT_TRUE (f.run ([&] {
+    differs = "";
+    for (int i = 0; i < 2 * Each; i++)
+      if (f.active (i, "a") != large_a || f.active (i, "b") != large_b)
+        differs += f.describe (i);
+    return differs.empty ();
+  })) << differs;
+}
+
+// Guards against an address of a VM that has said that it leaves, and against
+// a data centre that then has one VM for all its callers.
+TEST (GwFleet, AnotherVmTakesTheCallersOfOneThatLeaves)
+{
+  Fleet f;
+  ASSERT_TRUE (f.run ([&] { return f.active (0, "a") == large_a; }));
+  gw_leave (f.vms[2]);
+  EXPECT_TRUE (f.run ([&] {
+    std::set<std::string> now = f.active (0, "a");
+    return now.size () >= 2 && now.count ("a-3") == 0
+           && now.count ("a-4") == 1;
+  }));
+}
+
+// Guards against loads that a VM does not hear of, or counts twice because it
+// hears of them in two ways.
+TEST (GwFleet, EachRequestCountsOnceAtEveryVm)
+{
+  Fleet f;
+  std::vector<std::unique_ptr<Caller>> callers;
+  uint32_t sent = 0;
+  ASSERT_TRUE (f.run ([&] {
+    return f.active (0, "a") == large_a && f.active (17, "b") == large_b;
+  }));
+  // A large and a small VM of each data centre.
+  for (int vm : { 2, 0, Each + 3, Each + 7 })
+    {
+      callers.push_back (std::make_unique<Caller> (
+          f.base, gw_query_port (f.vms[(size_t)vm])));
+      callers.back ()->request ("r" + std::to_string (vm), "/once/x");
+      sent++;
+      EXPECT_TRUE (f.run ([&] { return f.all_see (sent); })) << vm;
+      // And it stays so.
+      f.run ([] { return false; }, 700);
+      EXPECT_TRUE (f.all_see (sent)) << vm;
+    }
+  callers.clear ();
+  EXPECT_TRUE (f.run ([&] { return f.all_see (0); }));
+}
+} // namespace
--- a/packages/peers/pe.c
+++ b/packages/peers/pe.c
@@ -514,7 +514,8 @@
                       .peer_address = m->peer_address,
                       .callers_address = m->callers_address,
                       .state = (mb_member_state)m->state,
-                      .counter = m->counter };
+                      .counter = m->counter,
+                      .capacity = m->capacity };
 }
 
 static ms_member
@@ -527,7 +528,8 @@
                       .peer_address = r->peer_address,
                       .callers_address = r->callers_address,
                       .state = (ms_member_state)r->state,
-                      .counter = r->counter };
+                      .counter = r->counter,
+                      .capacity = r->capacity };
 }
 
 static void
@@ -903,7 +905,8 @@
                      .data_center = st_name_str (&pe->data_center),
                      .peer_address = st_from_cstr (pe->address),
                      .callers_address = st_from_cstr (pe->callers_address),
-                     .counter = desc->counter };
+                     .counter = desc->counter,
+                     .capacity = desc->capacity };
   pe->mb = mb_make (&members, _pe_now (pe));
   struct timeval tv = { 0, _PE_SWEEP_MS * 1000 };
   event_add (pe->sweep, &tv);
--- a/packages/peers/pe.h
+++ b/packages/peers/pe.h
@@ -66,6 +66,7 @@
   st_str data_center;
   st_str peer_address;    /* IP:PORT to listen on; port 0: any */
   st_str callers_address; /* told to the peers */
+  uint32_t capacity;      /* thousandths of a core; 0: unknown */
   uint64_t counter;       /* wall clock in ms at the start */
   uint64_t seed;
   size_t output_max_bytes;  /* of a peer; 0 means 4 MiB */
--- a/packages/peers/tests/pe_test.cc
+++ b/packages/peers/tests/pe_test.cc
@@ -153,7 +153,7 @@
     for (auto &e : all)
       entries.push_back ({ view (e.first), ST_LIT ("kingston"),
                            ST_LIT ("kingston-north"), view (e.second),
-                           ST_LIT (""), false });
+                           ST_LIT (""), false, 0 });
     for (auto &vm : vms)
       if (vm->pe != nullptr)
         pe_set_vm_list (vm->pe, entries.data (), (uint32_t)entries.size ());
@@ -250,9 +250,15 @@
     m.type = MS_PING;
     m.u.probe.sequence = 1;
     m.u.probe.sender = view (incarnation);
-    m.u.probe.self
-        = { view (name),    view (incarnation), ST_LIT (""),     ST_LIT (""),
-            view (address), ST_LIT (""),        MS_MEMBER_ALIVE, 1 };
+    m.u.probe.self = { view (name),
+                       view (incarnation),
+                       ST_LIT (""),
+                       ST_LIT (""),
+                       view (address),
+                       ST_LIT (""),
+                       MS_MEMBER_ALIVE,
+                       1,
+                       0 };
     return bytes_of (m);
   }
 
@@ -348,11 +354,11 @@
                    "\x90",
                    15),
       "unknown_version" },
-    { std::string ("\x00\x00\x00\x0b\x01\xee\x00\x00\x00\x00\x00\x00\x00\x00"
+    { std::string ("\x00\x00\x00\x0b\x02\xee\x00\x00\x00\x00\x00\x00\x00\x00"
                    "\x90",
                    15),
       "unknown_type" },
-    { std::string ("\x00\x00\x00\x0b\x01\x01\x00\x00\x00\x00\x00\x00\x00\x00"
+    { std::string ("\x00\x00\x00\x0b\x02\x01\x00\x00\x00\x00\x00\x00\x00\x00"
                    "\xc1",
                    15),
       "message_malformed" },
--- a/packages/wire/ms.c
+++ b/packages/wire/ms.c
@@ -332,7 +332,7 @@
 {
   ms_member *m = item;
   _ms_io saved;
-  if (!_ms_enter (io, "member", 8, &saved))
+  if (!_ms_enter (io, "member", 9, &saved))
     return;
   _ms_key (io, "name", &m->name, MS_NAME_MAX);
   _ms_key (io, "incarnation", &m->incarnation, MS_INCARNATION_MAX);
@@ -342,6 +342,7 @@
   _ms_str (io, "callers_address", &m->callers_address, MS_ADDRESS_MAX);
   _MS_ENUM (io, "state", m->state, MS_MEMBER_STATES);
   _ms_u64 (io, "counter", &m->counter, UINT64_MAX);
+  _ms_u32 (io, "capacity", &m->capacity, UINT32_MAX);
   _ms_leave (io, &saved);
 }
 
@@ -678,10 +679,11 @@
 _ms_io_load (_ms_io *io, ms_load *m)
 {
   _ms_io saved;
-  if (!_ms_enter (io, "body", 8 + MS_LOAD_RANKS, &saved))
+  if (!_ms_enter (io, "body", 9 + MS_LOAD_RANKS, &saved))
     return;
   _MS_ENUM (io, "scope", m->scope, MS_LOAD_SCOPES);
   _ms_u64 (io, "cell", &m->cell, UINT64_MAX);
+  _ms_bool (io, "active", &m->active);
   _ms_bool (io, "follows", &m->follows);
   _ms_u64 (io, "store_revision", &m->store_revision, UINT64_MAX);
   _ms_u64 (io, "config_version", &m->config_version, UINT64_MAX);
--- a/packages/wire/ms.h
+++ b/packages/wire/ms.h
@@ -133,7 +133,8 @@
   st_str peer_address;
   st_str callers_address;
   ms_member_state state;
-  uint64_t counter; /* raised by the VM itself */
+  uint64_t counter;  /* raised by the VM itself */
+  uint32_t capacity; /* of the VM, in thousandths of a core; 0: unknown */
 } ms_member;
 
 typedef struct
@@ -362,7 +363,8 @@
 typedef struct
 {
   ms_load_scope scope;
-  uint64_t cell;           /* of MS_LOAD_CELL */
+  uint64_t cell;           /* of the sender */
+  bool active;             /* the sender takes callers */
   bool follows;            /* the sender follows the store, and it answers */
   uint64_t store_revision; /* up to which the sender knows the store */
   uint64_t config_version; /* newest that the sender knows; 0: none */
--- a/packages/wire/tests/ms_test.cc
+++ b/packages/wire/tests/ms_test.cc
@@ -166,8 +166,8 @@
           {
             static const ms_load_row rows[2] = { { 7, 3, 4096 }, { 9, 0, 0 } };
             static const ms_load_team teams[1] = { { 11, 74267 } };
-            m.u.load = { MS_LOAD_CELL, 3, true, 17, 42,   true,
-                         { 0, 2, 5 },  2, rows, 1,  teams };
+            m.u.load = { MS_LOAD_CELL, 3,           true, true, 17, 42,
+                         true,         { 0, 2, 5 }, 2,    rows, 1,  teams };
             break;
           }
         case MS_TYPE_END:
@@ -505,11 +505,13 @@
     { std::string ("\x00\x11\x00\x00", 4), FR_TOO_LONG, ER_TOO_LARGE },
     { std::string ("\x00\x00\x00\x09", 4), FR_MALFORMED, ER_INVALID },
     { std::string ("\x00\x00\x00\x00", 4), FR_MALFORMED, ER_INVALID },
-    { std::string ("\x00\x00\x00\x20\x02", 5), FR_UNKNOWN_VERSION,
+    { std::string ("\x00\x00\x00\x20\x01", 5), FR_UNKNOWN_VERSION,
       ER_UNSUPPORTED },
-    { std::string ("\x00\x00\x00\x20\x01\x00", 6), FR_UNKNOWN_TYPE,
+    { std::string ("\x00\x00\x00\x20\x03", 5), FR_UNKNOWN_VERSION,
       ER_UNSUPPORTED },
-    { std::string ("\x00\x00\x00\x20\x01\xff", 6), FR_UNKNOWN_TYPE,
+    { std::string ("\x00\x00\x00\x20\x02\x00", 6), FR_UNKNOWN_TYPE,
+      ER_UNSUPPORTED },
+    { std::string ("\x00\x00\x00\x20\x02\xff", 6), FR_UNKNOWN_TYPE,
       ER_UNSUPPORTED },
   };
   for (auto &c : cases)
