Keep the evidence of a rollout's step when the next one begins

Change: a step closes the open strata; a VM tells the rest of the step before first, and the merged book takes it as a stratum of its own, which the test for a good version does not see. A step's time does not depend on the fate of the requests in them, so the test stays exact. Two unit tests, one seen red without the change.

--- a/packages/bench/rollout_sim.c
+++ b/packages/bench/rollout_sim.c
@@ -443,23 +443,28 @@
   return 1000 + vm + (uint64_t)s->vms[vm].life * 16;
 }
 
+/* Sends the delta at hand to candidate TO.  */
+static void
+_rs_send_delta (_rs_sim *s, uint32_t to)
+{
+  if (s->d.faults && _rs_uniform (s) < 0.02)
+    return;
+  _rs_message *m = _rs_post (s, _RS_EVIDENCE, to);
+  if (m == NULL)
+    return;
+  m->delta = g_memdup2 (&s->delta, sizeof s->delta);
+  if (s->d.faults && _rs_uniform (s) < 0.05)
+    m->due += _rs_below (s, 10);
+}
+
 static void
 _rs_send_evidence (_rs_sim *s, uint32_t vm)
 {
   _rs_vm *v = &s->vms[vm];
   uint64_t sender = vm + 1 + (uint64_t)v->life * 16;
   for (uint32_t to = 0; to < 2; to++)
-    {
-      if (!ev_take_delta (v->tracker, sender, _rs_term (s, to), &s->delta)
-          || (s->d.faults && _rs_uniform (s) < 0.02))
-        continue;
-      _rs_message *m = _rs_post (s, _RS_EVIDENCE, to);
-      if (m == NULL)
-        continue;
-      m->delta = g_memdup2 (&s->delta, sizeof s->delta);
-      if (s->d.faults && _rs_uniform (s) < 0.05)
-        m->due += _rs_below (s, 10);
-    }
+    while (ev_take_delta (v->tracker, sender, _rs_term (s, to), &s->delta))
+      _rs_send_delta (s, to);
 }
 
 static void
@@ -711,7 +716,7 @@
     {
       uint64_t sender = i + 1 + (uint64_t)s->vms[i].life * 16;
       ev_tick (s->vms[i].twin, _rs_now_us (s));
-      if (ev_take_delta (s->vms[i].twin, sender, 1, &s->delta))
+      while (ev_take_delta (s->vms[i].twin, sender, 1, &s->delta))
         ev_merge (s->oracle, &s->delta, _rs_now_us (s));
     }
   ev_tick (s->oracle, _rs_now_us (s));
--- a/packages/decide/ev.c
+++ b/packages/decide/ev.c
@@ -37,6 +37,8 @@
   ev_counts step[2];  /* 0 old, 1 new: closed strata of this step */
   ev_counts open[2];  /* stratum in progress */
   uint64_t opened_us; /* 0 when the open stratum is empty */
+  ev_counts late[2];  /* merged: stratum of the step before, told late */
+  uint64_t late_us;   /* 0 when it is empty */
   double log_s[EV_KINDS][_EV_ODDS]; /* mixture over the start of the fault */
   uint32_t informative[EV_KINDS];   /* strata that moved log_s */
   bool passed[EV_KINDS];            /* test for good, this step */
@@ -56,8 +58,10 @@
   _ev_cell local[EV_LOADS];
   _ev_cell merged[EV_LOADS];
   _ev_speed speed[EV_LOADS];
-  /* Part of the local counts already sent on each stream.  */
+  /* Part of the local counts already sent on each stream, and the rest of the
+     step before.  */
   ev_counts sent[EV_STREAMS][EV_LOADS][2];
+  ev_counts rest[EV_STREAMS][EV_LOADS][2];
 } _ev_route;
 
 typedef struct
@@ -85,6 +89,7 @@
   uint32_t max_senders;
   uint32_t sender_count;
   uint32_t step;
+  uint32_t step_before;
   uint64_t step_began_us;
   uint64_t term; /* of the merged book */
   _ev_stream streams[EV_STREAMS];
@@ -215,8 +220,10 @@
 {
   memset (cell->step, 0, sizeof cell->step);
   memset (cell->open, 0, sizeof cell->open);
+  memset (cell->late, 0, sizeof cell->late);
   memset (cell->passed, 0, sizeof cell->passed);
   cell->opened_us = 0;
+  cell->late_us = 0;
 }
 
 /* Starts the test of VERSION.  Does nothing when it is under test already;
@@ -240,27 +247,10 @@
         _ev_reset_mixture (&route->local[l]);
         _ev_reset_mixture (&route->merged[l]);
         for (int m = 0; m < EV_STREAMS; m++)
-          memset (route->sent[m][l], 0, sizeof route->sent[m][l]);
-      }
-}
-
-/* Starts STEP: the counts and the test for good start anew, the test for bad
-   goes on.  Requests dispatched in an earlier step are left out from now on:
-   the share differed, and with it the split of requests that are alike.  */
-void
-ev_begin_step (ev_tracker *t, uint32_t step, uint64_t now_us)
-{
-  if (step == t->step && t->step_began_us != 0)
-    return;
-  t->step = step;
-  t->step_began_us = now_us > 0 ? now_us : 1;
-  for (uint32_t i = 0; i < t->route_count; i++)
-    for (int l = 0; l < EV_LOADS; l++)
-      {
-        _ev_reset_counts (&t->routes[i].local[l]);
-        _ev_reset_counts (&t->routes[i].merged[l]);
-        for (int m = 0; m < EV_STREAMS; m++)
-          memset (t->routes[i].sent[m][l], 0, sizeof t->routes[i].sent[m][l]);
+          {
+            memset (route->sent[m][l], 0, sizeof route->sent[m][l]);
+            memset (route->rest[m][l], 0, sizeof route->rest[m][l]);
+          }
       }
 }
 
@@ -466,49 +456,111 @@
          + log ((index + 1.0) * (index + 2.0)) + (local ? t->log_vms : 0);
 }
 
-/* Closes the open stratum of CELL and updates both tests.  */
+/* Updates the test for bad with a stratum of OLD and NEW.  */
 static void
-_ev_close_stratum (const ev_tracker *t, _ev_cell *cell, uint32_t index,
-                   ev_load load, bool local, ev_result *result)
+_ev_test_stratum (const ev_tracker *t, _ev_cell *cell, const ev_counts *old,
+                  const ev_counts *new, uint32_t index, ev_load load,
+                  bool local, ev_result *result)
 {
-  const ev_counts *old = &cell->open[0];
-  const ev_counts *new = &cell->open[1];
-  _ev_add (&cell->step[0], old);
-  _ev_add (&cell->step[1], new);
   for (int k = 0; k < EV_KINDS; k++)
     {
       uint32_t hits = old->hits[k] + new->hits[k];
       uint32_t seen = old->seen[k] + new->seen[k];
-      if (old->seen[k] > 0 && new->seen[k] > 0 && hits > 0 && hits < seen)
+      if (old->seen[k] == 0 || new->seen[k] == 0 || hits == 0 || hits == seen)
+        continue;
+      double n = cell->informative[k]++;
+      double log_weight = n == 0 ? log (0.5) : log (0.5 / (n * (n + 1)));
+      for (int r = 0; r < _EV_ODDS; r++)
+        cell->log_s[k][r]
+            = _ev_log_add (cell->log_s[k][r], log_weight)
+              + ev_log_ratio (new->seen[k], new->hits[k], old->seen[k],
+                              old->hits[k], _ev_odds[r]);
+      double evidence = _ev_log_mixture (cell, k);
+      if (result->verdict != EV_BAD
+          && evidence >= _ev_boundary (t, index, local))
         {
-          double n = cell->informative[k]++;
-          double log_weight = n == 0 ? log (0.5) : log (0.5 / (n * (n + 1)));
-          for (int r = 0; r < _EV_ODDS; r++)
-            cell->log_s[k][r]
-                = _ev_log_add (cell->log_s[k][r], log_weight)
-                  + ev_log_ratio (new->seen[k], new->hits[k], old->seen[k],
-                                  old->hits[k], _ev_odds[r]);
-          double evidence = _ev_log_mixture (cell, k);
-          if (result->verdict != EV_BAD
-              && evidence >= _ev_boundary (t, index, local))
-            {
-              result->verdict = EV_BAD;
-              result->reason.kind = k;
-              result->reason.load = load;
-              result->reason.route = t->routes[index].name;
-              result->reason.old_counts = cell->step[0];
-              result->reason.new_counts = cell->step[1];
-              result->reason.log_evidence = evidence;
-            }
+          result->verdict = EV_BAD;
+          result->reason.kind = k;
+          result->reason.load = load;
+          result->reason.route = t->routes[index].name;
+          result->reason.old_counts = cell->step[0];
+          result->reason.new_counts = cell->step[1];
+          result->reason.log_evidence = evidence;
         }
-      if (!cell->passed[k])
-        cell->passed[k]
-            = _ev_passes (&cell->step[0], &cell->step[1], k, t->log_beta);
     }
+}
+
+/* Closes the open stratum of CELL and updates both tests.  */
+static void
+_ev_close_stratum (const ev_tracker *t, _ev_cell *cell, uint32_t index,
+                   ev_load load, bool local, ev_result *result)
+{
+  _ev_add (&cell->step[0], &cell->open[0]);
+  _ev_add (&cell->step[1], &cell->open[1]);
+  _ev_test_stratum (t, cell, &cell->open[0], &cell->open[1], index, load,
+                    local, result);
+  for (int k = 0; k < EV_KINDS; k++)
+    if (!cell->passed[k])
+      cell->passed[k]
+          = _ev_passes (&cell->step[0], &cell->step[1], k, t->log_beta);
   memset (cell->open, 0, sizeof cell->open);
   cell->opened_us = 0;
 }
 
+/* Closes the stratum of the step before.  The test for good does not see it:
+   it starts anew with each step.  */
+static void
+_ev_close_late (ev_tracker *t, _ev_cell *cell, uint32_t index, ev_load load)
+{
+  _ev_test_stratum (t, cell, &cell->late[0], &cell->late[1], index, load,
+                    false, &t->merged);
+  memset (cell->late, 0, sizeof cell->late);
+  cell->late_us = 0;
+}
+
+/* Keeps what STREAM has not been told of the counts of ROUTE, as the step
+   ends.  */
+static void
+_ev_keep_rest (_ev_route *route, ev_load load, int stream)
+{
+  for (int v = 0; v < 2; v++)
+    {
+      ev_counts *rest = &route->rest[stream][load][v];
+      *rest = route->local[load].step[v];
+      _ev_sub (rest, &route->sent[stream][load][v]);
+      memset (&route->sent[stream][load][v], 0, sizeof *rest);
+    }
+}
+
+/* Starts STEP: the counts and the test for good start anew, the test for bad
+   goes on.  Open strata are closed, and what has not been told of the step
+   before still is, as strata of its own; the time of a step does not depend
+   on the fate of these requests.  Requests that were dispatched in an earlier
+   step and end later are left out: the share differed, and with it the split
+   of requests that are alike.  */
+void
+ev_begin_step (ev_tracker *t, uint32_t step, uint64_t now_us)
+{
+  if (step == t->step && t->step_began_us != 0)
+    return;
+  t->step_before = t->step;
+  t->step = step;
+  t->step_began_us = now_us > 0 ? now_us : 1;
+  for (uint32_t i = 0; i < t->route_count; i++)
+    for (int l = 0; l < EV_LOADS; l++)
+      {
+        _ev_route *route = &t->routes[i];
+        _ev_close_stratum (t, &route->local[l], i, l, true, &t->local);
+        _ev_move_thresholds (&route->speed[l]);
+        _ev_close_late (t, &route->merged[l], i, l);
+        _ev_close_stratum (t, &route->merged[l], i, l, false, &t->merged);
+        for (int m = 0; m < EV_STREAMS; m++)
+          _ev_keep_rest (route, l, m);
+        _ev_reset_counts (&route->local[l]);
+        _ev_reset_counts (&route->merged[l]);
+      }
+}
+
 static bool
 _ev_stratum_is_full (const _ev_cell *cell, uint64_t now_us)
 {
@@ -538,6 +590,9 @@
           }
         if (_ev_stratum_is_full (&route->merged[l], now_us))
           _ev_close_stratum (t, &route->merged[l], i, l, false, &t->merged);
+        if (route->merged[l].late_us != 0
+            && now_us - route->merged[l].late_us >= _EV_STRATUM_US)
+          _ev_close_late (t, &route->merged[l], i, l);
       }
 }
 
@@ -563,41 +618,65 @@
   stream->term = term;
   stream->seq = 0;
   for (uint32_t i = 0; i < t->route_count; i++)
-    memset (t->routes[i].sent[oldest], 0, sizeof t->routes[i].sent[oldest]);
+    {
+      memset (t->routes[i].sent[oldest], 0, sizeof t->routes[i].sent[oldest]);
+      memset (t->routes[i].rest[oldest], 0, sizeof t->routes[i].rest[oldest]);
+    }
   return oldest;
 }
 
+/* Adds the row of ROUTE at LOAD to OUT, unless it is empty.  */
+static void
+_ev_add_row (ev_delta *out, const _ev_route *route, ev_load load,
+             const ev_counts counts[2])
+{
+  if (counts[0].seen[EV_FAILURE] == 0 && counts[1].seen[EV_FAILURE] == 0)
+    return;
+  out->rows[out->row_count++] = (ev_row){ .route = route->name,
+                                          .load = load,
+                                          .old_counts = counts[0],
+                                          .new_counts = counts[1] };
+}
+
 /* Fills OUT with what was recorded since the last call for the same TERM, or
-   with all counts of the current step when TERM is new.  Up to EV_STREAMS
-   terms are kept.  False when there is nothing to send.  */
+   with all counts of the current step when TERM is new.  What is left of the
+   step before comes first, so that the caller asks again until there is
+   nothing.  Up to EV_STREAMS terms are kept.  False when there is nothing to
+   send.  */
 bool
 ev_take_delta (ev_tracker *t, uint64_t sender, uint64_t term, ev_delta *out)
 {
   int m = _ev_find_stream (t, term);
   out->sender = sender;
   out->term = term;
-  out->step = t->step;
+  out->step = t->step_before;
   out->row_count = 0;
+  for (uint32_t i = 0; i < t->route_count; i++)
+    for (int l = 0; l < EV_LOADS; l++)
+      {
+        ev_counts *rest = t->routes[i].rest[m][l];
+        _ev_add_row (out, &t->routes[i], l, rest);
+        memset (rest, 0, sizeof t->routes[i].rest[m][l]);
+      }
+  if (out->row_count > 0)
+    {
+      out->seq = ++t->streams[m].seq;
+      return true;
+    }
+  out->step = t->step;
   for (uint32_t i = 0; i < t->route_count; i++)
     for (int l = 0; l < EV_LOADS; l++)
       {
         _ev_route *route = &t->routes[i];
         const _ev_cell *cell = &route->local[l];
-        ev_row *row = &out->rows[out->row_count];
         ev_counts now[2] = { cell->step[0], cell->step[1] };
         _ev_add (&now[0], &cell->open[0]);
         _ev_add (&now[1], &cell->open[1]);
-        row->old_counts = now[0];
-        row->new_counts = now[1];
-        _ev_sub (&row->old_counts, &route->sent[m][l][0]);
-        _ev_sub (&row->new_counts, &route->sent[m][l][1]);
-        if (row->old_counts.seen[EV_FAILURE] == 0
-            && row->new_counts.seen[EV_FAILURE] == 0)
-          continue;
-        row->route = route->name;
-        row->load = l;
+        ev_counts news[2] = { now[0], now[1] };
+        _ev_sub (&news[0], &route->sent[m][l][0]);
+        _ev_sub (&news[1], &route->sent[m][l][1]);
+        _ev_add_row (out, route, l, news);
         memcpy (route->sent[m][l], now, sizeof now);
-        out->row_count++;
       }
   if (out->row_count == 0)
     return false;
@@ -662,7 +741,8 @@
   if (delta->seq <= sender->seq)
     return EV_DUPLICATE;
   sender->seq = delta->seq;
-  if (delta->step != t->step)
+  bool late = delta->step == t->step_before && delta->step != t->step;
+  if (delta->step != t->step && !late)
     return EV_OTHER_STEP;
   ev_merge_result result = EV_MERGED;
   for (uint32_t i = 0; i < delta->row_count; i++)
@@ -675,10 +755,12 @@
           continue;
         }
       _ev_cell *cell = &t->routes[index].merged[row->load];
-      if (cell->opened_us == 0)
-        cell->opened_us = now_us > 0 ? now_us : 1;
-      _ev_add (&cell->open[0], &row->old_counts);
-      _ev_add (&cell->open[1], &row->new_counts);
+      uint64_t *since_us = late ? &cell->late_us : &cell->opened_us;
+      ev_counts *counts = late ? cell->late : cell->open;
+      if (*since_us == 0)
+        *since_us = now_us > 0 ? now_us : 1;
+      _ev_add (&counts[0], &row->old_counts);
+      _ev_add (&counts[1], &row->new_counts);
     }
   return result;
 }
--- a/packages/decide/ev.h
+++ b/packages/decide/ev.h
@@ -14,7 +14,8 @@
      ev_tick (t, now_us);                      // every 100 to 500 ms
      if (ev_query_local (t).verdict == EV_BAD)
        halt ();                                // local rule, asks nobody
-     ev_take_delta (t, sender, candidate, &delta); // every 500 ms, send it
+     while (ev_take_delta (t, sender, candidate, &delta)) // every 500 ms
+       send (&delta);
      ev_merge (t, &delta, now_us);             // on the candidate
 
    Test for a bad version.  Requests are put into strata: one route, one load
@@ -148,7 +149,8 @@
   EV_MERGED = 0,
   EV_DUPLICATE,    /* seq was merged already or is older: ignored */
   EV_OTHER_TERM,   /* meant for another controller: ignored */
-  EV_OTHER_STEP,   /* of another step: ignored, the seq is consumed */
+  EV_OTHER_STEP,   /* neither of this step nor of the one before: ignored,
+                      the seq is consumed */
   EV_MALFORMED,    /* counts contradict each other: ignored */
   EV_SENDERS_FULL, /* table of senders is full: ignored */
   EV_ROUTES_FULL   /* some rows did not fit into the table of routes */
--- a/packages/decide/tests/ev_test.cc
+++ b/packages/decide/tests/ev_test.cc
@@ -72,6 +72,60 @@
           }
 }
 
+// Guards against a fault that shows as the share is raised: what the open
+// strata hold is evidence, and the next step has few requests of the old
+// version to compare with.
+TEST (Ev, AStepKeepsTheEvidenceOfOpenStrata)
+{
+  Tracker tr (9);
+  ev_begin_step (tr.t, 1, 1);
+  ev_begin_term (tr.t, 7, 1);
+  for (int i = 0; i < 60; i++)
+    {
+      ev_sample s = sample ("answers", i % 2 == 0, i % 2 == 0, 100000);
+      ASSERT_TRUE (ev_record (tr.t, &s, 1000));
+    }
+  ev_delta delta;
+  ASSERT_TRUE (ev_take_delta (tr.t, 3, 7, &delta));
+  ASSERT_EQ (ev_merge (tr.t, &delta, 1000), EV_MERGED);
+  EXPECT_EQ (ev_query_local (tr.t).verdict, EV_UNDECIDED);
+  ev_begin_step (tr.t, 2, 2000);
+  EXPECT_EQ (ev_query_local (tr.t).verdict, EV_BAD);
+  EXPECT_EQ (ev_query_merged (tr.t).verdict, EV_BAD);
+}
+
+// Guards against the loss of what a VM had not told when the step began.
+TEST (Ev, AStepKeepsTheEvidenceThatIsNotToldYet)
+{
+  Tracker from (9);
+  Tracker to (9);
+  ev_begin_step (from.t, 1, 1);
+  ev_begin_step (to.t, 1, 1);
+  ev_begin_term (to.t, 7, 1);
+  ev_delta delta;
+  EXPECT_FALSE (ev_take_delta (from.t, 3, 7, &delta));
+  for (int i = 0; i < 60; i++)
+    {
+      ev_sample s = sample ("answers", i % 2 == 0, i % 2 == 0, 100000);
+      ASSERT_TRUE (ev_record (from.t, &s, 1000));
+    }
+  ev_begin_step (from.t, 2, 2000);
+  ev_begin_step (to.t, 2, 2000);
+  ev_sample s = sample ("answers", false, false, 100000, EV_LOAD_LOW, 2);
+  ASSERT_TRUE (ev_record (from.t, &s, 3000));
+  ASSERT_TRUE (ev_take_delta (from.t, 3, 7, &delta));
+  EXPECT_EQ (delta.step, 1u);
+  EXPECT_EQ (ev_merge (to.t, &delta, 4000), EV_MERGED);
+  EXPECT_EQ (ev_merge (to.t, &delta, 4000), EV_DUPLICATE);
+  ASSERT_TRUE (ev_take_delta (from.t, 3, 7, &delta));
+  EXPECT_EQ (delta.step, 2u);
+  EXPECT_EQ (delta.rows[0].old_counts.seen[EV_FAILURE], 1u);
+  EXPECT_EQ (ev_merge (to.t, &delta, 4000), EV_MERGED);
+  EXPECT_FALSE (ev_take_delta (from.t, 3, 7, &delta));
+  ev_tick (to.t, 4000 + 600 * kMs);
+  EXPECT_EQ (ev_query_merged (to.t).verdict, EV_BAD);
+}
+
 // Guards against a gross fault that a VM reports only after asking others.
 TEST (Ev, LocalRuleStopsGrossFaultAtOnce)
 {
--- a/packages/server/rl.c
+++ b/packages/server/rl.c
@@ -704,20 +704,17 @@
 }
 
 static void
-_rl_send_delta (_rl_service *s, const ro_state *state, const char *controller)
+_rl_send_delta (_rl_service *s, const ro_state *state, const char *controller,
+                const ev_delta *delta)
 {
-  static ev_delta delta;
   uint64_t counts[EV_MAX_ROUTES * EV_LOADS][_RL_COUNTS];
   ms_evidence_entry entries[EV_MAX_ROUTES * EV_LOADS];
   sv_server *sv = s->rl->sv;
-  uint64_t sender = st_hash (sv_query_incarnation (sv), 0);
-  if (!ev_take_delta (s->evidence, sender, s->term, &delta))
-    return;
-  for (uint32_t i = 0; i < delta.row_count; i++)
+  for (uint32_t i = 0; i < delta->row_count; i++)
     {
-      const ev_row *row = &delta.rows[i];
-      counts[i][0] = delta.step;
-      counts[i][1] = delta.term;
+      const ev_row *row = &delta->rows[i];
+      counts[i][0] = delta->step;
+      counts[i][1] = delta->term;
       _rl_pack_counts (&row->old_counts, &counts[i][2]);
       _rl_pack_counts (&row->new_counts, &counts[i][2 + 3 * EV_KINDS]);
       entries[i] = (ms_evidence_entry){ .service = st_name_str (&s->name),
@@ -729,12 +726,24 @@
     }
   ms_message m = { .type = MS_EVIDENCE };
   m.u.evidence = (ms_evidence){ .sender = sv_query_incarnation (sv),
-                                .sequence = delta.seq,
-                                .count = delta.row_count,
+                                .sequence = delta->seq,
+                                .count = delta->row_count,
                                 .entries = entries };
   sv_send (sv, st_from_cstr (controller), &m);
 }
 
+/* Tells CONTROLLER what it does not know yet: the rest of the step before,
+   then this step.  */
+static void
+_rl_send_evidence (_rl_service *s, const ro_state *state,
+                   const char *controller)
+{
+  static ev_delta delta;
+  uint64_t sender = st_hash (sv_query_incarnation (s->rl->sv), 0);
+  while (ev_take_delta (s->evidence, sender, s->term, &delta))
+    _rl_send_delta (s, state, controller, &delta);
+}
+
 static void
 _rl_on_evidence (rl_task *rl, const ms_evidence *m)
 {
@@ -827,7 +836,7 @@
       if (in.now_us >= s->next_delta_us && controller[0] != 0)
         {
           s->next_delta_us = in.now_us + _RL_DELTA_PERIOD_US;
-          _rl_send_delta (s, &state, controller);
+          _rl_send_evidence (s, &state, controller);
         }
       if (po_query_withdrawn (rl->sv->policy, st_name_str (&s->name),
                               st_name_str (&state.to)))
