Let callers that will be late come back when the burst has gone

Nothing spread the callers. Ruled out: a longer wait here; it is bounded by the target already. Change: who can still be on time comes back after the expected wait; others after 0.6 to 1, at random, of the longest wait that callers honour, a third of the time they have left.

--- a/packages/decide/gq.c
+++ b/packages/decide/gq.c
@@ -33,7 +33,14 @@
    refusal that comes early leaves the caller time to come back.  */
 #define _GQ_REFUSE_PART 0.45
 #define _GQ_RETRY_MIN_US 250000
-#define _GQ_RETRY_MAX_US 3000000
+/* Part of the target that a caller that comes back needs for the way and for
+   the answer to begin.  */
+#define _GQ_RETURN_PART 0.5
+/* Callers wait for at most this part of the time that they have left.  */
+#define _GQ_RETRY_PART (1.0 / 3)
+/* Callers are spread over this part of the wait, so that they do not come
+   back together.  */
+#define _GQ_SPREAD_PART 0.4
 
 /* Place of a request in the order in which requests go.  A team's tier goes
    before the route's; within a team the route's tells.  */
@@ -188,10 +195,32 @@
   return (ut_id){ 0, 0 };
 }
 
-/* Decides on a request for which gq_place found no room.  */
+/* When a caller that is refused is to come back.  Where it can still be on
+   time, that is when its turn would have come; else as late as it can, when a
+   burst has gone, since a caller that is refused twice has waited in vain.  */
+static uint64_t
+_gq_retry_after_us (const gq_demand *demand, double expected_us,
+                    uint64_t now_us, uint32_t random)
+{
+  double left = demand->deadline_us > now_us
+                    ? (double)(demand->deadline_us - now_us)
+                    : 0;
+  double spent = (double)(now_us - demand->arrived_us);
+  double target = (double)demand->target_us;
+  double soon
+      = expected_us > _GQ_RETRY_MIN_US ? expected_us : _GQ_RETRY_MIN_US;
+  if (spent + soon + _GQ_RETURN_PART * target <= target)
+    return (uint64_t)soon;
+  double spread = _GQ_SPREAD_PART * (random >> 8) / 16777216.0;
+  double last = _GQ_RETRY_PART * left * (1 - spread);
+  return (uint64_t)(last > _GQ_RETRY_MIN_US ? last : _GQ_RETRY_MIN_US);
+}
+
+/* Decides on a request for which gq_place found no room; RANDOM spreads the
+   callers that are refused.  */
 gq_verdict
 gq_admit (const gq_backlog *backlog, const gq_demand *demand, uint64_t now_us,
-          gq_decision *out)
+          uint32_t random, gq_decision *out)
 {
   uint32_t ahead = 0;
   for (uint32_t i = 0; i <= demand->rank; i++)
@@ -204,10 +233,7 @@
   uint64_t allowed = (uint64_t)(_GQ_WAIT_PART * (double)demand->target_us);
   uint64_t patience = (uint64_t)(_GQ_REFUSE_PART * (double)demand->target_us);
   out->expected_us = (uint64_t)expected;
-  out->retry_after_us = out->expected_us > _GQ_RETRY_MAX_US ? _GQ_RETRY_MAX_US
-                        : out->expected_us < _GQ_RETRY_MIN_US
-                            ? _GQ_RETRY_MIN_US
-                            : out->expected_us;
+  out->retry_after_us = _gq_retry_after_us (demand, expected, now_us, random);
   if (backlog->slots == 0)
     {
       /* Nobody serves it now; wait a little for one to appear.  */
--- a/packages/decide/gq.h
+++ b/packages/decide/gq.h
@@ -15,8 +15,10 @@
    distance and recent failures.
 
    Refusing.  A request whose expected wait exceeds the time in which its
-   answer would still be on time is refused at once, with the time after
-   which the backlog will have gone; it does not hold the caller.  */
+   answer would still be on time is refused at once and does not hold the
+   caller.  A caller that can be on time yet is told when its turn comes; one
+   that will be late anyway comes back as late as it can, spread over some
+   time, so that it is not refused twice by the same burst.  */
 #ifndef GQ_H
 #define GQ_H
 
@@ -77,7 +79,7 @@
   ut_id gq_place (const ut_table *t, st_str service, const gq_demand *demand,
                   uint64_t now_us, uint32_t random);
   gq_verdict gq_admit (const gq_backlog *backlog, const gq_demand *demand,
-                       uint64_t now_us, gq_decision *out);
+                       uint64_t now_us, uint32_t random, gq_decision *out);
   uint32_t gq_rank (bool has_team_tier, uint32_t team_tier,
                     uint32_t route_tier);
   bool gq_usable (const ut_upstream *up, st_str service);
--- a/packages/decide/tests/gq_test.cc
+++ b/packages/decide/tests/gq_test.cc
@@ -1,6 +1,7 @@
 #include "gq.h"
 
 #include <gtest/gtest.h>
+#include <set>
 #include <string>
 
 namespace
@@ -203,11 +204,11 @@
   backlog.service_us = 500000;
   gq_demand d = demand (1);
   gq_decision decision = {};
-  EXPECT_EQ (gq_admit (&backlog, &d, second, &decision), GQ_WAIT);
+  EXPECT_EQ (gq_admit (&backlog, &d, second, 7, &decision), GQ_WAIT);
   EXPECT_GT (decision.wait_until_us, second);
   EXPECT_LT (decision.wait_until_us, second + d.target_us);
   backlog.waiting[1] = 20;
-  EXPECT_EQ (gq_admit (&backlog, &d, second, &decision), GQ_REFUSE);
+  EXPECT_EQ (gq_admit (&backlog, &d, second, 7, &decision), GQ_REFUSE);
   EXPECT_GT (decision.retry_after_us, 0u);
 }
 
@@ -220,6 +221,35 @@
   backlog.waiting[3] = 100;
   gq_demand d = demand (0);
   gq_decision decision = {};
-  EXPECT_EQ (gq_admit (&backlog, &d, second, &decision), GQ_WAIT);
+  EXPECT_EQ (gq_admit (&backlog, &d, second, 7, &decision), GQ_WAIT);
+}
+// Guards against callers that come back into the burst that they were refused
+// in, all at the same time.
+TEST (Gq, ACallerThatWillBeLateComesBackWhenTheBurstHasGone)
+{
+  gq_backlog backlog = {};
+  backlog.slots = 10;
+  backlog.service_us = 500000;
+  gq_demand d = demand (0);
+  d.arrived_us = 0;
+  d.target_us = second;
+  d.deadline_us = 6 * second;
+  gq_decision decision = {};
+  std::set<uint64_t> times;
+  for (uint32_t random = 0; random < 1u << 31; random += 1u << 28)
+    {
+      ASSERT_EQ (gq_admit (&backlog, &d, second / 2, random, &decision),
+                 GQ_REFUSE);
+      times.insert (decision.retry_after_us);
+      EXPECT_GT (decision.retry_after_us, second);
+      EXPECT_LE (decision.retry_after_us, 11 * second / 6);
+    }
+  EXPECT_GT (times.size (), 4u);
+  // One that can be on time yet comes back as soon as there may be room.
+  d.target_us = 10 * second;
+  d.deadline_us = 60 * second;
+  ASSERT_EQ (gq_admit (&backlog, &d, 46 * second / 10, 0, &decision),
+             GQ_REFUSE);
+  EXPECT_LE (decision.retry_after_us, second);
 }
 } // namespace
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -145,7 +145,8 @@
       _gw_enqueue (r, true);
       return;
     }
-  gq_verdict verdict = gq_admit (&backlog, &r->demand, gw->now_us, &decision);
+  gq_verdict verdict = gq_admit (&backlog, &r->demand, gw->now_us,
+                                 _gw_random (gw), &decision);
   LO_EVENT (
       verdict == GQ_WAIT ? "queue" : "refuse", st_name_str (&r->id),
       LO_INT ("rank", r->demand.rank),
@@ -326,7 +327,8 @@
           {
             gq_backlog backlog = _gw_backlog (r);
             gq_decision decision = { 0 };
-            gq_admit (&backlog, &r->demand, gw->now_us, &decision);
+            gq_admit (&backlog, &r->demand, gw->now_us, _gw_random (gw),
+                      &decision);
             _gw_refuse (r, 503, "waited_too_long", decision.retry_after_us);
           }
     }
