Keep the slack of a quota for urgent requests

Change: requests of lower route tiers leave the slack part of the bucket. A team's rate and, below its quota, its burst stay as they were. All VMs were killed at 13 s; each began with a bucket of its own and took the first report of each other one as a base line, so that what all of them had admitted before they heard of each other was never counted. Reports now carry the time since the sender's start, and the first one of a younger VM counts in full. Unit test red without it (102,240 of 99,000).

--- a/packages/decide/bu.c
+++ b/packages/decide/bu.c
@@ -94,9 +94,10 @@
     a->level = a->burst;
 }
 
-/* True when AMOUNT is left; else RETRY_AFTER_US says when it will be.  */
+/* True when AMOUNT is left beside KEEP; else RETRY_AFTER_US says when it will
+   be.  */
 bool
-bu_has_quota (bu_quota *a, double amount, uint64_t now_us,
+bu_has_quota (bu_quota *a, double amount, double keep, uint64_t now_us,
               uint64_t *retry_after_us)
 {
   *retry_after_us = 0;
@@ -104,19 +105,20 @@
     return true;
   _bu_refill (a, now_us);
   /* An amount over the burst goes when the bucket is full.  */
-  double needed = amount < a->burst ? amount : a->burst;
+  double needed = amount + keep < a->burst ? amount + keep : a->burst;
   if (a->level >= needed)
     return true;
   *retry_after_us = (uint64_t)((needed - a->level) / a->rate * 1e6);
   return false;
 }
 
-/* Takes AMOUNT off the quota; nothing when it is used up.  */
+/* Takes AMOUNT off the quota, of which KEEP has to be left for requests that
+   matter more; nothing when it is used up.  */
 bool
-bu_take_quota (bu_quota *a, double amount, uint64_t now_us,
+bu_take_quota (bu_quota *a, double amount, double keep, uint64_t now_us,
                uint64_t *retry_after_us)
 {
-  if (!bu_has_quota (a, amount, now_us, retry_after_us))
+  if (!bu_has_quota (a, amount, keep, now_us, retry_after_us))
     return false;
   if (a->rate > 0)
     a->level -= amount;
@@ -124,9 +126,11 @@
   return true;
 }
 
-/* Takes a report of PEER (any number but 0): ADMITTED since its start.  */
+/* Takes a report of PEER (any number but 0): ADMITTED since its start.  The
+   first one counts in full when the peer is YOUNGER than this VM; of an older
+   one it tells what it had admitted before this VM began to count.  */
 void
-bu_report_quota (bu_quota *a, uint64_t peer, uint64_t admitted,
+bu_report_quota (bu_quota *a, uint64_t peer, uint64_t admitted, bool younger,
                  uint64_t now_us)
 {
   bu_peer *p = NULL;
@@ -138,6 +142,11 @@
       {
         p = &a->peers[i];
         *p = (bu_peer){ .peer = peer, .admitted = admitted, .at_us = now_us };
+        if (younger)
+          {
+            _bu_refill (a, now_us);
+            a->level -= (double)admitted;
+          }
       }
   if (p == NULL || now_us <= p->at_us)
     return;
--- a/packages/decide/bu.h
+++ b/packages/decide/bu.h
@@ -9,10 +9,13 @@
 
    Quotas.  A team's tokens (or requests) refill a bucket at its rate.
    Every VM keeps the whole bucket and takes off what it admits and what the
-   others report.  What a silent VM may be using is reserved: its last rate.
+   others report.  Less urgent requests leave a part of the bucket, so that a
+   team that asks for more than its quota gets the urgent ones served; its
+   rate stays the same.  What a silent VM may be using is reserved: its last
+   rate.
 
-     if (!bu_take_quota (&quota, 1460, now_us, &retry_after_us)) 429
-     bu_report_quota (&quota, peer, admitted_since_its_start, now_us)
+     if (!bu_take_quota (&quota, 1460, 0, now_us, &retry_after_us)) 429
+     bu_report_quota (&quota, peer, admitted_since_its_start, younger, now_us)
  */
 #ifndef BU_H
 #define BU_H
@@ -67,12 +70,12 @@
   bool bu_take_repeat (bu_repeats *b, const bu_terms *terms, uint64_t now_us);
 
   void bu_set_quota (bu_quota *a, double rate, double burst, uint64_t now_us);
-  bool bu_has_quota (bu_quota *a, double amount, uint64_t now_us,
+  bool bu_has_quota (bu_quota *a, double amount, double keep, uint64_t now_us,
                      uint64_t *retry_after_us);
-  bool bu_take_quota (bu_quota *a, double amount, uint64_t now_us,
+  bool bu_take_quota (bu_quota *a, double amount, double keep, uint64_t now_us,
                       uint64_t *retry_after_us);
   void bu_report_quota (bu_quota *a, uint64_t peer, uint64_t admitted,
-                        uint64_t now_us);
+                        bool younger, uint64_t now_us);
   void bu_forget_peer (bu_quota *a, uint64_t peer);
 
 #ifdef __cplusplus
--- a/packages/decide/tests/bu_test.cc
+++ b/packages/decide/tests/bu_test.cc
@@ -76,13 +76,13 @@
   for (uint64_t now = 1000; now < 30 * second; now += 5000)
     {
       for (int v = 0; v < vms; v++)
-        if (bu_take_quota (&a[v], 300, now, &retry))
+        if (bu_take_quota (&a[v], 300, 0, now, &retry))
           admitted.push_back ({ now, 300 });
       if (now % 50000 == 1000)
         for (int v = 0; v < vms; v++)
           for (int from = 0; from < vms; from++)
             if (from != v)
-              bu_report_quota (&a[v], from + 1, a[from].admitted, now);
+              bu_report_quota (&a[v], from + 1, a[from].admitted, false, now);
     }
   for (uint64_t from = 0; from < 22 * second; from += second)
     {
@@ -100,6 +100,31 @@
     }
 }
 
+// Guards against a team getting a bucket of each VM when all of them start
+// anew and hear of each other only after a while.
+TEST (Bu, AStartOfAllVmsAtOnceCountsWhatEachAdmitted)
+{
+  const int vms = 12;
+  const double rate = 10000, burst = 10000;
+  std::vector<bu_quota> a (vms);
+  for (bu_quota &one : a)
+    bu_set_quota (&one, rate, burst, 1);
+  double sum = 0;
+  uint64_t retry;
+  for (uint64_t now = 1000; now < 8 * second; now += 5000)
+    {
+      for (int v = 0; v < vms; v++)
+        if (bu_take_quota (&a[v], 30, 0, now, &retry))
+          sum += 30;
+      if (now > 300000 && now % 50000 == 1000)
+        for (int v = 0; v < vms; v++)
+          for (int from = 0; from < vms; from++)
+            if (from != v)
+              bu_report_quota (&a[v], from + 1, a[from].admitted, true, now);
+    }
+  EXPECT_LE (sum, (rate * 8 + burst) * 1.1);
+}
+
 // Guards against refusing what is within the limit when nobody else asks.
 TEST (Bu, OneVmMayUseTheWholeRate)
 {
@@ -108,7 +133,7 @@
   double admitted = 0;
   bu_set_quota (&a, 1000, 1000, 1);
   for (uint64_t now = 2; now < 20 * second; now += 10000)
-    if (bu_take_quota (&a, 9, now, &retry))
+    if (bu_take_quota (&a, 9, 0, now, &retry))
       admitted += 9;
   EXPECT_GE (admitted, 900 * 19.0);
 }
@@ -121,7 +146,7 @@
     double sum = 0;
     uint64_t retry;
     for (uint64_t now = from; now < to; now += 10000)
-      while (bu_take_quota (a, 10, now, &retry))
+      while (bu_take_quota (a, 10, 0, now, &retry))
         sum += 10;
     return sum;
   };
@@ -129,7 +154,7 @@
   bu_set_quota (&a, 1000, 100, 1);
   uint64_t used = 0;
   for (uint64_t now = 100000; now < 10 * second; now += 100000)
-    bu_report_quota (&a, 7, used += 50, now);
+    bu_report_quota (&a, 7, used += 50, false, now);
   admit (&a, 10 * second, 10 * second + 1);
   double cut = admit (&a, 11 * second, 13 * second);
   EXPECT_LT (cut, 0.7 * 2000);
@@ -144,7 +169,7 @@
   uint64_t retry = 1;
   bu_set_quota (&a, 0, 0, 1);
   for (int i = 0; i < 1000; i++)
-    ASSERT_TRUE (bu_take_quota (&a, 1e9, 2, &retry));
+    ASSERT_TRUE (bu_take_quota (&a, 1e9, 0, 2, &retry));
   EXPECT_EQ (retry, 0u);
 }
 
@@ -154,9 +179,9 @@
   bu_quota a = {};
   uint64_t retry = 0;
   bu_set_quota (&a, 1000, 1000, 1);
-  while (bu_take_quota (&a, 100, 2, &retry))
+  while (bu_take_quota (&a, 100, 0, 2, &retry))
     ;
   EXPECT_GT (retry, 0u);
-  EXPECT_TRUE (bu_take_quota (&a, 100, 2 + retry + 1000, &retry));
+  EXPECT_TRUE (bu_take_quota (&a, 100, 0, 2 + retry + 1000, &retry));
 }
 } // namespace
--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -132,7 +132,7 @@
   gw->upstreams = ut_make (&table);
   gw->pool = uc_make (
       &(uc_desc){ .base = desc->base, .id_field = desc->names->request_id });
-  _gw_now (gw);
+  gw->started_us = _gw_now (gw);
   if (gw->upstreams == NULL)
     er_set (err, ER_INTERNAL, "out of memory for the upstreams");
   if (gw->upstreams == NULL || !_gw_listen (gw, err)
@@ -181,6 +181,14 @@
   g_free (gw);
 }
 
+/* What TEAM may use beyond its burst: a part of the slack, which is stated in
+   tokens.  */
+double
+_gw_quota_slack (const gw_task *gw, const rc_team *team)
+{
+  return team->by_tokens ? _GW_SLACK_PART * gw->desc.bounds.quota_slack : 0;
+}
+
 /* Puts CONFIG in force for requests from here on, unless a version as new is.
    Takes a reference.  */
 void
@@ -197,9 +205,8 @@
   const rc_team *team;
   for (uint32_t i = 0; (team = rc_query_team (config, i)) != NULL; i++)
     {
-      double slack = team->by_tokens ? gw->desc.bounds.quota_slack : 0;
       bu_set_quota (&_gw_find_team (gw, team->name)->quota, team->rate,
-                    team->burst + _GW_SLACK_PART * slack, gw->now_us);
+                    team->burst + _gw_quota_slack (gw, team), gw->now_us);
     }
   _gw_load_changed (gw);
 }
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -127,6 +127,7 @@
   ms_load_scope scope;
   uint64_t cell; /* of the VM */
   bool active;   /* takes callers */
+  bool younger;  /* than this VM */
   st_name name;
   char incarnation[MS_INCARNATION_MAX + 1];
   uint64_t heard_us;
@@ -196,6 +197,7 @@
   struct event *expiry; /* while requests wait */
   uint32_t random;
   uint64_t now_us;
+  uint64_t started_us;
 };
 
 uint64_t _gw_now (gw_task *gw);
@@ -203,6 +205,7 @@
 void _gw_watch_queues (gw_task *gw);
 _gw_service *_gw_find_service (gw_task *gw, st_str name);
 _gw_team *_gw_find_team (gw_task *gw, st_str name);
+double _gw_quota_slack (const gw_task *gw, const rc_team *team);
 _gw_service *_gw_service_of (_gw_request *r);
 bool _gw_is_named (const st_str *names, size_t count, st_str name);
 
--- a/packages/gateway/gw_load.c
+++ b/packages/gateway/gw_load.c
@@ -246,6 +246,7 @@
   m.u.load.store_revision = following.revision;
   m.u.load.config_version = gw_query_config_version (gw);
   m.u.load.ready = gw_query_ready (gw);
+  m.u.load.uptime_ms = (uint32_t)((gw->now_us - gw->started_us) / CK_MS_US);
   return m;
 }
 
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -11,6 +11,8 @@
 /* Without a report for this long a mate no longer counts as a follower of the
    store: two reports are missing.  */
 #define _GW_FOLLOWER_SILENT_US 1000000
+/* VMs that are started together begin within this time.  */
+#define _GW_START_SKEW_US 500000
 /* Stands for all other cells among the peers; no hash of a name is even
    there.  */
 #define _GW_REST_KEY 2
@@ -57,6 +59,9 @@
   p->scope = load->scope;
   p->cell = load->cell;
   p->active = load->active;
+  p->younger = load->scope == MS_LOAD_VM
+               && load->uptime_ms * CK_MS_US
+                      <= gw->now_us - gw->started_us + _GW_START_SKEW_US;
   p->ready = load->ready;
   p->config_version = load->config_version;
   p->follows = load->follows;
@@ -83,7 +88,7 @@
         _gw_team *team = gw->teams->pdata[k];
         if (team->hash == p->teams[i].team)
           bu_report_quota (&team->quota, p->key, p->teams[i].admitted,
-                           gw->now_us);
+                           p->younger, gw->now_us);
       }
 }
 
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -223,6 +223,14 @@
   return true;
 }
 
+/* What R has to leave of its team's quota: the most urgent requests alone use
+   the slack.  */
+static double
+_gw_quota_kept (const _gw_request *r)
+{
+  return r->demand.tier == 0 ? 0 : _gw_quota_slack (r->gw, r->team);
+}
+
 /* Takes a request that has been identified.  */
 void
 _gw_admit (_gw_request *r)
@@ -235,7 +243,7 @@
   event_add (r->timer, &left);
   if (r->team != NULL
       && !bu_take_quota (&_gw_find_team (gw, r->team->name)->quota, r->quota,
-                         gw->now_us, &retry_after_us))
+                         _gw_quota_kept (r), gw->now_us, &retry_after_us))
     {
       const bu_quota *a = &_gw_find_team (gw, r->team->name)->quota;
       LO_EVENT ("over_quota", st_name_str (&r->id),
--- a/packages/wire/ms.h
+++ b/packages/wire/ms.h
@@ -369,6 +369,7 @@
   uint64_t store_revision; /* up to which the sender knows the store */
   uint64_t config_version; /* newest that the sender knows; 0: none */
   bool ready;
+  uint32_t uptime_ms;              /* of the sender */
   uint32_t waiting[MS_LOAD_RANKS]; /* queued requests by rank */
   size_t row_count;
   const ms_load_row *rows;
--- a/packages/wire/tests/ms_test.cc
+++ b/packages/wire/tests/ms_test.cc
@@ -166,8 +166,8 @@
           {
             static const ms_load_row rows[2] = { { 7, 3, 4096 }, { 9, 0, 0 } };
             static const ms_load_team teams[1] = { { 11, 74267 } };
-            m.u.load = { MS_LOAD_CELL, 3,           true, true, 17, 42,
-                         true,         { 0, 2, 5 }, 2,    rows, 1,  teams };
+            m.u.load = { MS_LOAD_CELL, 3,           true, true, 17, 42,   true,
+                         1500,         { 0, 2, 5 }, 2,    rows, 1,  teams };
             break;
           }
         case MS_TYPE_END:
