Give a quota by what is left of it, not by the size of a request

A request was let in when its whole size was left, so that a team at its limit got the small ones. Change: a request is let in when more than the kept part is left, and may run into debt; requests to plain services leave nothing; others than the most urgent leave half of the slack that bursts may use.

--- a/packages/decide/bu.c
+++ b/packages/decide/bu.c
@@ -73,8 +73,10 @@
   a->level += (a->rate - reserved) * elapsed_s;
   if (a->level > a->burst)
     a->level = a->burst;
-  if (a->level < -a->rate)
-    a->level = -a->rate; /* debts of more than a second are forgiven */
+  /* A debt beyond that of one large request comes from reports that were late;
+     the team does not pay for it for ever.  */
+  if (a->level < -a->rate - a->burst)
+    a->level = -a->rate - a->burst;
   a->filled_at_us = now_us;
 }
 
@@ -94,34 +96,25 @@
     a->level = a->burst;
 }
 
-/* True when AMOUNT is left beside KEEP; else RETRY_AFTER_US says when it will
-   be.  */
-bool
-bu_has_quota (bu_quota *a, double amount, double keep, uint64_t now_us,
-              uint64_t *retry_after_us)
-{
-  *retry_after_us = 0;
-  if (a->rate <= 0)
-    return true;
-  _bu_refill (a, now_us);
-  /* An amount over the burst goes when the bucket is full.  */
-  double needed = amount + keep < a->burst ? amount + keep : a->burst;
-  if (a->level >= needed)
-    return true;
-  *retry_after_us = (uint64_t)((needed - a->level) / a->rate * 1e6);
-  return false;
-}
-
-/* Takes AMOUNT off the quota, of which KEEP has to be left for requests that
-   matter more; nothing when it is used up.  */
+/* Takes AMOUNT off the quota when more than KEEP is left, which is for
+   requests that matter more; else RETRY_AFTER_US says when it will be.  What
+   is left decides and not AMOUNT, which may run into debt: otherwise a team at
+   its limit would get its small requests served and none of its large ones. */
 bool
 bu_take_quota (bu_quota *a, double amount, double keep, uint64_t now_us,
                uint64_t *retry_after_us)
 {
-  if (!bu_has_quota (a, amount, keep, now_us, retry_after_us))
-    return false;
+  *retry_after_us = 0;
   if (a->rate > 0)
-    a->level -= amount;
+    {
+      _bu_refill (a, now_us);
+      if (a->level <= keep)
+        {
+          *retry_after_us = (uint64_t)((keep - a->level) / a->rate * 1e6) + 1;
+          return false;
+        }
+      a->level -= amount;
+    }
   a->admitted += (uint64_t)amount;
   return true;
 }
--- a/packages/decide/bu.h
+++ b/packages/decide/bu.h
@@ -70,8 +70,6 @@
   bool bu_take_repeat (bu_repeats *b, const bu_terms *terms, uint64_t now_us);
 
   void bu_set_quota (bu_quota *a, double rate, double burst, uint64_t now_us);
-  bool bu_has_quota (bu_quota *a, double amount, double keep, uint64_t now_us,
-                     uint64_t *retry_after_us);
   bool bu_take_quota (bu_quota *a, double amount, double keep, uint64_t now_us,
                       uint64_t *retry_after_us);
   void bu_report_quota (bu_quota *a, uint64_t peer, uint64_t admitted,
--- a/packages/decide/tests/bu_test.cc
+++ b/packages/decide/tests/bu_test.cc
@@ -100,6 +100,46 @@
     }
 }
 
+// Guards against a team at its limit that gets its small requests served and
+// none of its large ones.
+TEST (Bu, AQuotaTurnsSmallAndLargeRequestsAwayAlike)
+{
+  bu_quota a = {};
+  uint64_t retry;
+  uint32_t small = 0, large = 0, each = 0;
+  double sum = 0;
+  bu_set_quota (&a, 10000, 5000, 1);
+  for (uint64_t now = 1000; now < 60 * second; now += 97000, each++)
+    {
+      if (bu_take_quota (&a, 100, 0, now, &retry))
+        small++, sum += 100;
+      if (bu_take_quota (&a, 3000, 0, now + 41000, &retry))
+        large++, sum += 3000;
+    }
+  EXPECT_LT (large, each / 2);
+  EXPECT_GT (large, 0.6 * small);
+  EXPECT_LE (sum, 60 * 10000 + 5000 + 3000);
+}
+
+// Guards against urgent requests of a team at its limit that are turned away
+// beside others of it; and against a lower rate for the others.
+TEST (Bu, LessUrgentRequestsLeaveAPart)
+{
+  bu_quota a = {};
+  uint64_t retry;
+  bu_set_quota (&a, 1000, 1000, 1);
+  double other = 0;
+  uint64_t now = 1000;
+  for (; now < 20 * second; now += 10000)
+    if (bu_take_quota (&a, 20, 400, now, &retry))
+      other += 20;
+  EXPECT_GE (other, 900 * 19.0);
+  for (int i = 0; i < 15; i++)
+    EXPECT_TRUE (bu_take_quota (&a, 20, 0, now, &retry)) << i;
+  EXPECT_FALSE (bu_take_quota (&a, 20, 400, now, &retry));
+  EXPECT_GT (retry, 200000u);
+}
+
 // Guards against a team getting a bucket of each VM when all of them start
 // anew and hear of each other only after a while.
 TEST (Bu, AStartOfAllVmsAtOnceCountsWhatEachAdmitted)
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -6,6 +6,8 @@
    left for the next event to be made.  */
 #define _GW_PAUSE_MIN_US 2000000
 #define _GW_PAUSE_PART 0.75
+/* Part of a quota's slack that the most urgent requests alone use.  */
+#define _GW_KEPT_PART 0.5
 /* Mean time in a slot before any was measured.  */
 #define _GW_ENGINE_SERVICE_US 600000.0
 #define _GW_PLAIN_SERVICE_US 40000.0
@@ -223,12 +225,14 @@
   return true;
 }
 
-/* What R has to leave of its team's quota: the most urgent requests alone use
-   the slack.  */
+/* What R has to leave of its team's quota.  Requests to plain services are
+   small and gain nothing for others by waiting.  */
 static double
 _gw_quota_kept (const _gw_request *r)
 {
-  return r->demand.tier == 0 ? 0 : _gw_quota_slack (r->gw, r->team);
+  if (r->demand.tier == 0 || !r->engine)
+    return 0;
+  return _GW_KEPT_PART * _gw_quota_slack (r->gw, r->team);
 }
 
 /* Takes a request that has been identified.  */
