Leave out upstreams that cut connections off

A failure share in the cost of a place does not help when there is no other place. Ruled out: kept connections only; each VM had more resets than it keeps connections. Change: two connections in a row that end before an answer begins leave an upstream out, as two that cannot be made do; its idle connections are closed. Unit tests of ut_ and of the gateway, the latter red with it off (4 of 4 sent to the upstream).

--- a/packages/decide/tests/ut_test.cc
+++ b/packages/decide/tests/ut_test.cc
@@ -123,6 +123,28 @@
   EXPECT_EQ (ut_query (table.t, a)->unreachable_in_row, 0u);
 }
 
+// Guards against an upstream that takes connections and ends them at once,
+// has room all the time and so draws the requests of all VMs; and against one
+// left out because it has lost a single answer.
+TEST (Ut, AvoidsAnUpstreamThatCutsConnectionsOff)
+{
+  Table table;
+  ut_id a = table.put (entry ("a"));
+  auto cut_off = [&] (uint64_t now_us) {
+    ut_begin (table.t, a, 0);
+    ut_end (table.t, a, 0, UT_CUT_OFF, now_us);
+    return ut_query (table.t, a)->avoid_until_us;
+  };
+  EXPECT_EQ (cut_off (1000), 0u);
+  uint64_t first = cut_off (2000);
+  EXPECT_GT (first, 2000u);
+  uint64_t second = cut_off (first) - first;
+  EXPECT_GT (second, first - 2000);
+  ut_begin (table.t, a, 0);
+  ut_end (table.t, a, 0, UT_SERVED, first + second);
+  EXPECT_EQ (cut_off (first + second + 1), first + second);
+}
+
 // Guards against one failure condemning an upstream, and against failures
 // never being forgotten.
 TEST (Ut, FailuresCountByTheirShareAndAreForgotten)
--- a/packages/decide/ut.c
+++ b/packages/decide/ut.c
@@ -7,9 +7,13 @@
 /* Weight of the newest sample in the measured pace.  */
 #define _UT_PACE_WEIGHT 0.1
 /* How long an upstream is left out after a failed connection: first, doubled
-   with each one in a row up to the last.  */
+   with each one in a row up to the last.  One that takes connections and ends
+   them at once has room all the time and would draw all requests.  */
 #define _UT_AVOID_FIRST_US 400000
 #define _UT_AVOID_LAST_US 1600000
+/* Connections that end without an answer before an upstream is left out; a
+   single one is what an upstream that loses an answer now and then shows.  */
+#define _UT_CUT_OFF_MAX 2
 
 typedef struct
 {
@@ -367,11 +371,21 @@
     case UT_SERVED:
       up->answers += 1;
       up->unreachable_in_row = 0;
+      up->cut_off_in_row = 0;
       break;
     case UT_FAILED:
       up->failures += 1;
       up->answers += 1;
       break;
+    case UT_CUT_OFF:
+      up->failures += 1;
+      up->answers += 1;
+      up->cut_off_in_row++;
+      if (up->cut_off_in_row >= _UT_CUT_OFF_MAX)
+        ut_avoid (
+            t, id,
+            now_us + _ut_pause_us (up->cut_off_in_row - _UT_CUT_OFF_MAX + 1));
+      break;
     case UT_UNREACHABLE:
       up->failures += 1;
       up->answers += 1;
--- a/packages/decide/ut.h
+++ b/packages/decide/ut.h
@@ -47,6 +47,7 @@
   UT_SERVED = 0,
   UT_FAILED,      /* an answer that is a failure, or a broken one */
   UT_UNREACHABLE, /* no connection */
+  UT_CUT_OFF,     /* the connection ended before an answer began */
   UT_REFUSED,     /* it did not run the request */
   UT_ABANDONED    /* ended by this side: says nothing about the upstream */
 } ut_outcome;
@@ -73,6 +74,7 @@
   double answers;  /* recent answers, halved likewise */
   uint64_t decayed_at_us;
   uint32_t unreachable_in_row;
+  uint32_t cut_off_in_row;
   uint64_t avoid_until_us;
 } ut_upstream;
 
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -314,6 +314,20 @@
   _gw_pass_on (r);
 }
 
+static void
+_gw_on_broken (_gw_request *r, const uc_event *event)
+{
+  bool cut_off = event->sent && r->status == 0;
+  /* The other connections of an upstream that has ended are of no use; a
+     request that is sent on one may have run for all that is known.  */
+  if (cut_off)
+    uc_forget (r->gw->pool, st_name_str (&r->upstream_id));
+  _gw_end_exchange (r, cut_off       ? UT_CUT_OFF
+                       : event->sent ? UT_FAILED
+                                     : UT_UNREACHABLE);
+  _gw_retry (r, event->sent, event->sent, event->reason);
+}
+
 static void
 _gw_on_exchange (void *user, const uc_event *event)
 {
@@ -345,8 +359,7 @@
         _gw_on_whole_answer (r);
       return;
     case UC_FAILED:
-      _gw_end_exchange (r, event->sent ? UT_FAILED : UT_UNREACHABLE);
-      _gw_retry (r, event->sent, event->sent, event->reason);
+      _gw_on_broken (r, event);
       return;
     }
 }
--- a/packages/gateway/tests/gw_test.cc
+++ b/packages/gateway/tests/gw_test.cc
@@ -166,6 +166,29 @@
   EXPECT_EQ (g.up (0).runs + g.up (1).runs, 1u);
 }
 
+// Guards against an upstream that cuts every connection off drawing all
+// requests because it alone has room.
+TEST (Gw, AnUpstreamThatCutsConnectionsOffIsLeftOut)
+{
+  Gateway g (2);
+  g.put (0, true);
+  g.put (1, false, 1);
+  g.up (1).fallback = Silent;
+  std::vector<std::unique_ptr<Caller>> busy;
+  for (const char *id : { "s1", "s2" })
+    {
+      busy.push_back (g.caller ());
+      busy.back ()->request (id, "/once/x");
+    }
+  ASSERT_TRUE (g.run ([&] { return g.up (1).runs == 2; }));
+  g.put (0);
+  g.up (0).fallback = Reset;
+  // Before the silent ones reach their timeout.
+  for (int i = 0; i < 4; i++)
+    EXPECT_GE (ask (g, "/again/x")->status (), 500) << i;
+  EXPECT_LE (g.up (0).runs, 3u);
+}
+
 // Guards against the answer of another request reaching a caller.
 TEST (Gw, SkipsALateAnswerOfAnotherRequest)
 {
