Give the tests that start VMs an address of their own

The soak chose free ports, closed them and gave them to the VMs; another process took one in between. Change: such ports are chosen at a loopback address that only the process uses.

--- a/packages/gateway/tests/fleet_test.cc
+++ b/packages/gateway/tests/fleet_test.cc
@@ -3,7 +3,6 @@
 #include "support.hh"
 
 #include <algorithm>
-#include <unistd.h>
 
 using namespace support;
 
@@ -50,9 +49,9 @@
       {
         names_.push_back ((i < Each ? "a-" : "b-")
                           + std::to_string (i % Each + 1));
-        std::string address = free_address ();
+        std::string address = own_address (free_port ());
         while (std::count (addresses_.begin (), addresses_.end (), address))
-          address = free_address ();
+          address = own_address (free_port ());
         addresses_.push_back (address);
       }
     for (int i = 0; i < 2 * Each; i++)
@@ -130,23 +129,6 @@
   rc_config *config_ = nullptr;
   std::vector<std::string> names_, addresses_;
 
-  // The VMs tell each other their ports before they listen, so that a free
-  // one is looked for, on an address that only this process uses.
-  static std::string
-  free_address ()
-  {
-    uint32_t host = 0x7f010001u + ((uint32_t)getpid () % 0x7f0000 << 1);
-    struct sockaddr_in sin = {};
-    socklen_t len = sizeof sin;
-    int fd = socket (AF_INET, SOCK_STREAM, 0);
-    sin.sin_family = AF_INET;
-    sin.sin_addr.s_addr = htonl (host);
-    EXPECT_EQ (bind (fd, (struct sockaddr *)&sin, sizeof sin), 0);
-    getsockname (fd, (struct sockaddr *)&sin, &len);
-    close (fd);
-    return std::string (inet_ntoa (sin.sin_addr)) + ":"
-           + std::to_string (ntohs (sin.sin_port));
-  }
   void
   start (int i)
   {
--- a/packages/gateway/tests/support.hh
+++ b/packages/gateway/tests/support.hh
@@ -18,6 +18,7 @@
 #include <set>
 #include <string>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 namespace support
@@ -29,6 +30,37 @@
   return { s.data (), s.size () };
 }
 
+// A loopback address that only this process uses: what has to be known before
+// it is listened on cannot be taken by another test in between.
+inline uint32_t
+own_host ()
+{
+  return 0x7f010001u + ((uint32_t)getpid () % 0x7f0000 << 1);
+}
+
+// A port that is free at own_host.
+inline uint16_t
+free_port ()
+{
+  struct sockaddr_in sin = {};
+  socklen_t len = sizeof sin;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  sin.sin_family = AF_INET;
+  sin.sin_addr.s_addr = htonl (own_host ());
+  EXPECT_EQ (bind (fd, (struct sockaddr *)&sin, sizeof sin), 0);
+  getsockname (fd, (struct sockaddr *)&sin, &len);
+  close (fd);
+  return ntohs (sin.sin_port);
+}
+
+// PORT of own_host as text.
+inline std::string
+own_address (uint16_t port)
+{
+  struct in_addr host = { htonl (own_host ()) };
+  return std::string (inet_ntoa (host)) + ":" + std::to_string (port);
+}
+
 // Names of the fields that the stand-in reads and writes.
 struct FieldNames
 {
@@ -232,8 +264,8 @@
   {
     // At once: a bufferevent would write it from the loop only, and the
     // close may come before.
-    ssize_t n = ::send (bufferevent_getfd (c->bev), text.data (),
-                        text.size (), MSG_NOSIGNAL);
+    ssize_t n = ::send (bufferevent_getfd (c->bev), text.data (), text.size (),
+                        MSG_NOSIGNAL);
     EXPECT_EQ (n, (ssize_t)text.size ());
   }
   void
@@ -256,8 +288,8 @@
   static std::string
   event_text (int id, const std::string &request)
   {
-    return "id: " + std::to_string (id) + "\ndata: part-"
-           + std::to_string (id) + " of " + request + "\n\n";
+    return "id: " + std::to_string (id) + "\ndata: part-" + std::to_string (id)
+           + " of " + request + "\n\n";
   }
   void
   stream (Conn *c, Behaviour b)
@@ -435,9 +467,8 @@
            const std::string &fields = "", const std::string &body = "")
   {
     send ("POST " + path + " HTTP/1.1\r\nHost: api.example\r\nX-Id: " + id
-          + "\r\nAuthorization: Token key-1\r\n" + fields
-          + "Content-Length: " + std::to_string (body.size ()) + "\r\n\r\n"
-          + body);
+          + "\r\nAuthorization: Token key-1\r\n" + fields + "Content-Length: "
+          + std::to_string (body.size ()) + "\r\n\r\n" + body);
   }
   void
   leave ()
@@ -464,8 +495,8 @@
     size_t at = got.find ("Content-Length: ");
     if (end == std::string::npos || at == std::string::npos || at > end)
       return false;
-    return got.size () >= end + 4 + strtoul (got.c_str () + at + 16, nullptr,
-                                             10);
+    return got.size ()
+           >= end + 4 + strtoul (got.c_str () + at + 16, nullptr, 10);
   }
 
 private:
@@ -497,7 +528,7 @@
 public:
   struct event_base *base = event_base_new ();
   gw_task *gw = nullptr;
-  std::vector<std::unique_ptr<Upstream> > upstreams;
+  std::vector<std::unique_ptr<Upstream>> upstreams;
   rc_config *config = nullptr;
   gw_names names = {};
   std::vector<st_str> drop = { ST_LIT ("X-Hold") };
