--- a/packages/decide/tests/mb_test.cc
+++ b/packages/decide/tests/mb_test.cc
@@ -731,3 +731,45 @@
   EXPECT_TRUE (!mb_query_name (mb, ST_LIT ("b"), &r) || r.state == MB_DEAD);
   mb_destroy (mb);
 }
+
+// Guards against VMs that choose by size without knowing it: the capacity
+// comes with the list and with what a VM says of itself, and a record without
+// one does not take it away.
+TEST (Mb, TheCapacityOfAMemberIsKnown)
+{
+  mb_desc d = {};
+  d.self.name = ST_LIT ("a");
+  d.self.incarnation = ST_LIT ("a-1");
+  d.self.peer_address = ST_LIT ("1");
+  d.self.capacity = 250;
+  mb_state *mb = mb_make (&d, 0);
+  EXPECT_EQ (mb_query_self (mb).capacity, 250u);
+  mb_listed list[] = { { ST_LIT ("b"), ST_LIT (""), ST_LIT (""), ST_LIT ("2"),
+                         ST_LIT (""), false, 500 } };
+  mb_set_vm_list (mb, list, 1, 0);
+  mb_record r;
+  mb_message m = {};
+  m.kind = MB_PING;
+  m.self = { ST_LIT ("b"),
+             ST_LIT (""),
+             ST_LIT (""),
+             ST_LIT (""),
+             ST_LIT ("2"),
+             ST_LIT (""),
+             MB_ALIVE,
+             1,
+             0 };
+  m.self.incarnation = ST_LIT ("b-1");
+  m.self.counter = 1;
+  m.self.capacity = 0;
+  mb_on_message (mb, &m, 0);
+  ASSERT_TRUE (mb_query_name (mb, ST_LIT ("b"), &r));
+  EXPECT_EQ (r.capacity, 500u);
+  m.self = r;
+  m.self.counter = 2;
+  m.self.capacity = 1000;
+  mb_on_message (mb, &m, 0);
+  ASSERT_TRUE (mb_query_name (mb, ST_LIT ("b"), &r));
+  EXPECT_EQ (r.capacity, 1000u);
+  mb_destroy (mb);
+}
--- a/packages/gateway/gw.h
+++ b/packages/gateway/gw.h
@@ -137,8 +137,8 @@
   void gw_remove_upstream (gw_task *gw, st_str id, const char *reason);
   void gw_set_vms (gw_task *gw, const gw_listed *vms, uint32_t count);
   void gw_share (gw_task *gw, st_str document);
-  uint32_t gw_query_followers (const gw_task *gw, uint32_t *first,
-                               uint64_t *newest);
+  void gw_query_followers (const gw_task *gw, uint32_t *first,
+                           uint64_t *newest);
   uint32_t gw_query_vm_count (const gw_task *gw);
   void gw_ask_document (gw_task *gw);
   void gw_leave (gw_task *gw);
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -193,13 +193,11 @@
   pe_send (gw->peers, st_from_cstr (best->incarnation), &m);
 }
 
-/* Counts the mates that follow the store and come before this VM by name in
-   FIRST, all that follow it as the result, and tells the newest revision
-   among them.  */
-uint32_t
+/* Counts in FIRST the mates that follow the store and come before this VM by
+   name, and tells the newest revision among all that follow it.  */
+void
 gw_query_followers (const gw_task *gw, uint32_t *first, uint64_t *newest)
 {
-  uint32_t count = 0;
   *first = 0;
   *newest = 0;
   for (int i = 0; i < UT_PEERS_MAX; i++)
@@ -209,13 +207,11 @@
           || p->cell != gw->cell.cell
           || ck_now_us (gw->desc.clock) - p->heard_us > _GW_FOLLOWER_SILENT_US)
         continue;
-      count++;
       if (pc_compare_names (st_name_str (&p->name), gw->desc.vm_name) < 0)
         (*first)++;
       if (p->store_revision > *newest)
         *newest = p->store_revision;
     }
-  return count;
 }
 
 /* VMs that are known and not dead, this one included.  */
@@ -225,6 +221,15 @@
   return gw->cell.vm_count > 0 ? gw->cell.vm_count : 1;
 }
 
+/* Names this process anew; no other one had the name.  */
+static void
+_gw_new_incarnation (gw_task *gw)
+{
+  snprintf (gw->incarnation, sizeof gw->incarnation,
+            "%.*s-%08" PRIx32 "%08" PRIx32, ST_FMT (gw->desc.vm_name),
+            _gw_random (gw), _gw_random (gw));
+}
+
 static void
 _gw_on_member (void *user, mb_event event, st_str name, st_str incarnation)
 {
@@ -249,9 +254,7 @@
       {
         ck_clock clock = { 0 };
         uint64_t counter = ck_wall_ms (&clock);
-        snprintf (gw->incarnation, sizeof gw->incarnation,
-                  "%.*s-%08" PRIx32 "%08" PRIx32, ST_FMT (gw->desc.vm_name),
-                  _gw_random (gw), _gw_random (gw));
+        _gw_new_incarnation (gw);
         pe_rejoin (gw->peers, st_from_cstr (gw->incarnation), counter);
         break;
       }
@@ -270,9 +273,7 @@
   uint64_t counter = ck_wall_ms (&clock);
   if (gw->desc.peer_listen.len == 0)
     return true;
-  snprintf (gw->incarnation, sizeof gw->incarnation,
-            "%.*s-%08" PRIx32 "%08" PRIx32, ST_FMT (gw->desc.vm_name),
-            _gw_random (gw), _gw_random (gw));
+  _gw_new_incarnation (gw);
   gw->peers
       = pe_make (&(pe_desc){ .base = gw->desc.base,
                              .clock = gw->desc.clock,
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -139,14 +139,14 @@
 _gw_wait_or_refuse (_gw_request *r, bool at_front)
 {
   gw_task *gw = r->gw;
-  gq_backlog backlog = _gw_backlog (r);
-  gq_decision decision = { 0 };
   if (r->demand.begun || r->events > 0)
     {
       r->give_up_us = gw->now_us + _gw_pause_us (r);
       _gw_enqueue (r, true);
       return;
     }
+  gq_backlog backlog = _gw_backlog (r);
+  gq_decision decision = { 0 };
   gq_verdict verdict = gq_admit (&backlog, &r->demand, gw->now_us,
                                  _gw_random (gw), &decision);
   LO_EVENT (
@@ -202,11 +202,12 @@
           && (victim == NULL || _gw_yields_before (v, victim)))
         victim = v;
     }
-  if (victim == NULL || !_gw_take_repeat (victim))
+  if (victim == NULL)
     return false;
   ut_id place = victim->upstream;
   const ut_upstream *up = ut_query (gw->upstreams, place);
-  if (up == NULL || !gq_usable (up, st_name_str (&r->service)))
+  if (up == NULL || !gq_usable (up, st_name_str (&r->service))
+      || !_gw_take_repeat (victim))
     return false;
   LO_EVENT ("preempt", st_name_str (&victim->id),
             LO_STR ("for", st_name_str (&r->id)),
