--- a/packages/gateway/gw_load.c
+++ b/packages/gateway/gw_load.c
@@ -246,7 +246,9 @@
   m.u.load.store_revision = following.revision;
   m.u.load.config_version = gw_query_config_version (gw);
   m.u.load.ready = gw_query_ready (gw);
-  m.u.load.uptime_ms = (uint32_t)((gw->now_us - gw->started_us) / CK_MS_US);
+  uint64_t uptime_ms = (gw->now_us - gw->started_us) / CK_MS_US;
+  m.u.load.uptime_ms
+      = uptime_ms < UINT32_MAX ? (uint32_t)uptime_ms : UINT32_MAX;
   return m;
 }
 
@@ -275,9 +277,9 @@
 /* Which loads a sum holds.  */
 typedef enum
 {
-  _GW_SUM_CELL = 0,  /* of the cell, for other cells */
-  _GW_SUM_REST,      /* of the other cells */
-  _GW_SUM_REST_FULL, /* and of the active VMs there, for VMs that are not */
+  _GW_SUM_CELL = 0, /* of the cell, for other cells */
+  _GW_SUM_REST,     /* of the other cells */
+  _GW_SUM_REST_FULL /* and of the active VMs there, for VMs that are not */
 } _gw_sum;
 
 /* True when the load of P belongs to WHAT.  Active VMs apart tell their loads
