--- a/packages/decide/pc.h
+++ b/packages/decide/pc.h
@@ -9,11 +9,10 @@
      if (cell != 0) // else all of them are
        pc_choose_active (members, count, active);
 
-   Cells.
-   A small deployment is one cell.  In a larger one the VMs of a data
+   Cells.  A small deployment is one cell.  In a larger one the VMs of a data
    centre are a cell, so that what a VM sends grows with its cell and not with
    the fleet; large data centres are split.  Within a cell each VM reports to
-   all. The first VMs of a cell by name speak for it: they exchange sums with
+   all.  The first VMs of a cell by name speak for it: they exchange sums with
    the speakers of the other cells and pass them on to their own.
 
      uint64_t cell = pc_cell_of (members, count, &self);
--- a/packages/gateway/gw_load.c
+++ b/packages/gateway/gw_load.c
@@ -13,12 +13,12 @@
 #define _GW_CELL_US 200000
 #define _GW_CELL_BUILD_US 400000
 
+/* The members that are not dead, this VM first.  */
 typedef struct
 {
   mb_record records[PC_MEMBERS_MAX];
   pc_member members[PC_MEMBERS_MAX];
   bool active[PC_MEMBERS_MAX];
-  pc_member working[PC_MEMBERS_MAX]; /* the active ones */
   uint32_t count;
   uint32_t active_count;
 } _gw_fleet;
@@ -58,7 +58,6 @@
   g_ptr_array_free (cell->speakers, TRUE);
 }
 
-/* Reads the members that are not dead; this VM is the first.  */
 static void
 _gw_read_fleet (const gw_task *gw, _gw_fleet *fleet)
 {
@@ -81,8 +80,7 @@
     memset (fleet->active, true, sizeof fleet->active);
   fleet->active_count = 0;
   for (uint32_t i = 0; i < fleet->count; i++)
-    if (fleet->active[i])
-      fleet->working[fleet->active_count++] = fleet->members[i];
+    fleet->active_count += fleet->active[i];
 }
 
 static void
