Count what a younger VM admitted once only

A VM that leaves is forgotten as a peer at once and reports until its end; heard again, it counted as a younger VM (all had started together), and all that it had ever admitted was taken off every bucket again. Change: what a VM admitted before it was heard counts in full only when its incarnation is heard for the first time, and no longer after a silence. The fleet test freed its event base before what used it; mended.

--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -124,6 +124,8 @@
   gw->teams = g_ptr_array_new_with_free_func (g_free);
   gw->conns = g_ptr_array_new ();
   _gw_make_cell (&gw->cell);
+  gw->heard
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   gw->requests = g_new0 (_gw_request, GW_REQUESTS_MAX);
   ut_desc table = { 0 };
   st_name_set (&table.vm, desc->vm_name);
@@ -175,6 +177,7 @@
   g_ptr_array_free (gw->teams, TRUE);
   g_ptr_array_free (gw->conns, TRUE);
   _gw_destroy_cell (&gw->cell);
+  g_hash_table_destroy (gw->heard);
   for (int i = 0; i < UT_PEERS_MAX; i++)
     g_free (gw->peer[i].rows);
   g_free (gw->requests);
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -176,6 +176,7 @@
   pe_task *peers;
   char incarnation[MS_INCARNATION_MAX + 1];
   _gw_peer peer[UT_PEERS_MAX]; /* mates, other cells, the rest */
+  GHashTable *heard;           /* keys of younger VMs that were peers */
   _gw_cell cell;
   GPtrArray *services; /* of _gw_service */
   GPtrArray *teams;    /* of _gw_team */
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -11,6 +11,9 @@
 /* Without a report for this long a mate no longer counts as a follower of the
    store: two reports are missing.  */
 #define _GW_FOLLOWER_SILENT_US 1000000
+/* Incarnations that are remembered; later ones count as older, which is the
+   safe side for a team.  */
+#define _GW_HEARD_MAX 16384
 /* VMs that are started together begin within this time.  */
 #define _GW_START_SKEW_US 500000
 /* Stands for all other cells among the peers; no hash of a name is even
@@ -52,16 +55,32 @@
   *p = (_gw_peer){ 0 };
 }
 
+/* True when the sender of LOAD began after this VM and is heard for the first
+   time, so that all it has admitted is news.  One that leaves or was taken for
+   dead is forgotten and heard again; its admitted requests were counted
+   before.  */
+static bool
+_gw_is_younger (gw_task *gw, uint64_t key, const ms_load *load)
+{
+  uint64_t own_us = gw->now_us - gw->started_us;
+  if (load->scope != MS_LOAD_VM
+      || load->uptime_ms * CK_MS_US > own_us + _GW_START_SKEW_US
+      || g_hash_table_size (gw->heard) >= _GW_HEARD_MAX)
+    return false;
+  return g_hash_table_add (gw->heard, g_memdup2 (&key, sizeof key));
+}
+
 static void
 _gw_keep_load (gw_task *gw, _gw_peer *p, const ms_load *load)
 {
+  if (p->heard_us == 0)
+    p->younger = _gw_is_younger (gw, p->key, load);
+  else if (gw->now_us - p->heard_us > _GW_PEER_SILENT_US)
+    p->younger = false; /* quotas may have forgotten what it told */
   p->heard_us = gw->now_us;
   p->scope = load->scope;
   p->cell = load->cell;
   p->active = load->active;
-  p->younger = load->scope == MS_LOAD_VM
-               && load->uptime_ms * CK_MS_US
-                      <= gw->now_us - gw->started_us + _GW_START_SKEW_US;
   p->ready = load->ready;
   p->config_version = load->config_version;
   p->follows = load->follows;
--- a/packages/gateway/tests/fleet_test.cc
+++ b/packages/gateway/tests/fleet_test.cc
@@ -15,7 +15,7 @@
 public:
   struct event_base *base = event_base_new ();
   std::vector<gw_task *> vms;
-  Upstream upstream{ base };
+  std::unique_ptr<Upstream> upstream = std::make_unique<Upstream> (base);
 
   // The third and the fourth VM of each data centre are the large ones.
   static bool
@@ -33,7 +33,8 @@
     fields_.not_run = ST_LIT ("X-Not-Run");
     fields_.token_usage = ST_LIT ("X-Tokens");
     fields_.resume_after = ST_LIT ("Last-Event-Id");
-    upstream.fallback = Silent;
+    fields_.key_scheme = ST_LIT ("Token");
+    upstream->fallback = Silent;
     config_ = rc_make (1);
     rc_route *r
         = rc_add_route (config_, ST_LIT ("api.example"), ST_LIT ("/once/"));
@@ -44,6 +45,10 @@
     r->target_ms = 1000;
     rc_add_share (config_, r, ST_LIT ("llm"), 1);
     rc_add_service (config_, ST_LIT ("llm"))->engine = true;
+    rc_team *team = rc_add_team (config_, ST_LIT ("team-1"));
+    team->rate = 10;
+    team->burst = 10;
+    rc_add_key (config_, team, ST_LIT ("key-1"));
     rc_seal (config_);
     for (int i = 0; i < 2 * Each; i++)
       {
@@ -64,6 +69,7 @@
     for (gw_task *gw : vms)
       gw_destroy (gw);
     rc_unref (config_);
+    upstream.reset ();
     event_base_free (base);
   }
   bool
@@ -150,7 +156,7 @@
     ut_entry e = {};
     st_name_set (&e.id, ST_LIT ("up"));
     st_name_set (&e.service, ST_LIT ("llm"));
-    st_name_set (&e.address, str (upstream.address ()));
+    st_name_set (&e.address, str (upstream->address ()));
     st_name_set (&e.data_center, ST_LIT ("a"));
     st_name_set (&e.region, ST_LIT ("west"));
     e.slots = 9;
@@ -227,4 +233,27 @@
   callers.clear ();
   EXPECT_TRUE (f.run ([&] { return f.all_see (0); }));
 }
+// Guards against teams that are refused within their quota because a VM that
+// leaves reports until its end, and all that it ever admitted counts anew.
+TEST (GwFleet, WhatALeavingVmAdmittedCountsOnce)
+{
+  Fleet f;
+  ASSERT_TRUE (f.run ([&] { return f.active (3, "a") == large_a; }));
+  std::vector<std::unique_ptr<Caller>> callers;
+  auto ask = [&] (int vm, const std::string &id) {
+    callers.push_back (
+        std::make_unique<Caller> (f.base, gw_query_port (f.vms[(size_t)vm])));
+    callers.back ()->request (id, "/once/x");
+    f.run ([] { return false; }, 100);
+  };
+  for (int i = 0; i < 30; i++)
+    ask (2, "a" + std::to_string (i));
+  gw_leave (f.vms[2]);
+  f.run ([] { return false; }, 1500);
+  callers.clear ();
+  for (int i = 0; i < 4; i++)
+    ask (3, "b" + std::to_string (i));
+  for (auto &c : callers)
+    EXPECT_TRUE (c->status () == 0 || c->status () == 503) << c->got;
+}
 } // namespace
