--- a/packages/decide/mb.h
+++ b/packages/decide/mb.h
@@ -58,8 +58,8 @@
   st_str peer_address;
   st_str callers_address;
   mb_member_state state;
-  uint64_t counter;
   uint32_t capacity; /* thousandths of a core; 0: unknown */
+  uint64_t counter;
 } mb_record;
 
 /* An entry of the VM list.  */
--- a/packages/decide/tests/mb_test.cc
+++ b/packages/decide/tests/mb_test.cc
@@ -61,7 +61,7 @@
   get () const
   {
     return { view (f[0]), view (f[1]), view (f[2]), view (f[3]), view (f[4]),
-             view (f[5]), state,       counter,     capacity };
+             view (f[5]), state,       capacity,    counter };
   }
 };
 
@@ -608,8 +608,8 @@
                  ST_LIT ("2"),
                  ST_LIT (""),
                  MB_ALIVE,
-                 1,
-                 0 };
+                 0,
+                 1 };
       mb_on_message (mb, &m, 0);
       mb_action a;
       bool probed = false;
@@ -649,8 +649,8 @@
              ST_LIT ("2"),
              ST_LIT (""),
              MB_ALIVE,
-             1,
-             0 };
+             0,
+             1 };
   mb_on_message (mb, &m, 0);
   mb_record r;
   uint32_t cursor = 0;
@@ -692,8 +692,8 @@
              ST_LIT ("2"),
              ST_LIT (""),
              MB_ALIVE,
-             1,
-             0 };
+             0,
+             1 };
   mb_on_message (mb, &m, 0);
   mb_set_vm_list (mb, nullptr, 0, 0);
   EXPECT_EQ (mb_query_counts (mb).members, 2u);
@@ -707,8 +707,8 @@
              ST_LIT ("3"),
              ST_LIT (""),
              MB_ALIVE,
-             1,
-             0 };
+             0,
+             1 };
   mb_on_message (mb, &m, 0);
   mb_listed list[] = { { ST_LIT ("b"), ST_LIT (""), ST_LIT (""), ST_LIT ("2"),
                          ST_LIT (""), false, 0 } };
@@ -757,8 +757,8 @@
              ST_LIT ("2"),
              ST_LIT (""),
              MB_ALIVE,
-             1,
-             0 };
+             0,
+             1 };
   m.self.incarnation = ST_LIT ("b-1");
   m.self.counter = 1;
   m.self.capacity = 0;
--- a/packages/peers/tests/pe_test.cc
+++ b/packages/peers/tests/pe_test.cc
@@ -257,8 +257,8 @@
                        view (address),
                        ST_LIT (""),
                        MS_MEMBER_ALIVE,
-                       1,
-                       0 };
+                       0,
+                       1 };
     return bytes_of (m);
   }
 
--- a/packages/wire/ms.h
+++ b/packages/wire/ms.h
@@ -133,8 +133,8 @@
   st_str peer_address;
   st_str callers_address;
   ms_member_state state;
-  uint64_t counter;  /* raised by the VM itself */
   uint32_t capacity; /* of the VM, in thousandths of a core; 0: unknown */
+  uint64_t counter;  /* raised by the VM itself */
 } ms_member;
 
 typedef struct
