Share the conversion of membership messages with the bench

membership_main.c had a copy of what pe.c does between mb_ and ms_, two record converters and both directions of a probe, and each new field had to be added twice. pw_ holds it for both. No change of behaviour.

--- a/packages/bench/membership_main.c
+++ b/packages/bench/membership_main.c
@@ -10,6 +10,7 @@
 #include "fr.h"
 #include "mb.h"
 #include "ms.h"
+#include "pw.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -119,59 +120,14 @@
   return top;
 }
 
-static ms_member
-_bn_to_wire (const mb_record *r)
-{
-  return (ms_member){ .name = r->name,
-                      .incarnation = r->incarnation,
-                      .region = r->region,
-                      .data_center = r->data_center,
-                      .peer_address = r->peer_address,
-                      .callers_address = r->callers_address,
-                      .state = (ms_member_state)r->state,
-                      .counter = r->counter,
-                      .capacity = r->capacity };
-}
-
-static mb_record
-_bn_from_wire (const ms_member *m)
-{
-  return (mb_record){ .name = m->name,
-                      .incarnation = m->incarnation,
-                      .region = m->region,
-                      .data_center = m->data_center,
-                      .peer_address = m->peer_address,
-                      .callers_address = m->callers_address,
-                      .state = (mb_member_state)m->state,
-                      .counter = m->counter,
-                      .capacity = m->capacity };
-}
-
 static bool
 _bn_encode (_bn_world *w, const mb_message *in)
 {
   ms_member updates[MB_UPDATES_MAX];
-  ms_message m = { .type = MS_PING };
-  for (uint32_t i = 0; i < in->update_count; i++)
-    updates[i] = _bn_to_wire (&in->updates[i]);
-  if (in->kind == MB_PING_REQ)
-    {
-      m.type = MS_PING_REQ;
-      m.u.ping_req = (ms_ping_req){ .sequence = in->sequence,
-                                    .sender = in->self.incarnation,
-                                    .target = in->subject };
-    }
-  else
-    {
-      m.type = in->kind == MB_PING ? MS_PING : MS_ACK;
-      m.u.probe = (ms_probe){ .sequence = in->sequence,
-                              .sender = in->self.incarnation,
-                              .subject = in->subject,
-                              .settings_version = 123456,
-                              .self = _bn_to_wire (&in->self),
-                              .update_count = in->update_count,
-                              .updates = updates };
-    }
+  ms_message m;
+  pw_write (in, &m, updates);
+  if (m.type != MS_PING_REQ)
+    m.u.probe.settings_version = 123456;
   return ms_encode (w->buffer, &m, NULL);
 }
 
@@ -250,15 +206,7 @@
           in.self = self;
     }
   else
-    {
-      in.kind = m.type == MS_PING ? MB_PING : MB_ACK;
-      in.sequence = m.u.probe.sequence;
-      in.subject = m.u.probe.subject;
-      in.self = _bn_from_wire (&m.u.probe.self);
-      in.update_count = (uint32_t)m.u.probe.update_count;
-      for (uint32_t i = 0; i < in.update_count; i++)
-        in.updates[i] = _bn_from_wire (&m.u.probe.updates[i]);
-    }
+    pw_read_probe (&m, &in);
   mb_on_message (w->vms[e->vm].mb, &in, w->now_us);
   evbuffer_drain (w->buffer, evbuffer_get_length (w->buffer));
 }
--- a/packages/peers/pe.c
+++ b/packages/peers/pe.c
@@ -2,6 +2,7 @@
 
 #include "fr.h"
 #include "lg.h"
+#include "pw.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -504,34 +505,6 @@
   _pe_flush (conn->peer, conn);
 }
 
-static mb_record
-_pe_from_wire (const ms_member *m)
-{
-  return (mb_record){ .name = m->name,
-                      .incarnation = m->incarnation,
-                      .region = m->region,
-                      .data_center = m->data_center,
-                      .peer_address = m->peer_address,
-                      .callers_address = m->callers_address,
-                      .state = (mb_member_state)m->state,
-                      .counter = m->counter,
-                      .capacity = m->capacity };
-}
-
-static ms_member
-_pe_to_wire (const mb_record *r)
-{
-  return (ms_member){ .name = r->name,
-                      .incarnation = r->incarnation,
-                      .region = r->region,
-                      .data_center = r->data_center,
-                      .peer_address = r->peer_address,
-                      .callers_address = r->callers_address,
-                      .state = (ms_member_state)r->state,
-                      .counter = r->counter,
-                      .capacity = r->capacity };
-}
-
 static void
 _pe_on_probe (_pe_conn *conn, const ms_message *m)
 {
@@ -543,13 +516,8 @@
                      "a probe carries the record of another VM");
       return;
     }
-  mb_message in = { .kind = m->type == MS_PING ? MB_PING : MB_ACK,
-                    .sequence = p->sequence,
-                    .self = _pe_from_wire (&p->self),
-                    .subject = p->subject,
-                    .update_count = (uint32_t)p->update_count };
-  for (size_t i = 0; i < p->update_count; i++)
-    in.updates[i] = _pe_from_wire (&p->updates[i]);
+  mb_message in;
+  pw_read_probe (m, &in);
   mb_on_message (pe->mb, &in, _pe_now (pe));
 }
 
@@ -677,31 +645,11 @@
 static void
 _pe_send_probe (pe_task *pe, const mb_action *a)
 {
-  const mb_message *in = &a->message;
   ms_member updates[MB_UPDATES_MAX];
-  ms_message m = { .type = MS_PING_REQ };
-  switch (in->kind)
-    {
-    case MB_PING_REQ:
-      m.u.ping_req = (ms_ping_req){ .sequence = in->sequence,
-                                    .sender = in->self.incarnation,
-                                    .target = in->subject };
-      break;
-    case MB_PING:
-    case MB_ACK:
-      m.type = in->kind == MB_PING ? MS_PING : MS_ACK;
-      for (uint32_t i = 0; i < in->update_count; i++)
-        updates[i] = _pe_to_wire (&in->updates[i]);
-      m.u.probe = (ms_probe){ .sequence = in->sequence,
-                              .sender = in->self.incarnation,
-                              .subject = in->subject,
-                              .self = _pe_to_wire (&in->self),
-                              .update_count = in->update_count,
-                              .updates = updates };
-      if (pe->desc.on_probe != NULL)
-        pe->desc.on_probe (pe->desc.user, &m.u.probe);
-      break;
-    }
+  ms_message m;
+  pw_write (&a->message, &m, updates);
+  if (m.type != MS_PING_REQ && pe->desc.on_probe != NULL)
+    pe->desc.on_probe (pe->desc.user, &m.u.probe);
   _pe_send_to (pe, a->to_name, "", a->to_address, &m);
 }
 
