--- a/packages/decide/tests/mb_test.cc
+++ b/packages/decide/tests/mb_test.cc
@@ -32,6 +32,34 @@
   return std::string (s.ptr != nullptr ? s.ptr : "", s.len);
 }
 
+// A record of a VM that is alive, counter 1.
+mb_record
+alive (const char *name, const char *incarnation, const char *address,
+       const char *region = "", const char *data_center = "")
+{
+  mb_record r = {};
+  r.name = st_from_cstr (name);
+  r.incarnation = st_from_cstr (incarnation);
+  r.region = st_from_cstr (region);
+  r.data_center = st_from_cstr (data_center);
+  r.peer_address = st_from_cstr (address);
+  r.callers_address = ST_LIT ("");
+  r.state = MB_ALIVE;
+  r.counter = 1;
+  return r;
+}
+
+// The VM "a", for a test of a single view.
+mb_desc
+vm_a ()
+{
+  mb_desc d = {};
+  d.self.name = ST_LIT ("a");
+  d.self.incarnation = ST_LIT ("a-1");
+  d.self.peer_address = ST_LIT ("1");
+  return d;
+}
+
 uint64_t
 env (const char *name, uint64_t fallback)
 {
@@ -592,24 +620,13 @@
   // One VM of three pauses for 60 s and acts on its old deadlines.
   for (mb_fault fault : { MB_FAULT_NONE, MB_FAULT_TRUST_TIMERS })
     {
-      mb_desc d = {};
-      d.self.name = ST_LIT ("a");
-      d.self.incarnation = ST_LIT ("a-1");
-      d.self.peer_address = ST_LIT ("1");
+      mb_desc d = vm_a ();
       d.seed = 1;
       d.fault = fault;
       mb_state *mb = mb_make (&d, 0);
       mb_message m = {};
       m.kind = MB_PING;
-      m.self = { ST_LIT ("b"),
-                 ST_LIT ("b-1"),
-                 ST_LIT (""),
-                 ST_LIT (""),
-                 ST_LIT ("2"),
-                 ST_LIT (""),
-                 MB_ALIVE,
-                 0,
-                 1 };
+      m.self = alive ("b", "b-1", "2");
       mb_on_message (mb, &m, 0);
       mb_action a;
       bool probed = false;
@@ -635,22 +652,11 @@
 // dead.
 TEST (Mb, LeavingIsNotLiveAndNotDead)
 {
-  mb_desc d = {};
-  d.self.name = ST_LIT ("a");
-  d.self.incarnation = ST_LIT ("a-1");
-  d.self.peer_address = ST_LIT ("1");
+  mb_desc d = vm_a ();
   mb_state *mb = mb_make (&d, 0);
   mb_message m = {};
   m.kind = MB_PING;
-  m.self = { ST_LIT ("b"),
-             ST_LIT ("b-1"),
-             ST_LIT ("r"),
-             ST_LIT ("d1"),
-             ST_LIT ("2"),
-             ST_LIT (""),
-             MB_ALIVE,
-             0,
-             1 };
+  m.self = alive ("b", "b-1", "2", "r", "d1");
   mb_on_message (mb, &m, 0);
   mb_record r;
   uint32_t cursor = 0;
@@ -678,37 +684,18 @@
 // member.
 TEST (Mb, VmListDoesNotRevive)
 {
-  mb_desc d = {};
-  d.self.name = ST_LIT ("a");
-  d.self.incarnation = ST_LIT ("a-1");
-  d.self.peer_address = ST_LIT ("1");
+  mb_desc d = vm_a ();
   mb_state *mb = mb_make (&d, 0);
   mb_message m = {};
   m.kind = MB_ACK;
-  m.self = { ST_LIT ("b"),
-             ST_LIT ("b-1"),
-             ST_LIT (""),
-             ST_LIT (""),
-             ST_LIT ("2"),
-             ST_LIT (""),
-             MB_ALIVE,
-             0,
-             1 };
+  m.self = alive ("b", "b-1", "2");
   mb_on_message (mb, &m, 0);
   mb_set_vm_list (mb, nullptr, 0, 0);
   EXPECT_EQ (mb_query_counts (mb).members, 2u);
   m.self.state = MB_DEAD;
   m.update_count = 1;
   m.updates[0] = m.self;
-  m.self = { ST_LIT ("c"),
-             ST_LIT ("c-1"),
-             ST_LIT (""),
-             ST_LIT (""),
-             ST_LIT ("3"),
-             ST_LIT (""),
-             MB_ALIVE,
-             0,
-             1 };
+  m.self = alive ("c", "c-1", "3");
   mb_on_message (mb, &m, 0);
   mb_listed list[] = { { ST_LIT ("b"), ST_LIT (""), ST_LIT (""), ST_LIT ("2"),
                          ST_LIT (""), false, 0 } };
@@ -737,10 +724,7 @@
 // one does not take it away.
 TEST (Mb, TheCapacityOfAMemberIsKnown)
 {
-  mb_desc d = {};
-  d.self.name = ST_LIT ("a");
-  d.self.incarnation = ST_LIT ("a-1");
-  d.self.peer_address = ST_LIT ("1");
+  mb_desc d = vm_a ();
   d.self.capacity = 250;
   mb_state *mb = mb_make (&d, 0);
   EXPECT_EQ (mb_query_self (mb).capacity, 250u);
@@ -750,18 +734,7 @@
   mb_record r;
   mb_message m = {};
   m.kind = MB_PING;
-  m.self = { ST_LIT ("b"),
-             ST_LIT (""),
-             ST_LIT (""),
-             ST_LIT (""),
-             ST_LIT ("2"),
-             ST_LIT (""),
-             MB_ALIVE,
-             0,
-             1 };
-  m.self.incarnation = ST_LIT ("b-1");
-  m.self.counter = 1;
-  m.self.capacity = 0;
+  m.self = alive ("b", "b-1", "2");
   mb_on_message (mb, &m, 0);
   ASSERT_TRUE (mb_query_name (mb, ST_LIT ("b"), &r));
   EXPECT_EQ (r.capacity, 500u);
--- a/packages/gateway/tests/fleet_test.cc
+++ b/packages/gateway/tests/fleet_test.cc
@@ -25,15 +25,6 @@
   }
   Fleet ()
   {
-    fields_.request_id = ST_LIT ("X-Id");
-    fields_.deadline_ms = ST_LIT ("X-Deadline");
-    fields_.team = ST_LIT ("X-Team");
-    fields_.expect_instance = ST_LIT ("X-Expect");
-    fields_.signature = ST_LIT ("X-Sign");
-    fields_.not_run = ST_LIT ("X-Not-Run");
-    fields_.token_usage = ST_LIT ("X-Tokens");
-    fields_.resume_after = ST_LIT ("Last-Event-Id");
-    fields_.key_scheme = ST_LIT ("Token");
     upstream->fallback = Silent;
     config_ = rc_make (1);
     rc_route *r
@@ -75,15 +66,7 @@
   bool
   run (const std::function<bool ()> &done, int limit_ms = 8000)
   {
-    ck_clock clock = {};
-    uint64_t end = ck_now_us (&clock) + (uint64_t)limit_ms * 1000;
-    while (!done () && ck_now_us (&clock) < end)
-      {
-        struct timeval tv = { 0, 5000 };
-        event_base_loopexit (base, &tv);
-        event_base_dispatch (base);
-      }
-    return done ();
+    return run_loop (base, done, limit_ms);
   }
   // Names of the VMs of data centre PLACE that VM sends callers to.
   std::set<std::string>
@@ -131,7 +114,7 @@
   }
 
 private:
-  gw_names fields_ = {};
+  gw_names fields_ = field_names ();
   rc_config *config_ = nullptr;
   std::vector<std::string> names_, addresses_;
 
@@ -233,6 +216,7 @@
   callers.clear ();
   EXPECT_TRUE (f.run ([&] { return f.all_see (0); }));
 }
+
 // Guards against teams that are refused within their quota because a VM that
 // leaves reports until its end, and all that it ever admitted counts anew.
 TEST (GwFleet, WhatALeavingVmAdmittedCountsOnce)
--- a/packages/gateway/tests/gw_test.cc
+++ b/packages/gateway/tests/gw_test.cc
@@ -550,11 +550,7 @@
 TEST (GwConfig, WithoutAConfigurationNothingIsDenied)
 {
   struct event_base *base = event_base_new ();
-  gw_names names = {};
-  names.request_id = ST_LIT ("X-Id");
-  names.deadline_ms = ST_LIT ("X-Deadline");
-  names.token_usage = ST_LIT ("X-Tokens");
-  names.resume_after = ST_LIT ("Last-Event-Id");
+  gw_names names = field_names ();
   gw_desc desc = {};
   desc.base = base;
   desc.vm_name = ST_LIT ("vm");
@@ -566,12 +562,8 @@
   {
     Caller c (base, gw_query_port (gw));
     c.request ("r1", "/any/");
-    for (int i = 0; i < 200 && !c.whole (); i++)
-      {
-        struct timeval tv = { 0, 5000 };
-        event_base_loopexit (base, &tv);
-        event_base_dispatch (base);
-      }
+    run_loop (
+        base, [&] { return c.whole (); }, 1000);
     EXPECT_EQ (c.status (), 503);
   }
   gw_destroy (gw);
--- a/packages/gateway/tests/support.hh
+++ b/packages/gateway/tests/support.hh
@@ -38,19 +38,36 @@
   return 0x7f010001u + ((uint32_t)getpid () % 0x7f0000 << 1);
 }
 
-// A port that is free at own_host.
+inline struct sockaddr_in
+ipv4 (uint32_t host, uint16_t port)
+{
+  struct sockaddr_in sin = {};
+  sin.sin_family = AF_INET;
+  sin.sin_addr.s_addr = htonl (host);
+  sin.sin_port = htons (port);
+  return sin;
+}
+
+// Port that FD is bound to.
 inline uint16_t
-free_port ()
+port_of (evutil_socket_t fd)
 {
   struct sockaddr_in sin = {};
   socklen_t len = sizeof sin;
+  getsockname (fd, (struct sockaddr *)&sin, &len);
+  return ntohs (sin.sin_port);
+}
+
+// A port that is free at own_host.
+inline uint16_t
+free_port ()
+{
+  struct sockaddr_in sin = ipv4 (own_host (), 0);
   int fd = socket (AF_INET, SOCK_STREAM, 0);
-  sin.sin_family = AF_INET;
-  sin.sin_addr.s_addr = htonl (own_host ());
   EXPECT_EQ (bind (fd, (struct sockaddr *)&sin, sizeof sin), 0);
-  getsockname (fd, (struct sockaddr *)&sin, &len);
+  uint16_t port = port_of (fd);
   close (fd);
-  return ntohs (sin.sin_port);
+  return port;
 }
 
 // PORT of own_host as text.
@@ -61,6 +78,52 @@
   return std::string (inet_ntoa (host)) + ":" + std::to_string (port);
 }
 
+// Listens on a loopback port that the system chooses.
+inline struct evconnlistener *
+listen_anywhere (struct event_base *base, evconnlistener_cb on_accept,
+                 void *user, uint16_t *port)
+{
+  struct sockaddr_in sin = ipv4 (INADDR_LOOPBACK, 0);
+  struct evconnlistener *listener = evconnlistener_new_bind (
+      base, on_accept, user, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+      (struct sockaddr *)&sin, sizeof sin);
+  *port = port_of (evconnlistener_get_fd (listener));
+  return listener;
+}
+
+// Runs the loop of BASE until DONE or for at most LIMIT_MS.
+inline bool
+run_loop (struct event_base *base, const std::function<bool ()> &done,
+          int limit_ms)
+{
+  ck_clock clock = {};
+  uint64_t end = ck_now_us (&clock) + (uint64_t)limit_ms * 1000;
+  while (!done () && ck_now_us (&clock) < end)
+    {
+      struct timeval tv = { 0, 2000 };
+      event_base_loopexit (base, &tv);
+      event_base_dispatch (base);
+    }
+  return done ();
+}
+
+// Names of header fields that the tests give a gateway.
+inline gw_names
+field_names ()
+{
+  gw_names names = {};
+  names.request_id = ST_LIT ("X-Id");
+  names.deadline_ms = ST_LIT ("X-Deadline");
+  names.team = ST_LIT ("X-Team");
+  names.expect_instance = ST_LIT ("X-Expect");
+  names.signature = ST_LIT ("X-Sign");
+  names.not_run = ST_LIT ("X-Not-Run");
+  names.token_usage = ST_LIT ("X-Tokens");
+  names.resume_after = ST_LIT ("Last-Event-Id");
+  names.key_scheme = ST_LIT ("Token");
+  return names;
+}
+
 // Names of the fields that the stand-in reads and writes.
 struct FieldNames
 {
@@ -123,18 +186,10 @@
   uint32_t closed_by_peer = 0;
   uint16_t port = 0;
 
-  explicit Upstream (struct event_base *base) : base_ (base)
-  {
-    struct sockaddr_in sin = {};
-    socklen_t len = sizeof sin;
-    sin.sin_family = AF_INET;
-    sin.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-    listener_ = evconnlistener_new_bind (
-        base, on_accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
-        (struct sockaddr *)&sin, sizeof sin);
-    getsockname (evconnlistener_get_fd (listener_), (struct sockaddr *)&sin,
-                 &len);
-    port = ntohs (sin.sin_port);
+  explicit Upstream (struct event_base *base)
+      : base_ (base),
+        listener_ (listen_anywhere (base, on_accept, this, &port))
+  {
   }
   ~Upstream ()
   {
@@ -446,10 +501,7 @@
 
   Caller (struct event_base *base, uint16_t port)
   {
-    struct sockaddr_in sin = {};
-    sin.sin_family = AF_INET;
-    sin.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-    sin.sin_port = htons (port);
+    struct sockaddr_in sin = ipv4 (INADDR_LOOPBACK, port);
     bev_ = bufferevent_socket_new (base, -1, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb (bev_, on_read, nullptr, on_event, this);
     bufferevent_enable (bev_, EV_READ | EV_WRITE);
@@ -530,22 +582,13 @@
   gw_task *gw = nullptr;
   std::vector<std::unique_ptr<Upstream>> upstreams;
   rc_config *config = nullptr;
-  gw_names names = {};
+  gw_names names = field_names ();
   std::vector<st_str> drop = { ST_LIT ("X-Hold") };
   std::vector<st_str> keep = { ST_LIT ("X-Id") };
 
   explicit Gateway (uint32_t upstream_count = 1, double repeats = 100,
                     uint32_t window_ms = 10000)
   {
-    names.request_id = ST_LIT ("X-Id");
-    names.deadline_ms = ST_LIT ("X-Deadline");
-    names.team = ST_LIT ("X-Team");
-    names.expect_instance = ST_LIT ("X-Expect");
-    names.signature = ST_LIT ("X-Sign");
-    names.not_run = ST_LIT ("X-Not-Run");
-    names.token_usage = ST_LIT ("X-Tokens");
-    names.resume_after = ST_LIT ("Last-Event-Id");
-    names.key_scheme = ST_LIT ("Token");
     names.drop = drop.data ();
     names.drop_count = drop.size ();
     names.keep = keep.data ();
@@ -640,19 +683,10 @@
   {
     return std::make_unique<Caller> (base, gw_query_port (gw));
   }
-  // Runs the loop until DONE or for at most LIMIT_MS.
   bool
   run (const std::function<bool ()> &done, int limit_ms = 3000)
   {
-    ck_clock clock = {};
-    uint64_t end = ck_now_us (&clock) + (uint64_t)limit_ms * 1000;
-    while (!done () && ck_now_us (&clock) < end)
-      {
-        struct timeval tv = { 0, 2000 };
-        event_base_loopexit (base, &tv);
-        event_base_dispatch (base);
-      }
-    return done ();
+    return run_loop (base, done, limit_ms);
   }
   void
   wait (int ms)
