Work out cells, speakers and active VMs in one pass

_gw_build_cell asked pc_cell_of and pc_is_speaker for each member; each counted the data centre anew, the latter within a loop over all members. The list of mates is gone: it was the working and the standby VMs together.

--- a/packages/decide/pc.c
+++ b/packages/decide/pc.c
@@ -3,31 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-static uint32_t
-_pc_in_data_center (const pc_member *members, uint32_t count,
-                    st_str data_center)
-{
-  uint32_t found = 0;
-  for (uint32_t i = 0; i < count; i++)
-    found += st_equal (members[i].data_center, data_center);
-  return found;
-}
-
-/* Number of the cell of MEMBER, the same on all VMs with the same MEMBERS;
-   0 when the deployment is one cell.  */
-uint64_t
-pc_cell_of (const pc_member *members, uint32_t count, const pc_member *member)
-{
-  if (count <= PC_ONE_CELL_MAX)
-    return 0;
-  uint32_t size = _pc_in_data_center (members, count, member->data_center);
-  uint64_t parts = 1;
-  while (size / parts > PC_CELL_MAX)
-    parts *= 2;
-  uint64_t part = st_hash (member->name, 1) % parts;
-  return (st_hash (member->data_center, 2) | 1) + 2 * part;
-}
-
 /* Order of the VMs within a cell, so that all agree on who comes first:
    shorter names first, which puts numbered ones in their order.  */
 int
@@ -38,20 +13,6 @@
   return memcmp (a.ptr, b.ptr, a.len);
 }
 
-/* True when MEMBER is among the first SPEAKERS of its cell by name.  */
-bool
-pc_is_speaker (const pc_member *members, uint32_t count,
-               const pc_member *member, uint32_t speakers)
-{
-  uint64_t cell = pc_cell_of (members, count, member);
-  uint32_t before = 0;
-  for (uint32_t i = 0; i < count; i++)
-    if (pc_compare_names (members[i].name, member->name) < 0
-        && pc_cell_of (members, count, &members[i]) == cell)
-      before++;
-  return before < speakers;
-}
-
 /* Members of unknown size come last.  */
 static int
 _pc_compare_size (const void *left, const void *right)
@@ -102,3 +63,85 @@
         }
     }
 }
+
+typedef struct
+{
+  const pc_member *member;
+  uint64_t cell;
+} _pc_entry;
+
+static int
+_pc_compare_data_center (const void *left, const void *right)
+{
+  const _pc_entry *a = left;
+  const _pc_entry *b = right;
+  return pc_compare_names (a->member->data_center, b->member->data_center);
+}
+
+static int
+_pc_compare_cell (const void *left, const void *right)
+{
+  const _pc_entry *a = left;
+  const _pc_entry *b = right;
+  if (a->cell != b->cell)
+    return a->cell < b->cell ? -1 : 1;
+  return pc_compare_names (a->member->name, b->member->name);
+}
+
+/* Number of the cell of MEMBER, whose data centre has SIZE VMs.  */
+static uint64_t
+_pc_cell (const pc_member *member, uint32_t size)
+{
+  uint64_t parts = 1;
+  while (size / parts > PC_CELL_MAX)
+    parts *= 2;
+  uint64_t part = st_hash (member->name, 1) % parts;
+  return (st_hash (member->data_center, 2) | 1) + 2 * part;
+}
+
+/* Sets the cells of ENTRIES, of which there are more than fit into one.  */
+static void
+_pc_set_cells (_pc_entry *entries, uint32_t count)
+{
+  qsort (entries, count, sizeof *entries, _pc_compare_data_center);
+  for (uint32_t from = 0, to; from < count; from = to)
+    {
+      for (to = from;
+           to < count
+           && _pc_compare_data_center (&entries[to], &entries[from]) == 0;
+           to++)
+        ;
+      for (uint32_t i = from; i < to; i++)
+        entries[i].cell = _pc_cell (entries[i].member, to - from);
+    }
+}
+
+/* Tells in PLACES where each of the MEMBERS, at most PC_MEMBERS_MAX, stands.
+   Others than these are not looked at.  */
+void
+pc_place_all (const pc_member *members, uint32_t count, pc_place *places)
+{
+  _pc_entry entries[PC_MEMBERS_MAX];
+  bool active[PC_MEMBERS_MAX];
+  bool one_cell = count <= PC_ONE_CELL_MAX;
+  if (count > PC_MEMBERS_MAX)
+    count = PC_MEMBERS_MAX;
+  for (uint32_t i = 0; i < count; i++)
+    entries[i] = (_pc_entry){ .member = &members[i] };
+  if (!one_cell)
+    {
+      _pc_set_cells (entries, count);
+      pc_choose_active (members, count, active);
+    }
+  qsort (entries, count, sizeof *entries, _pc_compare_cell);
+  uint32_t before = 0; /* in the cell */
+  for (uint32_t i = 0; i < count; i++)
+    {
+      size_t at = (size_t)(entries[i].member - members);
+      before
+          = i > 0 && entries[i].cell == entries[i - 1].cell ? before + 1 : 0;
+      places[at] = (pc_place){ .cell = entries[i].cell,
+                               .speaker = before < PC_SPEAKERS,
+                               .active = one_cell || active[at] };
+    }
+}
--- a/packages/decide/pc.h
+++ b/packages/decide/pc.h
@@ -6,17 +6,14 @@
    ones of each data centre are active, up to a part of its capacity; the
    others stand by and become active as larger ones end.
 
-     if (cell != 0) // else all of them are
-       pc_choose_active (members, count, active);
-
    Cells.  A small deployment is one cell.  In a larger one the VMs of a data
    centre are a cell, so that what a VM sends grows with its cell and not with
    the fleet; large data centres are split.  Within a cell each VM reports to
    all.  The first VMs of a cell by name speak for it: they exchange sums with
    the speakers of the other cells and pass them on to their own.
 
-     uint64_t cell = pc_cell_of (members, count, &self);
-     if (cell != 0 && pc_is_speaker (members, count, &self, PC_SPEAKERS))
+     pc_place_all (members, count, places);
+     if (places[self].cell != 0 && places[self].speaker)
        tell the other cells
 
    Pure; every VM works it out from its own view of the members.  Views that
@@ -46,18 +43,24 @@
   uint32_t capacity; /* thousandths of a core; 0: unknown */
 } pc_member;
 
+typedef struct
+{
+  uint64_t cell; /* the same on all VMs with the same members; 0 when the
+                    deployment is one cell */
+  bool speaker;  /* of the cell */
+  bool active;   /* takes callers */
+} pc_place;
+
 #ifdef __cplusplus
 extern "C"
 {
 #endif
 
+  void pc_place_all (const pc_member *members, uint32_t count,
+                     pc_place *places);
   void pc_choose_active (const pc_member *members, uint32_t count,
                          bool *active);
-  uint64_t pc_cell_of (const pc_member *members, uint32_t count,
-                       const pc_member *member);
   int pc_compare_names (st_str a, st_str b);
-  bool pc_is_speaker (const pc_member *members, uint32_t count,
-                      const pc_member *member, uint32_t speakers);
 
 #ifdef __cplusplus
 }
--- a/packages/decide/tests/pc_test.cc
+++ b/packages/decide/tests/pc_test.cc
@@ -26,14 +26,20 @@
                            { places[i].data (), places[i].size () },
                            0 });
   }
+  static std::vector<pc_place>
+  place_all (const std::vector<pc_member> &all)
+  {
+    std::vector<pc_place> found (all.size ());
+    pc_place_all (all.data (), (uint32_t)all.size (), found.data ());
+    return found;
+  }
   std::map<uint64_t, std::vector<size_t>>
   cells () const
   {
     std::map<uint64_t, std::vector<size_t>> found;
+    std::vector<pc_place> at = place_all (members);
     for (size_t i = 0; i < members.size (); i++)
-      found[pc_cell_of (members.data (), (uint32_t)members.size (),
-                        &members[i])]
-          .push_back (i);
+      found[at[i].cell].push_back (i);
     return found;
   }
 };
@@ -64,13 +70,12 @@
 TEST (Pc, EachCellHasItsSpeakers)
 {
   Vms vms (6, 10);
+  std::vector<pc_place> at = Vms::place_all (vms.members);
   for (auto &cell : vms.cells ())
     {
       uint32_t speakers = 0;
       for (size_t i : cell.second)
-        speakers += pc_is_speaker (vms.members.data (),
-                                   (uint32_t)vms.members.size (),
-                                   &vms.members[i], PC_SPEAKERS);
+        speakers += at[i].speaker;
       EXPECT_EQ (speakers, (uint32_t)PC_SPEAKERS);
     }
 }
@@ -81,13 +86,14 @@
 {
   Vms vms (6, 10);
   std::vector<pc_member> turned (vms.members.rbegin (), vms.members.rend ());
-  for (const pc_member &m : vms.members)
+  std::vector<pc_place> at = Vms::place_all (vms.members);
+  std::vector<pc_place> turned_at = Vms::place_all (turned);
+  for (size_t i = 0; i < at.size (); i++)
     {
-      uint32_t n = (uint32_t)turned.size ();
-      EXPECT_EQ (pc_cell_of (vms.members.data (), n, &m),
-                 pc_cell_of (turned.data (), n, &m));
-      EXPECT_EQ (pc_is_speaker (vms.members.data (), n, &m, 2),
-                 pc_is_speaker (turned.data (), n, &m, 2));
+      const pc_place &other = turned_at[at.size () - 1 - i];
+      EXPECT_EQ (at[i].cell, other.cell);
+      EXPECT_EQ (at[i].speaker, other.speaker);
+      EXPECT_EQ (at[i].active, other.active);
     }
 }
 
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -154,11 +154,10 @@
   bool active;         /* this VM takes callers */
   bool active_apart;   /* the active VMs tell each other their loads */
   bool several;        /* the loads of some VMs with callers come late */
-  GPtrArray *mates;    /* the cell */
   GPtrArray *close;    /* told of each change of load */
   GPtrArray *distant;  /* told of the load now and then */
-  GPtrArray *standby;  /* mates that take no callers; of a speaker */
-  GPtrArray *working;  /* mates that do; of a speaker */
+  GPtrArray *standby;  /* of the cell, without callers */
+  GPtrArray *working;  /* of the cell, with callers */
   GPtrArray *speakers; /* of other cells */
   uint32_t vm_count;
   uint32_t active_count;
--- a/packages/gateway/gw_load.c
+++ b/packages/gateway/gw_load.c
@@ -2,8 +2,6 @@
 #include "gw_internal.h"
 #include "pc.h"
 
-#include <string.h>
-
 /* Reports go out at most this often, and at least this often.  */
 #define _GW_LOAD_MIN_US 25000
 #define _GW_LOAD_MAX_US 400000
@@ -18,16 +16,14 @@
 {
   mb_record records[PC_MEMBERS_MAX];
   pc_member members[PC_MEMBERS_MAX];
-  bool active[PC_MEMBERS_MAX];
+  pc_place places[PC_MEMBERS_MAX];
   uint32_t count;
-  uint32_t active_count;
 } _gw_fleet;
 
 /* Makes the arrays of CELL.  */
 void
 _gw_make_cell (_gw_cell *cell)
 {
-  cell->mates = g_ptr_array_new_with_free_func (g_free);
   cell->close = g_ptr_array_new_with_free_func (g_free);
   cell->distant = g_ptr_array_new_with_free_func (g_free);
   cell->standby = g_ptr_array_new_with_free_func (g_free);
@@ -38,7 +34,6 @@
 static void
 _gw_clear_cell (_gw_cell *cell)
 {
-  g_ptr_array_set_size (cell->mates, 0);
   g_ptr_array_set_size (cell->close, 0);
   g_ptr_array_set_size (cell->distant, 0);
   g_ptr_array_set_size (cell->standby, 0);
@@ -50,7 +45,6 @@
 void
 _gw_destroy_cell (_gw_cell *cell)
 {
-  g_ptr_array_free (cell->mates, TRUE);
   g_ptr_array_free (cell->close, TRUE);
   g_ptr_array_free (cell->distant, TRUE);
   g_ptr_array_free (cell->standby, TRUE);
@@ -74,13 +68,7 @@
         fleet->members[fleet->count++]
             = (pc_member){ record.name, record.data_center, record.capacity };
       }
-  if (fleet->count > PC_ONE_CELL_MAX)
-    pc_choose_active (fleet->members, fleet->count, fleet->active);
-  else
-    memset (fleet->active, true, sizeof fleet->active);
-  fleet->active_count = 0;
-  for (uint32_t i = 0; i < fleet->count; i++)
-    fleet->active_count += fleet->active[i];
+  pc_place_all (fleet->members, fleet->count, fleet->places);
 }
 
 static void
@@ -96,26 +84,18 @@
 {
   _gw_cell *c = &gw->cell;
   const mb_record *record = &fleet->records[i];
-  const pc_member *member = &fleet->members[i];
-  uint64_t cell = pc_cell_of (fleet->members, fleet->count, member);
-  bool mate = cell == c->cell;
-  bool speaker
-      = !mate
-        && pc_is_speaker (fleet->members, fleet->count, member, PC_SPEAKERS);
-  bool both_active = c->active && fleet->active[i];
+  const pc_place *place = &fleet->places[i];
+  bool mate = place->cell == c->cell;
   if (mate)
-    {
-      _gw_add_incarnation (c->mates, record);
-      _gw_add_incarnation (fleet->active[i] ? c->working : c->standby, record);
-    }
-  else if (speaker)
+    _gw_add_incarnation (place->active ? c->working : c->standby, record);
+  else if (place->speaker)
     _gw_add_incarnation (c->speakers, record);
   /* A VM without callers has nothing to tell beyond its cell.  */
-  if (both_active && (mate || c->active_apart))
+  if (c->active && place->active && (mate || c->active_apart))
     _gw_add_incarnation (c->close, record);
   else if (mate)
     _gw_add_incarnation (c->active ? c->distant : c->close, record);
-  else if (speaker && c->active && c->active_apart)
+  else if (place->speaker && c->active && c->active_apart)
     _gw_add_incarnation (c->distant, record);
 }
 
@@ -126,9 +106,7 @@
   st_str *vms = g_new (st_str, fleet->count);
   uint32_t others = 0;
   for (uint32_t i = 1; i < fleet->count; i++)
-    if (fleet->active[i]
-        && pc_cell_of (fleet->members, fleet->count, &fleet->members[i])
-               == gw->cell.cell)
+    if (fleet->places[i].active && fleet->places[i].cell == gw->cell.cell)
       vms[others++] = fleet->members[i].name;
   ut_assign (gw->upstreams, vms, others, gw->cell.several);
   g_free (vms);
@@ -144,14 +122,14 @@
   _gw_read_fleet (gw, &fleet);
   bool was_active = c->active;
   c->vm_count = fleet.count;
-  c->active_count = fleet.active_count;
-  c->active = fleet.active[0];
-  c->cell = pc_cell_of (fleet.members, fleet.count, &fleet.members[0]);
-  c->active_apart = c->cell != 0 && fleet.active_count <= PC_ONE_CELL_MAX;
+  c->active_count = 0;
+  for (uint32_t i = 0; i < fleet.count; i++)
+    c->active_count += fleet.places[i].active;
+  c->cell = fleet.places[0].cell;
+  c->active = fleet.places[0].active;
+  c->active_apart = c->cell != 0 && c->active_count <= PC_ONE_CELL_MAX;
   c->several = c->cell != 0 && !(c->active && c->active_apart);
-  c->speaker = c->cell != 0
-               && pc_is_speaker (fleet.members, fleet.count, &fleet.members[0],
-                                 PC_SPEAKERS);
+  c->speaker = c->cell != 0 && fleet.places[0].speaker;
   for (uint32_t i = 1; i < fleet.count; i++)
     if (fleet.records[i].incarnation.len > 0)
       _gw_sort_member (gw, &fleet, i);
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -176,8 +176,10 @@
   ms_message m = { .type = MS_SETTINGS_VALUE };
   m.u.settings_value.hash = ST_LIT ("document");
   m.u.settings_value.bytes = document;
-  if (gw->peers != NULL)
-    _gw_tell (gw, gw->cell.mates, &m);
+  if (gw->peers == NULL)
+    return;
+  _gw_tell (gw, gw->cell.working, &m);
+  _gw_tell (gw, gw->cell.standby, &m);
 }
 
 /* Asks the mate that knows the store best for what this VM does not know;
