--- a/packages/decide/bu.h
+++ b/packages/decide/bu.h
@@ -56,7 +56,6 @@
   double level;
   uint64_t filled_at_us;
   uint64_t admitted; /* by this VM since its start */
-  uint32_t vms;      /* VMs that are expected to report */
   bu_peer peers[BU_PEERS_MAX];
 } bu_quota;
 
--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -314,8 +314,7 @@
 {
   return (gw_counts){ .requests = gw->count,
                       .open = gw->open,
-                      .callers = gw->conns->len,
-                      .upstream_connects = uc_query_connects (gw->pool) };
+                      .callers = gw->conns->len };
 }
 
 /* The upstreams and their load.  */
--- a/packages/gateway/gw.h
+++ b/packages/gateway/gw.h
@@ -120,7 +120,6 @@
   uint64_t requests;
   uint32_t open;    /* requests */
   uint32_t callers; /* connections */
-  uint64_t upstream_connects;
 } gw_counts;
 
 typedef struct gw_task gw_task;
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -1,7 +1,7 @@
 /* gw_internal.h -- state of the gateway, shared by its stages.
 
-   A request belongs to one caller connection and is named by a gw_id; each
-   stage hands it to the next one by a function below.  */
+   A request belongs to one caller connection; each stage hands it to the next
+   one by a function below.  */
 #ifndef GW_INTERNAL_H
 #define GW_INTERNAL_H
 
@@ -63,7 +63,6 @@
   struct event *timer;
   struct _gw_request *next; /* in the queue */
   uint32_t index;
-  uint32_t generation;
   _gw_state state;
   uint32_t max_output_tokens;
   uint32_t sends;
--- a/packages/gateway/gw_request.c
+++ b/packages/gateway/gw_request.c
@@ -43,12 +43,9 @@
   else
     return NULL;
   uint32_t index = r->index;
-  uint32_t generation = r->generation + 1;
-  *r = (_gw_request){ .gw = gw,
-                      .index = index,
-                      .generation = generation,
-                      .conn = conn,
-                      .config = rc_ref (gw->config) };
+  *r = (_gw_request){
+    .gw = gw, .index = index, .conn = conn, .config = rc_ref (gw->config)
+  };
   r->head = g_string_sized_new (512);
   r->body = g_string_new (NULL);
   r->answer = g_string_new (NULL);
--- a/packages/gateway/uc.c
+++ b/packages/gateway/uc.c
@@ -54,7 +54,6 @@
   uc_desc desc;
   GPtrArray *idle;  /* of _uc_conn, newest last */
   GPtrArray *conns; /* all */
-  uint64_t connects;
 };
 
 static void
@@ -342,7 +341,6 @@
   conn->timer = evtimer_new (pool->desc.base, _uc_on_timer, conn);
   bufferevent_setcb (conn->bev, _uc_on_read, NULL, _uc_on_event, conn);
   g_ptr_array_add (pool->conns, conn);
-  pool->connects++;
   if (!nt_parse_address (request->address, &address)
       || bufferevent_socket_connect (conn->bev, (struct sockaddr *)&address,
                                      sizeof address)
@@ -409,10 +407,3 @@
         _uc_free_conn (conn);
     }
 }
-
-/* Connections opened since uc_make.  */
-uint64_t
-uc_query_connects (const uc_pool *pool)
-{
-  return pool->connects;
-}
--- a/packages/gateway/uc.h
+++ b/packages/gateway/uc.h
@@ -75,7 +75,6 @@
   uc_exchange *uc_send (uc_pool *pool, const uc_request *request);
   void uc_cancel (uc_exchange *x);
   void uc_forget (uc_pool *pool, st_str instance);
-  uint64_t uc_query_connects (const uc_pool *pool);
 
 #ifdef __cplusplus
 }
