Log the age of the load reports with each dispatch

docs/OPERATIONS.md names reports_age_ms among the fields of `dispatch`, and _gw_reports_age_us was written for it; nothing called it. One field more in that log line, nothing else.

--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -100,6 +100,7 @@
       LO_INT ("waited_ms", (gw->now_us - r->demand.arrived_us) / CK_MS_US),
       LO_INT ("own_running", up->own_running),
       LO_INT ("peer_running", up->peer_running),
+      LO_INT ("reports_age_ms", _gw_reports_age_us (gw) / CK_MS_US),
       LO_INT ("slots", up->entry.slots), LO_INT ("send", r->sends));
   ut_begin (gw->upstreams, to, r->unread_tokens);
   GString *bytes = _gw_write_request (r);
