Keep one table of reason phrases

gw_accept.c had its own beside hx_reason_of of the server. hp_reason_of in packages/http serves both. Answers of the gateway with 202, 307, 403, 405, 409 or 410 from an upstream now bear the usual phrase in place of "Status"; status, fields and body are as before, and the phrase means nothing to a client. Both heads of an answer are written in one place.

--- a/packages/gateway/gw_accept.c
+++ b/packages/gateway/gw_accept.c
@@ -23,38 +23,6 @@
 /* Time for a last answer to be written to a caller that reads slowly.  */
 #define _GW_LINGER_MS 3000
 
-static const char *
-_gw_status_text (int status)
-{
-  switch (status)
-    {
-    case 200:
-      return "OK";
-    case 400:
-      return "Bad Request";
-    case 401:
-      return "Unauthorized";
-    case 404:
-      return "Not Found";
-    case 408:
-      return "Request Timeout";
-    case 413:
-      return "Content Too Large";
-    case 429:
-      return "Too Many Requests";
-    case 431:
-      return "Request Header Fields Too Large";
-    case 502:
-      return "Bad Gateway";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return "Status";
-    }
-}
-
 static rc_limits
 _gw_limits (const gw_task *gw)
 {
@@ -124,15 +92,23 @@
   return !conn->close_after;
 }
 
+/* Writes the status line and FIELDS, which are complete header lines.  */
+static void
+_gw_write_answer_head (struct evbuffer *out, int status, st_str fields)
+{
+  const char *reason = hp_reason_of (status);
+  evbuffer_add_printf (out, "HTTP/1.1 %d %s\r\n", status,
+                       reason != NULL ? reason : "Status");
+  evbuffer_add (out, fields.ptr, fields.len);
+}
+
 /* Sends a whole answer; FIELDS are complete header lines.  */
 void
 _gw_reply (_gw_conn *conn, int status, st_str fields, st_str body)
 {
   struct evbuffer *out = bufferevent_get_output (conn->bev);
   bool keep = _gw_keep_alive (conn);
-  evbuffer_add_printf (out, "HTTP/1.1 %d %s\r\n", status,
-                       _gw_status_text (status));
-  evbuffer_add (out, fields.ptr, fields.len);
+  _gw_write_answer_head (out, status, fields);
   evbuffer_add_printf (out, "Content-Length: %zu\r\n%s\r\n", body.len,
                        keep ? "" : "Connection: close\r\n");
   evbuffer_add (out, body.ptr, body.len);
@@ -149,9 +125,7 @@
   if (!conn->chunked)
     conn->close_after = true;
   bool keep = _gw_keep_alive (conn);
-  evbuffer_add_printf (out, "HTTP/1.1 %d %s\r\n", status,
-                       _gw_status_text (status));
-  evbuffer_add (out, fields.ptr, fields.len);
+  _gw_write_answer_head (out, status, fields);
   evbuffer_add_printf (out, "%s%s\r\n",
                        conn->chunked ? "Transfer-Encoding: chunked\r\n" : "",
                        keep ? "" : "Connection: close\r\n");
--- a/packages/http/hp.c
+++ b/packages/http/hp.c
@@ -323,3 +323,48 @@
     }
   return false;
 }
+
+/* Reason phrase of STATUS; NULL for one that the project does not use.  */
+const char *
+hp_reason_of (int status)
+{
+  switch (status)
+    {
+    case 200:
+      return "OK";
+    case 202:
+      return "Accepted";
+    case 307:
+      return "Temporary Redirect";
+    case 400:
+      return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 403:
+      return "Forbidden";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 408:
+      return "Request Timeout";
+    case 409:
+      return "Conflict";
+    case 410:
+      return "Gone";
+    case 413:
+      return "Content Too Large";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return NULL;
+    }
+}
--- a/packages/http/hp.h
+++ b/packages/http/hp.h
@@ -89,6 +89,7 @@
   bool hp_get (const hp_head *head, st_str name, st_str *value);
   bool hp_name_equal (st_str a, st_str b);
   bool hp_list_contains (st_str list, st_str word);
+  const char *hp_reason_of (int status);
 
 #ifdef __cplusplus
 }
--- a/packages/server/hx.c
+++ b/packages/server/hx.c
@@ -1,5 +1,7 @@
 #include "hx.h"
 
+#include "hp.h"
+
 /* HTTP status of an error of KIND.  */
 int
 hx_status_of (er_kind kind)
@@ -35,39 +37,8 @@
 const char *
 hx_reason_of (int status)
 {
-  switch (status)
-    {
-    case 200:
-      return "OK";
-    case 202:
-      return "Accepted";
-    case 307:
-      return "Temporary Redirect";
-    case 400:
-      return "Bad Request";
-    case 401:
-      return "Unauthorized";
-    case 403:
-      return "Forbidden";
-    case 404:
-      return "Not Found";
-    case 405:
-      return "Method Not Allowed";
-    case 409:
-      return "Conflict";
-    case 410:
-      return "Gone";
-    case 413:
-      return "Content Too Large";
-    case 429:
-      return "Too Many Requests";
-    case 502:
-      return "Bad Gateway";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return status < 400 ? "OK" : "Error";
-    }
+  const char *known = hp_reason_of (status);
+  if (known != NULL)
+    return known;
+  return status < 400 ? "OK" : "Error";
 }
