--- a/packages/base/ck.c
+++ b/packages/base/ck.c
@@ -45,3 +45,11 @@
   if (clock->kind == CK_MANUAL)
     clock->manual_us += delta_us;
 }
+
+/* A span of US microseconds, as timers take it.  */
+struct timeval
+ck_timeval (uint64_t us)
+{
+  return (struct timeval){ (time_t)(us / CK_S_US),
+                           (suseconds_t)(us % CK_S_US) };
+}
--- a/packages/base/ck.h
+++ b/packages/base/ck.h
@@ -10,6 +10,7 @@
 #define CK_H
 
 #include <stdint.h>
+#include <sys/time.h>
 
 #define CK_MS_US 1000ull
 #define CK_S_US 1000000ull
@@ -33,6 +34,7 @@
 
   uint64_t ck_now_us (const ck_clock *clock);
   uint64_t ck_wall_ms (const ck_clock *clock);
+  struct timeval ck_timeval (uint64_t us);
   void ck_advance_us (ck_clock *clock, uint64_t delta_us);
 
 #ifdef __cplusplus
--- a/packages/gateway/gw_accept.c
+++ b/packages/gateway/gw_accept.c
@@ -35,7 +35,7 @@
 static void
 _gw_arm (_gw_conn *conn, uint32_t ms)
 {
-  struct timeval tv = { ms / 1000, (suseconds_t)(ms % 1000) * 1000 };
+  struct timeval tv = ck_timeval (ms * CK_MS_US);
   event_add (conn->timer, &tv);
 }
 
--- a/packages/gateway/gw_load.c
+++ b/packages/gateway/gw_load.c
@@ -370,8 +370,7 @@
   if (gw->cell.close->len > _GW_LOAD_MATES)
     pause = pause * gw->cell.close->len / _GW_LOAD_MATES;
   uint64_t since = gw->now_us - gw->load_sent_us;
-  struct timeval tv
-      = { 0, since >= pause ? 1000 : (suseconds_t)(pause - since) };
+  struct timeval tv = ck_timeval (since >= pause ? CK_MS_US : pause - since);
   event_add (gw->load_timer, &tv);
 }
 
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -243,8 +243,7 @@
   gw_task *gw = r->gw;
   uint64_t retry_after_us = 0;
   _gw_service *service = _gw_service_of (r);
-  struct timeval left = { (time_t)((r->end_us - gw->now_us) / CK_S_US),
-                          (suseconds_t)((r->end_us - gw->now_us) % CK_S_US) };
+  struct timeval left = ck_timeval (r->end_us - gw->now_us);
   event_add (r->timer, &left);
   if (r->team != NULL
       && !bu_take_quota (&_gw_find_team (gw, r->team->name)->quota, r->quota,
--- a/packages/gateway/uc.c
+++ b/packages/gateway/uc.c
@@ -1,5 +1,6 @@
 #include "uc.h"
 
+#include "ck.h"
 #include "nt.h"
 
 #include <event2/buffer.h>
@@ -85,8 +86,7 @@
   conn->x = NULL;
   if (keep)
     {
-      struct timeval idle = { conn->idle_ms / 1000,
-                              (suseconds_t)(conn->idle_ms % 1000) * 1000 };
+      struct timeval idle = ck_timeval (conn->idle_ms * CK_MS_US);
       hp_next (conn->reader);
       event_add (conn->timer, &idle);
       g_ptr_array_add (conn->pool->idle, conn);
@@ -349,9 +349,7 @@
       _uc_free_conn (conn);
       return NULL;
     }
-  struct timeval limit
-      = { pool->desc.connect_ms / 1000,
-          (suseconds_t)(pool->desc.connect_ms % 1000) * 1000 };
+  struct timeval limit = ck_timeval (pool->desc.connect_ms * CK_MS_US);
   event_add (conn->timer, &limit);
   return conn;
 }
--- a/packages/peers/pe.c
+++ b/packages/peers/pe.c
@@ -692,8 +692,7 @@
   pe->running_mb = false;
   now = _pe_now (pe);
   uint64_t wait = mb_query_wake_us (pe->mb, now) - now;
-  struct timeval tv
-      = { (time_t)(wait / CK_S_US), (suseconds_t)(wait % CK_S_US) };
+  struct timeval tv = ck_timeval (wait);
   evtimer_add (pe->timer, &tv);
 }
 
--- a/packages/testing/te.c
+++ b/packages/testing/te.c
@@ -636,8 +636,7 @@
   if (e->step_due_us < now_us)
     e->step_due_us = now_us + _te_step_us (e);
   wait_us = e->step_due_us - now_us;
-  tv = (struct timeval){ (time_t)(wait_us / CK_S_US),
-                         (suseconds_t)(wait_us % CK_S_US) };
+  tv = ck_timeval (wait_us);
   e->step_armed = true;
   evtimer_add (e->step, &tv);
 }
@@ -1114,8 +1113,7 @@
 static void
 _te_load_wait (_te_load *l, uint64_t wait_us)
 {
-  struct timeval tv
-      = { (time_t)(wait_us / CK_S_US), (suseconds_t)(wait_us % CK_S_US) };
+  struct timeval tv = ck_timeval (wait_us);
   evtimer_add (l->timer, &tv);
 }
 
