--- a/packages/base/lg.h
+++ b/packages/base/lg.h
@@ -1,6 +1,6 @@
 /* lg.h -- structured logs through GLib, plain or JSON, one line a record.
 
-     lg_setup (&(lg_desc){ .vm = "rajkot-a-1", .json = true });
+     lg_setup (&(lg_desc){ .vm = "west-a-1", .json = true });
      lg_log (LG_WARNING, request_id, "engine %s refused the connection", name);
 
    REQUEST_ID is "" for records that concern no request.  The level can be
--- a/packages/base/st.h
+++ b/packages/base/st.h
@@ -3,7 +3,7 @@
    An st_str is a view: a pointer and a length, not owned and not
    zero-terminated.
 
-     st_str s = ST_LIT ("gujarat-west");
+     st_str s = ST_LIT ("west");
      printf ("%.*s\n", ST_FMT (s));
 
    st_name holds a short owned string (names of VMs, teams, versions).  */
--- a/packages/bench/capacity_main.c
+++ b/packages/bench/capacity_main.c
@@ -308,7 +308,7 @@
       &(ms_message){ .type = MS_SLOT_ASK,
                      .u.slot_ask
                      = { .handle = 1ull << 32 | 70000,
-                         .cell = ST_LIT ("rajkot-a/label-draft/12"),
+                         .cell = ST_LIT ("region-a/chat-drafts/12"),
                          .tier = 1,
                          .team = ST_LIT ("market-day"),
                          .version = ST_LIT ("label-draft-2026-11"),
@@ -322,7 +322,7 @@
       "SLOT_GRANT",
       &(ms_message){ .type = MS_SLOT_GRANT,
                      .u.slot_grant = { .handle = 1ull << 32 | 70000,
-                                       .engine = ST_LIT ("rajkot-a-w117"),
+                                       .engine = ST_LIT ("region-a-w117"),
                                        .grant_id = 1ull << 32 | 70000,
                                        .first_token_us = 90000 } });
   _bn_print_message (
--- a/packages/bench/membership_main.c
+++ b/packages/bench/membership_main.c
@@ -294,7 +294,7 @@
   _bn_world w = { .count = count, .random = seed };
   ck_clock clock = { .kind = CK_RUNTIME };
   static const char *const centers[]
-      = { "rajkot-a", "jamnagar-b", "ahmedabad-a" };
+      = { "region-a", "district-b", "province-ca" };
   w.vms = calloc (count, sizeof *w.vms);
   w.list = calloc (count, sizeof *w.list);
   w.names = calloc (count, sizeof *w.names);
@@ -311,8 +311,8 @@
       st_name_set (&w.addresses[i], st_from_cstr (text));
       w.list[i]
           = (mb_listed){ .name = st_name_str (&w.names[i]),
-                         .region = i % 3 < 2 ? ST_LIT ("gujarat-west")
-                                             : ST_LIT ("gujarat-east"),
+                         .region = i % 3 < 2 ? ST_LIT ("country-west")
+                                             : ST_LIT ("country-east"),
                          .data_center = st_from_cstr (centers[i % 3]),
                          .peer_address = st_name_str (&w.addresses[i]),
                          .callers_address = st_name_str (&w.addresses[i]) };
--- a/packages/settings/sb.h
+++ b/packages/settings/sb.h
@@ -1,6 +1,6 @@
 /* sb.h -- configuration file of one VM.
 
-     vm: {name: rajkot-a-1, region: gujarat-west, data_center: rajkot-a}
+     vm: {name: west-a-1, region: west, data_center: west-a}
      listen: {callers: 127.0.0.1:7000, admin: 127.0.0.1:7001,
               peers: 127.0.0.1:7002}
      platform: {store: 127.0.0.1:7100, vm_list: 127.0.0.1:7100,
