Write the last bytes of answers before a drained VM ends

Cause: a VM ended at the tick after its last request had its outcome.

Ruled out: the upstream breaking off (its log ends with the whole stream) and the reader list (fe_query_open counts readers, but a reader is detached when the end is handed to evhttp).

Change: hx_watch counts an answer from its hand-over to evhttp until its last byte is written or its connection is closed; a draining VM ends when none is left, those of the administration API included.

--- a/packages/server/aa.c
+++ b/packages/server/aa.c
@@ -70,7 +70,7 @@
 
 /* Answers REQ with BODY, which is consumed.  */
 static void
-_aa_reply (struct evhttp_request *req, int status, json_t *body)
+_aa_reply (aa_api *aa, struct evhttp_request *req, int status, json_t *body)
 {
   struct evbuffer *out = evbuffer_new ();
   struct evkeyvalq *headers = evhttp_request_get_output_headers (req);
@@ -82,6 +82,7 @@
   if (status == 503 || status == 429)
     evhttp_add_header (headers, "Retry-After", "1");
   evbuffer_add_printf (out, "%s\n", text != NULL ? text : "{}");
+  hx_watch (aa->desc.unsent, req);
   evhttp_send_reply (req, status, hx_reason_of (status), out);
   evbuffer_free (out);
   free (text);
@@ -99,21 +100,21 @@
 }
 
 static void
-_aa_reply_error (struct evhttp_request *req, int status, const char *kind,
-                 const char *message, json_t *more)
+_aa_reply_error (aa_api *aa, struct evhttp_request *req, int status,
+                 const char *kind, const char *message, json_t *more)
 {
   json_t *error
       = json_pack ("{s:s,s:o}", "kind", kind, "message", _aa_text (message));
   if (more != NULL)
     json_object_update (error, more);
   json_decref (more);
-  _aa_reply (req, status, json_pack ("{s:o}", "error", error));
+  _aa_reply (aa, req, status, json_pack ("{s:o}", "error", error));
 }
 
 static void
-_aa_reply_er (struct evhttp_request *req, const er_error *err)
+_aa_reply_er (aa_api *aa, struct evhttp_request *req, const er_error *err)
 {
-  _aa_reply_error (req, hx_status_of (err->kind), er_kind_name (err->kind),
+  _aa_reply_error (aa, req, hx_status_of (err->kind), er_kind_name (err->kind),
                    err->message, NULL);
 }
 
@@ -182,7 +183,7 @@
           "the token's scope is team:%s; use a token of "
           "scope root",
           call->scope.team.text);
-  _aa_reply_er (call->req, &err);
+  _aa_reply_er (call->aa, call->req, &err);
   return false;
 }
 
@@ -208,7 +209,7 @@
               "%u calls are waiting already; try again in a "
               "second",
               aa->waiting->len);
-      _aa_reply_er (call->req, &err);
+      _aa_reply_er (call->aa, call->req, &err);
       return NULL;
     }
   _aa_waiting *w = g_new0 (_aa_waiting, 1);
@@ -243,21 +244,23 @@
                    result->id != NULL ? result->id : "");
   if (result->err.kind == ER_OK)
     {
-      _aa_reply (req, 200, more);
+      _aa_reply (aa, req, 200, more);
       return;
     }
   if (result->changed != NULL)
     json_object_set (more, "changed", result->changed);
-  _aa_reply_error (req, hx_status_of (result->err.kind),
+  _aa_reply_error (aa, req, hx_status_of (result->err.kind),
                    er_kind_name (result->err.kind), result->err.message, more);
 }
 
 static void
 _aa_answer_watch (_aa_waiting *w, uint64_t version)
 {
+  aa_api *aa = w->aa;
   struct evhttp_request *req = w->req;
   _aa_free_waiting (w);
-  _aa_reply (req, 200, json_pack ("{s:I}", "version", (json_int_t)version));
+  _aa_reply (aa, req, 200,
+             json_pack ("{s:I}", "version", (json_int_t)version));
 }
 
 static void
@@ -302,7 +305,7 @@
   if (text[0] == 0 || st_parse_u64 (st_from_cstr (text), out))
     return true;
   er_set (&err, ER_INVALID, "%s is not a number; write decimal digits", name);
-  _aa_reply_er (call->req, &err);
+  _aa_reply_er (call->aa, call->req, &err);
   return false;
 }
 
@@ -356,10 +359,10 @@
         {
           json_object_set_new (one, "version",
                                json_integer ((json_int_t)version));
-          _aa_reply (call->req, 200, one);
+          _aa_reply (call->aa, call->req, 200, one);
         }
       else
-        _aa_reply_er (call->req, &err);
+        _aa_reply_er (call->aa, call->req, &err);
       g_free (head);
       return;
     }
@@ -370,7 +373,7 @@
                       "for a path of this team",
                       call->scope.team.text)))
     {
-      _aa_reply_er (call->req, &err);
+      _aa_reply_er (call->aa, call->req, &err);
       return;
     }
   json_t *all = sx_to_json (tree, path);
@@ -380,7 +383,7 @@
   json_object_foreach (all, name, level) if (_aa_may_read (&call->scope, name))
       json_object_set (out, name, level);
   json_decref (all);
-  _aa_reply (call->req, 200,
+  _aa_reply (call->aa, call->req, 200,
              json_pack ("{s:I,s:o}", "version", (json_int_t)version,
                         "settings", out));
 }
@@ -409,11 +412,11 @@
   if (!ok)
     {
       json_decref (list);
-      _aa_reply_er (call->req, &err);
+      _aa_reply_er (call->aa, call->req, &err);
       return;
     }
   _aa_reply (
-      call->req, 200,
+      call->aa, call->req, 200,
       json_pack ("{s:I,s:o}", "version", (json_int_t)version, "values", list));
 }
 
@@ -431,7 +434,7 @@
               "the body has %zu bytes; the limit is %zu, "
               "split the change",
               len, call->aa->desc.max_body_bytes);
-      _aa_reply_er (call->req, &err);
+      _aa_reply_er (call->aa, call->req, &err);
       return NULL;
     }
   const char *text = len > 0 ? (const char *)evbuffer_pullup (in, -1) : "";
@@ -444,7 +447,7 @@
               json_err.line, json_err.column,
               body == NULL ? json_err.text : "another type");
       json_decref (body);
-      _aa_reply_er (call->req, &err);
+      _aa_reply_er (call->aa, call->req, &err);
       return NULL;
     }
   return body;
@@ -519,7 +522,7 @@
   sx_tree *next = sx_apply (tree, edits, count, &err);
   if (next == NULL)
     {
-      _aa_reply_er (call->req, &err);
+      _aa_reply_er (call->aa, call->req, &err);
       return;
     }
   sx_changes diff = sx_diff (tree, next);
@@ -531,7 +534,7 @@
                          diff.items[i].before, "after", diff.items[i].after));
   sx_changes_free (&diff);
   sx_unref (next);
-  _aa_reply (call->req, 200,
+  _aa_reply (call->aa, call->req, 200,
              json_pack ("{s:I,s:b,s:o}", "version", (json_int_t)version,
                         "dry_run", 1, "changes", list));
 }
@@ -598,7 +601,7 @@
   json_decref (body);
   return;
 refuse:
-  _aa_reply_er (call->req, &err);
+  _aa_reply_er (call->aa, call->req, &err);
   g_free (edits);
   json_decref (body);
 }
@@ -618,7 +621,7 @@
   wait_ms = MIN (wait_ms, call->aa->desc.watch_ms);
   if (version > after)
     {
-      _aa_reply (call->req, 200,
+      _aa_reply (call->aa, call->req, 200,
                  json_pack ("{s:I}", "version", (json_int_t)version));
       return;
     }
@@ -658,7 +661,7 @@
   _aa_free_waiting (w);
   if (history == NULL)
     {
-      _aa_reply_er (req, err);
+      _aa_reply_er (aa, req, err);
       return;
     }
   json_t *out = json_array ();
@@ -671,7 +674,7 @@
     if (_aa_may_read (&scope, subtree != NULL ? subtree : "root"))
       json_array_append (out, item);
   }
-  _aa_reply (req, 200, json_pack ("{s:o}", "history", out));
+  _aa_reply (aa, req, 200, json_pack ("{s:o}", "history", out));
 }
 
 /* GET /admin/moves.  */
@@ -679,7 +682,7 @@
 _aa_handle_moves (_aa_call *call)
 {
   const aa_core *core = &call->aa->desc.core;
-  _aa_reply (call->req, 200,
+  _aa_reply (call->aa, call->req, 200,
              json_pack ("{s:o}", "moves", core->query_moves (core->user)));
 }
 
@@ -688,7 +691,7 @@
 _aa_handle_members (_aa_call *call)
 {
   const aa_core *core = &call->aa->desc.core;
-  _aa_reply (call->req, 200,
+  _aa_reply (call->aa, call->req, 200,
              json_pack ("{s:o}", "members", core->query_members (core->user)));
 }
 
@@ -706,18 +709,19 @@
     return;
   const char *level = json_string_value (json_object_get (body, "level"));
   if (!_aa_validate_members (body, names, 1, &err))
-    _aa_reply_er (call->req, &err);
+    _aa_reply_er (call->aa, call->req, &err);
   else if (level == NULL || !lg_set_level (level))
     {
       er_set (&err, ER_INVALID,
               "level is not one of debug, info, warning, "
               "error; send {\"level\": \"info\"}");
-      _aa_reply_er (call->req, &err);
+      _aa_reply_er (call->aa, call->req, &err);
     }
   else
     {
       lg_log (LG_INFO, "", "log level set to %s by an operator", level);
-      _aa_reply (call->req, 200, json_pack ("{s:s}", "level", level));
+      _aa_reply (call->aa, call->req, 200,
+                 json_pack ("{s:s}", "level", level));
     }
   json_decref (body);
 }
@@ -731,9 +735,10 @@
   if (!_aa_need_root (call))
     return;
   if (core->begin_drain (core->user, &err))
-    _aa_reply (call->req, 202, json_pack ("{s:s}", "state", "leaving"));
+    _aa_reply (call->aa, call->req, 202,
+               json_pack ("{s:s}", "state", "leaving"));
   else
-    _aa_reply_er (call->req, &err);
+    _aa_reply_er (call->aa, call->req, &err);
 }
 
 typedef enum
@@ -829,7 +834,7 @@
   /* The token is checked first: a caller without one learns nothing.  */
   if (!_aa_authenticate (arg, req, &call.scope))
     {
-      _aa_reply_error (req, 401, er_kind_name (ER_DENIED),
+      _aa_reply_error (call.aa, req, 401, er_kind_name (ER_DENIED),
                        call.aa->desc.token_count > 0
                            ? "the bearer token is missing or unknown; send "
                              "Authorization: Bearer TOKEN"
@@ -841,19 +846,19 @@
   char *path = evhttp_uridecode (raw != NULL ? raw : "", 0, NULL);
   if (path == NULL || !g_str_has_prefix (path, prefix)
       || !_aa_find_call (path + sizeof prefix - 1, &kind))
-    _aa_reply_error (req, 404, er_kind_name (ER_NOT_FOUND),
+    _aa_reply_error (call.aa, req, 404, er_kind_name (ER_NOT_FOUND),
                      "unknown path; the calls are /admin/settings, changes, "
                      "explain, history, watch, moves, members, log-level, "
                      "drain",
                      NULL);
   else if (method != (_aa_calls[kind].post ? EVHTTP_REQ_POST : EVHTTP_REQ_GET))
-    _aa_reply_error (req, 405, er_kind_name (ER_UNSUPPORTED),
+    _aa_reply_error (call.aa, req, 405, er_kind_name (ER_UNSUPPORTED),
                      _aa_calls[kind].post ? "use POST for this call"
                                           : "use GET for this call",
                      NULL);
   else if (evhttp_parse_query_str (query != NULL ? query : "", &call.query)
            < 0)
-    _aa_reply_error (req, 400, er_kind_name (ER_INVALID),
+    _aa_reply_error (call.aa, req, 400, er_kind_name (ER_INVALID),
                      "the query is malformed; write ?name=value&name=value",
                      NULL);
   else
@@ -955,7 +960,7 @@
       struct evhttp_request *req = w->req;
       bool change = w->change;
       _aa_free_waiting (w);
-      _aa_reply_error (req, change ? 504 : 503,
+      _aa_reply_error (aa, req, change ? 504 : 503,
                        er_kind_name (change ? ER_TIMEOUT : ER_UNAVAILABLE),
                        change ? "the VM is going down; look at the history "
                                 "whether the change was accepted"
--- a/packages/server/aa.h
+++ b/packages/server/aa.h
@@ -20,6 +20,7 @@
 #define AA_H
 
 #include "er.h"
+#include "hx.h"
 #include "sb.h"
 #include "sx.h"
 
@@ -70,6 +71,7 @@
   const sb_token *tokens;
   size_t token_count;
   aa_core core;
+  hx_unsent *unsent;     /* counts answers on their way; NULL: not counted */
   size_t max_body_bytes; /* 0 means 1 MiB */
   uint32_t max_waiting;  /* changes and watches; 0 means 256 */
   uint32_t watch_ms;     /* longest wait of a watch; 0 means 20 s */
--- a/packages/server/fe.h
+++ b/packages/server/fe.h
@@ -25,6 +25,7 @@
 #define FE_H
 
 #include "er.h"
+#include "hx.h"
 #include "id.h"
 #include "rq.h"
 #include "st.h"
@@ -37,6 +38,7 @@
 typedef struct
 {
   sv_server *server;
+  hx_unsent *unsent; /* counts answers on their way; NULL: not counted */
   const char *host;
   uint16_t port;
   uint32_t max_requests;     /* open and kept; 0 means 16384 */
--- a/packages/server/fe_accept.c
+++ b/packages/server/fe_accept.c
@@ -104,7 +104,8 @@
   bool parsed = text != NULL && evhttp_parse_query_str (text, &query) == 0;
   if (parsed)
     region = evhttp_find_header (&query, "region");
-  fe_reply_json (req, 200, sv_addresses_json (fe->sv, st_from_cstr (region)));
+  fe_reply_json (fe, req, 200,
+                 sv_addresses_json (fe->sv, st_from_cstr (region)));
   if (parsed)
     evhttp_clear_headers (&query);
 }
@@ -117,6 +118,7 @@
   evbuffer_add (out, text->str, text->len);
   evhttp_add_header (evhttp_request_get_output_headers (req), "Content-Type",
                      "text/plain; version=0.0.4");
+  hx_watch (fe->desc.unsent, req);
   evhttp_send_reply (req, 200, "OK", out);
   evbuffer_free (out);
   g_string_free (text, TRUE);
@@ -127,7 +129,7 @@
 {
   const char *why = "";
   bool ready = sv_query_ready (fe->sv, &why);
-  fe_reply_json (req, ready ? 200 : 503,
+  fe_reply_json (fe, req, ready ? 200 : 503,
                  json_pack ("{s:b,s:s}", "ready", ready, "reason", why));
 }
 
@@ -151,7 +153,7 @@
   else if (st_starts_with (path, services))
     fe_service (fe, req, st_slice (path, services.len, path.len));
   else if (st_equal_cstr (path, "/healthz"))
-    fe_reply_json (req, 200, json_pack ("{s:b}", "ok", 1));
+    fe_reply_json (fe, req, 200, json_pack ("{s:b}", "ok", 1));
   else if (st_equal_cstr (path, "/readyz"))
     _fe_accept_ready (fe, req);
   else if (st_equal_cstr (path, "/metrics"))
--- a/packages/server/fe_admit.c
+++ b/packages/server/fe_admit.c
@@ -188,7 +188,7 @@
       if (first != NULL)
         fe_attach (first, req, 0);
       else
-        fe_reply_json (req, record.state == RQ_FINISHED ? 410 : 202,
+        fe_reply_json (fe, req, record.state == RQ_FINISHED ? 410 : 202,
                        fe_record_json (fe, &record));
       return;
     case RQ_OTHER_OWNER:
--- a/packages/server/fe_call.c
+++ b/packages/server/fe_call.c
@@ -46,6 +46,7 @@
     evhttp_add_header (headers, "Dotterelbend-Replayed",
                        answer->body_cut ? "cut" : "whole");
   evbuffer_add (out, answer->body.ptr, answer->body.len);
+  hx_watch (call->fe->desc.unsent, call->http);
   evhttp_send_reply (call->http, answer->status, hx_reason_of (answer->status),
                      out);
   evbuffer_free (out);
--- a/packages/server/fe_internal.h
+++ b/packages/server/fe_internal.h
@@ -190,7 +190,8 @@
 
 void fe_reply_error (fe_front *fe, struct evhttp_request *req,
                      const fe_error *error);
-void fe_reply_json (struct evhttp_request *req, int status, json_t *body);
+void fe_reply_json (fe_front *fe, struct evhttp_request *req, int status,
+                    json_t *body);
 char *fe_error_text (const fe_error *error);
 
 #endif
--- a/packages/server/fe_query.c
+++ b/packages/server/fe_query.c
@@ -69,7 +69,7 @@
   if (r != NULL)
     fe_attach (r, req, from);
   else
-    fe_reply_json (req, 410, fe_record_json (fe, record));
+    fe_reply_json (fe, req, 410, fe_record_json (fe, record));
 }
 
 static void
@@ -82,9 +82,9 @@
     fe_dispatch_abort (r);
   if (rq_lookup (fe->sv->requests, id, sv_wall_ms (fe->sv), false, &after)
       == RQ_SEEN)
-    fe_reply_json (req, 200, fe_record_json (fe, &after));
+    fe_reply_json (fe, req, 200, fe_record_json (fe, &after));
   else
-    fe_reply_json (req, 200, fe_record_json (fe, record));
+    fe_reply_json (fe, req, 200, fe_record_json (fe, record));
 }
 
 static void
@@ -150,7 +150,7 @@
       fe_recover (r, req, from);
       return;
     }
-  fe_reply_json (req, 200,
+  fe_reply_json (fe, req, 200,
                  json_pack ("{s:s,s:s,s:s,s:s}", "id", text, "state",
                             "owner_gone", "outcome", "unknown", "message",
                             "the process that owned this id is gone; GET "
@@ -189,5 +189,5 @@
   else if (answer)
     _fe_query_answer (fe, req, &record);
   else
-    fe_reply_json (req, 200, fe_record_json (fe, &record));
+    fe_reply_json (fe, req, 200, fe_record_json (fe, &record));
 }
--- a/packages/server/fe_stream.c
+++ b/packages/server/fe_stream.c
@@ -222,6 +222,7 @@
     }
   struct evhttp_request *http = reader->http;
   _fe_detach (r, reader);
+  hx_watch (r->fe->desc.unsent, http);
   evhttp_send_reply_end (http);
 }
 
@@ -240,6 +241,7 @@
     evhttp_add_header (headers, "Dotterelbend-Engine", r->engine);
   struct evbuffer *out = evbuffer_new ();
   evbuffer_add (out, r->answer->str, r->answer->len);
+  hx_watch (r->fe->desc.unsent, http);
   evhttp_send_reply (http, status, hx_reason_of (status), out);
   evbuffer_free (out);
 }
--- a/packages/server/hx.c
+++ b/packages/server/hx.c
@@ -42,3 +42,35 @@
     return known;
   return status < 400 ? "OK" : "Error";
 }
+
+static void
+_hx_on_sent (struct evhttp_request *req, void *arg)
+{
+  hx_unsent *unsent = arg;
+  evhttp_connection_set_closecb (evhttp_request_get_connection (req), NULL,
+                                 NULL);
+  unsent->answers--;
+}
+
+static void
+_hx_on_closed (struct evhttp_connection *conn, void *arg)
+{
+  hx_unsent *unsent = arg;
+  (void)conn;
+  unsent->answers--;
+}
+
+/* Counts the answer to REQ in UNSENT until its last byte was written or its
+   connection is closed.  To be called before the last part is handed to
+   evhttp; takes over the close callback of the connection.  Does nothing
+   when UNSENT is NULL.  */
+void
+hx_watch (hx_unsent *unsent, struct evhttp_request *req)
+{
+  struct evhttp_connection *conn = evhttp_request_get_connection (req);
+  if (unsent == NULL || conn == NULL)
+    return;
+  unsent->answers++;
+  evhttp_request_set_on_complete_cb (req, _hx_on_sent, unsent);
+  evhttp_connection_set_closecb (conn, _hx_on_closed, unsent);
+}
--- a/packages/server/se_serve.c
+++ b/packages/server/se_serve.c
@@ -181,6 +181,7 @@
     return s;
   s->aa
       = aa_make (&(aa_desc){ .base = sv->base,
+                             .unsent = &sv->unsent,
                              .listen = sv->config.listen_admin.text,
                              .tokens = sv->config.tokens,
                              .token_count = sv->config.token_count,
--- a/packages/server/sv.c
+++ b/packages/server/sv.c
@@ -428,7 +428,9 @@
   rl_tick (sv->rollouts);
   fe_tick (sv->front);
   _sv_check_own_dead (sv);
-  if (sv->state->leaving && _sv_is_idle (sv))
+  /* An answer that has ended may still wait in the output of its
+     connection, which the end of the process would cut off.  */
+  if (sv->state->leaving && _sv_is_idle (sv) && sv->unsent.answers == 0)
     {
       lg_log (LG_INFO, "", "drained; exiting");
       event_base_loopbreak (sv->base);
@@ -531,6 +533,7 @@
                              .user = sv });
   sv->front = fe_make (
       &(fe_desc){ .server = sv,
+                  .unsent = &sv->unsent,
                   .host = host,
                   .port = port,
                   .max_requests = (uint32_t)sv->config.limits.open_requests,
--- a/packages/server/sv.h
+++ b/packages/server/sv.h
@@ -17,6 +17,7 @@
 #include "dr.h"
 #include "er.h"
 #include "fe.h"
+#include "hx.h"
 #include "mt.h"
 #include "oc.h"
 #include "ow.h"
@@ -43,6 +44,7 @@
   struct event_base *base;
   char incarnation[ST_NAME_MAX + 18];
   mt_registry *metrics;
+  hx_unsent unsent; /* of all HTTP listeners */
   rq_table *requests;
   pf_platform *platform;
   up_pool *up;
