Divide free slots among waiting VMs, and let late requests wait

Callers that came back after a refusal were served before others that could still be on time, and requests were refused at 0.45 of their target though room came soon after.

Change: VMs at which requests as urgent wait divide what is free of an engine in an order that all can work out (ut_query_rivals, ut_query_part). Requests that will be late have a rank behind those of their tiers; pt_ tells callers that come back by the time that they have left. Engines get two or three requests of the urgent tiers beyond their slots, which hides the way to them. Streams that a caller goes on with may use a part of the slack of a quota that was for urgent requests only. Another region costs 80 ms in place of 20. Reports go out twice as often among 12 VMs.

Tests: FreedSlotsAreFilledOnce sent 36 requests for three slots without the division. Bounds of three tests follow the new number of places beyond the slots and are exact; RefusesWhatCannotBeInTime keeps its bounds. The test of Retry-After begins after the late wait, which comes before the refusal now.

--- a/packages/decide/gq.c
+++ b/packages/decide/gq.c
@@ -1,11 +1,15 @@
 #include "gq.h"
 
-/* Slots of an engine that tiers below the first do not take while the fleet
-   is busy, so that an urgent request finds one at once.  */
+/* Requests beyond its slots that an engine gets, by the route's tier: the
+   queue of the engine hides the time until a freed slot is seen here and
+   filled, two ways through the network, 16 ms between regions.  The lowest
+   tiers get none, so that what is more urgent finds a place at once.  */
+static const uint32_t _gq_extra[GQ_ROUTE_TIERS] = { 3, 2, 0, 0 };
+/* Slots that are left to more urgent requests at other VMs.  */
+#define _GQ_ELSEWHERE_SLOTS 1
+/* The same where the loads of some VMs come late: slots that the lower tiers
+   leave free of each engine.  */
 #define _GQ_RESERVED_SLOTS 1
-/* Requests beyond its slots that an engine gets of the first tier: the queue
-   of the engine hides the time until a freed slot is seen here.  */
-#define _GQ_URGENT_EXTRA 1
 /* Requests of others that may be seen for longer than they run.  */
 #define _GQ_LATE_REPORTS 1
 /* Slots that have to be free for one that is not this VM's to be taken, in a
@@ -17,10 +21,11 @@
 #define _GQ_PLAIN_PACE_US 30000.0
 /* Time to read one prompt token, relative to the time of one step.  */
 #define _GQ_READ_STEPS_PER_TOKEN 0.005
-/* One way between regions is some 8 ms; traffic there is also the dearest.
-   Where other cells' loads are known late, a place there is worth less.  */
+/* One way between regions is some 8 ms, and traffic there is the dearest: an
+   engine near by is taken as long as it is not much slower or fuller.  Where
+   other cells' loads are known late, a place there is worth less.  */
 #define _GQ_SAME_REGION_US 1500.0
-#define _GQ_OTHER_REGION_US 20000.0
+#define _GQ_OTHER_REGION_US 80000.0
 #define _GQ_OTHER_CELL_US 100000.0
 /* Weight of a VM's own order of preference.  */
 #define _GQ_BIAS 0.3
@@ -29,10 +34,15 @@
 /* Part of the target that may be spent waiting; the rest is for the answer
    to begin.  */
 #define _GQ_WAIT_PART 0.6
-/* Longest wait before the first refusal is told, as part of the target: a
-   refusal that comes early leaves the caller time to come back.  */
-#define _GQ_REFUSE_PART 0.45
+/* Longest wait among the requests that can be on time, as part of the
+   target.  */
+#define _GQ_ON_TIME_PART 0.45
 #define _GQ_RETRY_MIN_US 250000
+/* Part of the time left that a request that will be late may wait: its caller
+   can come back afterwards.  One that has come back has no other chance, but
+   needs some time for the answer.  */
+#define _GQ_LATE_WAIT_PART 0.1
+#define _GQ_LAST_WAIT_PART 0.35
 /* Part of the target that a caller that comes back needs for the way and for
    the answer to begin.  */
 #define _GQ_RETURN_PART 0.5
@@ -42,6 +52,8 @@
    back together.  */
 #define _GQ_SPREAD_PART 0.4
 
+_Static_assert(GQ_RANKS == UT_RANKS, "reports know all ranks");
+
 /* Place of a request in the order in which requests go.  A team's tier goes
    before the route's; within a team the route's tells.  */
 uint32_t
@@ -52,7 +64,21 @@
     team = GQ_TEAM_TIERS - 1;
   if (route_tier >= GQ_ROUTE_TIERS)
     route_tier = GQ_ROUTE_TIERS - 1;
-  return team * GQ_ROUTE_TIERS + route_tier;
+  return 2 * (team * GQ_ROUTE_TIERS + route_tier);
+}
+
+/* True when DEMAND waits among those that will be late.  */
+bool
+gq_is_late (const gq_demand *demand)
+{
+  return demand->rank % 2 == 1;
+}
+
+/* The rank of DEMAND when it waits as VERDICT says.  */
+uint32_t
+gq_rank_in (const gq_demand *demand, gq_verdict verdict)
+{
+  return demand->rank - demand->rank % 2 + (verdict == GQ_WAIT_LATE);
 }
 
 /* True when UP may get new requests of SERVICE.  */
@@ -73,30 +99,39 @@
   return false;
 }
 
+/* Requests that UP may have for one of DEMAND to be sent there.  */
 static uint32_t
 _gq_limit (const ut_upstream *up, const gq_demand *demand)
 {
-  uint32_t slots = up->entry.slots > 0 ? up->entry.slots : 1;
+  uint32_t limit = up->entry.slots > 0 ? up->entry.slots : 1;
+  uint32_t reserved = 0;
   if (!demand->engine)
-    return slots;
-  if (demand->tier == 0)
-    return slots + (demand->several_cells ? 0 : _GQ_URGENT_EXTRA);
-  uint32_t reserved
-      = (demand->tier >= 2 && !demand->begun ? _GQ_RESERVED_SLOTS : 0)
-        + (demand->urgent_elsewhere ? 1 : 0);
-  return slots > reserved ? slots - reserved : 1;
+    return limit;
+  if (!demand->several_cells)
+    limit += _gq_extra[demand->tier < GQ_ROUTE_TIERS ? demand->tier
+                                                     : GQ_ROUTE_TIERS - 1];
+  else if (demand->tier >= 2 && !demand->begun)
+    reserved = _GQ_RESERVED_SLOTS;
+  if (demand->tier > 0 && demand->urgent_elsewhere)
+    reserved += _GQ_ELSEWHERE_SLOTS;
+  return limit > reserved ? limit - reserved : 1;
 }
 
-/* True when UP has a slot for DEMAND.  A slot that is this VM's to fill is
+/* True when ID has a slot for DEMAND.  While requests wait at RIVALS as well,
+   what is free is divided.  A slot that is this VM's to fill is
    taken by its own count; others only while some are seen to be free, since
    another VM may be about to take the last ones.  */
 static bool
-_gq_has_room (const ut_upstream *up, const gq_demand *demand)
+_gq_has_room (const ut_table *t, ut_id id, const gq_demand *demand,
+              const ut_rivals *rivals)
 {
+  const ut_upstream *up = ut_query (t, id);
   uint32_t running = up->own_running + up->peer_running;
   uint32_t limit = _gq_limit (up, demand);
   if (!demand->several_cells)
-    return running < limit;
+    return running < limit
+           && (rivals->count == 0
+               || up->own_running < ut_query_part (t, id, rivals, limit));
   if (up->own_running < up->share)
     return running < limit + _GQ_LATE_REPORTS;
   return running + _GQ_BORROW_MARGIN < limit;
@@ -165,6 +200,9 @@
 gq_place (const ut_table *t, st_str service, const gq_demand *demand,
           uint64_t now_us, uint32_t random)
 {
+  ut_rivals rivals = { 0 };
+  if (demand->engine)
+    rivals = ut_query_rivals (t, demand->rank, now_us);
   for (_gq_choice choice = _GQ_BEST; choice <= _GQ_ANY; choice++)
     {
       ut_id best = { 0, 0 };
@@ -178,7 +216,7 @@
               || !_gq_chosen (choice, up, _gq_tried (demand, id), now_us))
             continue;
           some = true;
-          if (!_gq_has_room (up, demand))
+          if (!_gq_has_room (t, id, demand, &rivals))
             continue;
           random = random * 1664525u + 1013904223u;
           double cost = _gq_cost (t, id, up, demand, now_us)
@@ -216,32 +254,60 @@
   return (uint64_t)(last > _GQ_RETRY_MIN_US ? last : _GQ_RETRY_MIN_US);
 }
 
+/* Requests that go before one of RANK, on all VMs.  */
+static uint32_t
+_gq_ahead (const gq_backlog *backlog, uint32_t rank)
+{
+  uint32_t ahead = 0;
+  for (uint32_t i = 0; i <= rank; i++)
+    ahead += backlog->waiting[i] + backlog->peer_waiting[i];
+  return ahead;
+}
+
+/* How long a request that will be late may wait, SPENT_US after its arrival
+   and LEFT_US before its deadline.  */
+static uint64_t
+_gq_late_wait_us (const gq_demand *demand, uint64_t spent_us, uint64_t left_us)
+{
+  double part = demand->returned ? _GQ_LAST_WAIT_PART : _GQ_LATE_WAIT_PART;
+  uint64_t wait = (uint64_t)(part * (double)left_us);
+  if (demand->pause_us == 0 || spent_us + wait <= demand->pause_us)
+    return wait;
+  return demand->pause_us > spent_us ? demand->pause_us - spent_us : 0;
+}
+
 /* Decides on a request for which gq_place found no room; RANDOM spreads the
-   callers that are refused.  */
+   callers that are refused.  To be asked again when the wait is over.  */
 gq_verdict
 gq_admit (const gq_backlog *backlog, const gq_demand *demand, uint64_t now_us,
           uint32_t random, gq_decision *out)
 {
-  uint32_t ahead = 0;
-  for (uint32_t i = 0; i <= demand->rank; i++)
-    ahead += backlog->waiting[i] + backlog->peer_waiting[i];
   double slots = backlog->slots > 0 ? backlog->slots : 1;
-  double expected = backlog->service_us * (ahead + 1) / slots;
+  uint32_t rank = gq_rank_in (demand, GQ_WAIT);
+  uint32_t late_rank = gq_rank_in (demand, GQ_WAIT_LATE);
+  double expected
+      = backlog->service_us * (_gq_ahead (backlog, rank) + 1) / slots;
   uint64_t left
       = demand->deadline_us > now_us ? demand->deadline_us - now_us : 0;
   uint64_t spent = now_us - demand->arrived_us;
   uint64_t allowed = (uint64_t)(_GQ_WAIT_PART * (double)demand->target_us);
-  uint64_t patience = (uint64_t)(_GQ_REFUSE_PART * (double)demand->target_us);
+  uint64_t patience = (uint64_t)(_GQ_ON_TIME_PART * (double)demand->target_us);
   out->expected_us = (uint64_t)expected;
   out->retry_after_us = _gq_retry_after_us (demand, expected, now_us, random);
-  if (backlog->slots == 0)
+  if (spent < patience && left > 0 && !demand->returned
+      && (backlog->slots == 0 || out->expected_us + spent <= allowed))
     {
-      /* Nobody serves it now; wait a little for one to appear.  */
+      /* Without slots nobody serves it now; one may appear.  */
       out->wait_until_us = demand->arrived_us + patience;
-      return spent < patience && left > 0 ? GQ_WAIT : GQ_REFUSE;
+      return GQ_WAIT;
     }
-  if (out->expected_us + spent > allowed || spent >= patience || left == 0)
+  uint64_t late_wait = _gq_late_wait_us (demand, spent, left);
+  expected
+      = backlog->service_us * (_gq_ahead (backlog, late_rank) + 1) / slots;
+  if (!demand->engine || backlog->slots == 0 || demand->waited_late
+      || expected > (double)late_wait)
     return GQ_REFUSE;
-  out->wait_until_us = demand->arrived_us + patience;
-  return GQ_WAIT;
+  out->expected_us = (uint64_t)expected;
+  out->wait_until_us = now_us + late_wait;
+  return GQ_WAIT_LATE;
 }
--- a/packages/decide/ut.c
+++ b/packages/decide/ut.c
@@ -4,6 +4,9 @@
 #include <string.h>
 
 #define _UT_REPORT_MAX_AGE_US 1500000
+/* Requests that wait at a VM count for this long after its report: VMs report
+   every 400 ms at least, and one that has gone leaves its part unused.  */
+#define _UT_RIVAL_MAX_AGE_US 600000
 /* Weight of the newest sample in the measured pace.  */
 #define _UT_PACE_WEIGHT 0.1
 /* How long an upstream is left out after a failed connection: first, doubled
@@ -19,6 +22,7 @@
 {
   uint64_t peer; /* 0: free */
   uint64_t at_us;
+  uint32_t waiting_ranks;
   ut_row *rows;
   size_t count;
 } _ut_report;
@@ -36,6 +40,7 @@
 {
   ut_desc desc;
   _ut_slot *slots;
+  uint64_t key;    /* of this VM */
   uint32_t used;   /* slots ever used */
   uint32_t *index; /* by hash: slot number + 1, 0 for none */
   _ut_report reports[UT_PEERS_MAX];
@@ -122,11 +127,30 @@
     }
 }
 
+/* The most urgent rank that waits at the VM of REPORT, UT_RANKS for none.  */
+static uint32_t
+_ut_first_rank (const _ut_report *report)
+{
+  uint32_t rank = 0;
+  while (rank < UT_RANKS && (report->waiting_ranks >> rank & 1) == 0)
+    rank++;
+  return rank;
+}
+
+static void
+_ut_add_row (ut_upstream *up, const ut_row *row, uint32_t rank)
+{
+  up->peer_running += row->running;
+  up->running_by_rank[rank] += row->running;
+  up->peer_unread_tokens += row->unread_tokens;
+}
+
 /* Adds the rows of REPORT to what other VMs have at the upstreams, or takes
    them off.  */
 static void
 _ut_apply_report (ut_table *t, const _ut_report *report, bool add)
 {
+  uint32_t rank = _ut_first_rank (report);
   for (size_t i = 0; i < report->count; i++)
     {
       const ut_row *row = &report->rows[i];
@@ -135,31 +159,25 @@
         continue;
       ut_upstream *up = &t->slots[slot].up;
       if (add)
-        {
-          up->peer_running += row->running;
-          up->peer_unread_tokens += row->unread_tokens;
-        }
+        _ut_add_row (up, row, rank);
       else
         {
           up->peer_running -= row->running;
+          up->running_by_rank[rank] -= row->running;
           up->peer_unread_tokens -= row->unread_tokens;
         }
     }
 }
 
-/* Sums the reports about a new upstream.  */
+/* Sums the reports about UP, which is new.  */
 static void
 _ut_sum_reports (const ut_table *t, ut_upstream *up)
 {
-  up->peer_running = 0;
-  up->peer_unread_tokens = 0;
   for (size_t p = 0; p < UT_PEERS_MAX; p++)
     for (size_t i = 0; i < t->reports[p].count; i++)
       if (t->reports[p].rows[i].upstream == up->hash)
-        {
-          up->peer_running += t->reports[p].rows[i].running;
-          up->peer_unread_tokens += t->reports[p].rows[i].unread_tokens;
-        }
+        _ut_add_row (up, &t->reports[p].rows[i],
+                     _ut_first_rank (&t->reports[p]));
 }
 
 /* A number that differs for each pair of a VM and an upstream, so that VMs
@@ -418,32 +436,89 @@
     slot->up.avoid_until_us = until_us;
 }
 
+/* Sets the number by which other VMs know the reports of this one.  */
+void
+ut_set_key (ut_table *t, uint64_t key)
+{
+  t->key = key;
+}
+
 /* Replaces what PEER (any number but 0) reported of its load.  Peers beyond
    UT_PEERS_MAX are ignored.  */
 void
-ut_set_peer (ut_table *t, uint64_t peer, const ut_row *rows, size_t count,
+ut_set_peer (ut_table *t, uint64_t peer, const ut_report *report,
              uint64_t now_us)
 {
-  _ut_report *report = NULL;
-  for (size_t i = 0; i < UT_PEERS_MAX && report == NULL; i++)
+  _ut_report *kept = NULL;
+  for (size_t i = 0; i < UT_PEERS_MAX && kept == NULL; i++)
     if (t->reports[i].peer == peer)
-      report = &t->reports[i];
-  for (size_t i = 0; i < UT_PEERS_MAX && report == NULL; i++)
+      kept = &t->reports[i];
+  for (size_t i = 0; i < UT_PEERS_MAX && kept == NULL; i++)
     if (t->reports[i].peer == 0)
-      report = &t->reports[i];
-  if (report == NULL)
+      kept = &t->reports[i];
+  if (kept == NULL)
     return;
-  _ut_apply_report (t, report, false);
-  al_free (&t->desc.allocator, report->rows);
-  *report = (_ut_report){ .peer = peer, .at_us = now_us };
-  if (count > 0)
-    report->rows = al_alloc (&t->desc.allocator, count * sizeof *rows);
-  if (report->rows != NULL)
+  _ut_apply_report (t, kept, false);
+  al_free (&t->desc.allocator, kept->rows);
+  *kept = (_ut_report){ .peer = peer,
+                        .at_us = now_us,
+                        .waiting_ranks = report->waiting_ranks };
+  size_t size = report->count * sizeof *report->rows;
+  if (size > 0)
+    kept->rows = al_alloc (&t->desc.allocator, size);
+  if (kept->rows != NULL)
     {
-      memcpy (report->rows, rows, count * sizeof *rows);
-      report->count = count;
+      memcpy (kept->rows, report->rows, size);
+      kept->count = report->count;
     }
-  _ut_apply_report (t, report, true);
+  _ut_apply_report (t, kept, true);
+}
+
+/* The other VMs at which requests wait that go before one of RANK, or that
+   are of the same rank.  */
+ut_rivals
+ut_query_rivals (const ut_table *t, uint32_t rank, uint64_t now_us)
+{
+  ut_rivals rivals = { .rank = rank };
+  for (size_t i = 0; i < UT_PEERS_MAX; i++)
+    {
+      const _ut_report *r = &t->reports[i];
+      if (r->peer != 0 && now_us - r->at_us < _UT_RIVAL_MAX_AGE_US
+          && _ut_first_rank (r) <= rank)
+        rivals.keys[rivals.count++] = r->peer;
+    }
+  return rivals;
+}
+
+/* Place of the VM KEY in the order in which VMs divide the slots of UP.  */
+static uint64_t
+_ut_turn (const ut_upstream *up, uint64_t key)
+{
+  uint64_t x = (key ^ up->hash) * UINT64_C (0x9e3779b97f4a7c15);
+  x = (x ^ x >> 32) * UINT64_C (0xd6e8feb86659fd93);
+  return x ^ x >> 32;
+}
+
+/* How many requests of the rivals' rank this VM may have at ID when all VMs
+   together may have SLOTS there: what VMs at which nothing as urgent waits do
+   not use is divided among the others.  */
+uint32_t
+ut_query_part (const ut_table *t, ut_id id, const ut_rivals *rivals,
+               uint32_t slots)
+{
+  const _ut_slot *slot = _ut_at (t, id);
+  if (slot == NULL)
+    return 0;
+  const ut_upstream *up = &slot->up;
+  for (uint32_t rank = rivals->rank + 1; rank <= UT_RANKS; rank++)
+    slots -= up->running_by_rank[rank] < slots ? up->running_by_rank[rank]
+                                               : slots;
+  uint64_t own = _ut_turn (up, t->key);
+  uint32_t before = 0;
+  for (uint32_t i = 0; i < rivals->count; i++)
+    before += _ut_turn (up, rivals->keys[i]) < own;
+  uint32_t vms = rivals->count + 1;
+  return slots / vms + (before < slots % vms);
 }
 
 /* Forgets reports that are too old.  */
--- a/packages/decide/ut.h
+++ b/packages/decide/ut.h
@@ -7,11 +7,20 @@
      ut_begin (t, id, unread_tokens);         // a request is sent to it
      ut_first (t, id, unread_tokens);         // its answer has begun
      ut_end (t, id, UT_SERVED, now_us);
-     ut_set_peer (t, peer, rows, count, now_us); // load that another VM has
+     ut_set_peer (t, peer, &report, now_us); // load that another VM has
 
    Ids carry a generation: an id of an upstream that has been removed is found
    by no call.  Load of an upstream is this VM's own plus what the other VMs
-   reported; a report counts until the next one or until it is too old.  */
+   reported; a report counts until the next one or until it is too old.
+
+   A slot that becomes free is seen by all VMs at about the same time.  Those
+   with requests waiting would all fill it, so they divide what is free at an
+   upstream among themselves: each works out the same order from the keys of
+   the VMs and the upstream, and takes its part of it.
+
+     ut_set_key (t, key);  // by which other VMs know the reports of this one
+     ut_rivals rivals = ut_query_rivals (t, rank, now_us);
+     uint32_t part = ut_query_part (t, id, &rivals, slots);  */
 #ifndef UT_H
 #define UT_H
 
@@ -20,6 +29,8 @@
 
 #define UT_UPSTREAMS_MAX 1024
 #define UT_PEERS_MAX 64
+/* Ranks of waiting requests that are told apart; 0 goes first.  */
+#define UT_RANKS 16
 
 typedef struct
 {
@@ -59,6 +70,22 @@
   uint32_t unread_tokens;
 } ut_row;
 
+/* What a VM reports of its load.  */
+typedef struct
+{
+  uint32_t waiting_ranks; /* bit I: requests of rank I wait there */
+  const ut_row *rows;
+  size_t count;
+} ut_report;
+
+/* The VMs at which requests wait that are as urgent as a given rank.  */
+typedef struct
+{
+  uint32_t rank;
+  uint32_t count;
+  uint64_t keys[UT_PEERS_MAX];
+} ut_rivals;
+
 typedef struct
 {
   ut_entry entry;
@@ -68,6 +95,9 @@
   uint32_t own_running;
   uint32_t own_unread_tokens;
   uint32_t peer_running;
+  /* The same by the most urgent rank that waits at the VM; the last one is
+     for VMs at which nothing waits.  */
+  uint32_t running_by_rank[UT_RANKS + 1];
   uint32_t peer_unread_tokens;
   double pace_us;  /* measured time of one unit of work; 0: unknown */
   double failures; /* recent failures, halved every UT_HALF_LIFE_US */
@@ -115,8 +145,13 @@
                ut_outcome outcome, uint64_t now_us);
   void ut_pace (ut_table *t, ut_id id, double unit_us);
   void ut_avoid (ut_table *t, ut_id id, uint64_t until_us);
-  void ut_set_peer (ut_table *t, uint64_t peer, const ut_row *rows,
-                    size_t count, uint64_t now_us);
+  void ut_set_key (ut_table *t, uint64_t key);
+  void ut_set_peer (ut_table *t, uint64_t peer, const ut_report *report,
+                    uint64_t now_us);
+  ut_rivals ut_query_rivals (const ut_table *t, uint32_t rank,
+                             uint64_t now_us);
+  uint32_t ut_query_part (const ut_table *t, ut_id id, const ut_rivals *rivals,
+                          uint32_t slots);
   void ut_expire_peers (ut_table *t, uint64_t now_us);
   size_t ut_query_rows (const ut_table *t, ut_row *rows, size_t max);
   double ut_query_failure_share (const ut_table *t, ut_id id, uint64_t now_us);
--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -122,6 +122,8 @@
   gw->random = (uint32_t)(desc->seed ^ desc->seed >> 32) | 1;
   gw->services = g_ptr_array_new_with_free_func (g_free);
   gw->teams = g_ptr_array_new_with_free_func (g_free);
+  gw->callers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   gw->conns = g_ptr_array_new ();
   _gw_make_cell (&gw->cell);
   gw->heard
@@ -175,6 +177,7 @@
   rc_unref (gw->config);
   g_ptr_array_free (gw->services, TRUE);
   g_ptr_array_free (gw->teams, TRUE);
+  g_hash_table_destroy (gw->callers);
   g_ptr_array_free (gw->conns, TRUE);
   _gw_destroy_cell (&gw->cell);
   g_hash_table_destroy (gw->heard);
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -84,6 +84,9 @@
   if (!r->counted)
     bu_count_request (&_gw_service_of (r)->repeats, &terms, gw->now_us);
   r->counted = true;
+  /* Sent again, it may wait anew.  */
+  r->demand.rank = gq_rank_in (&r->demand, GQ_WAIT);
+  r->demand.waited_late = false;
   r->state = r->events > 0 ? _GW_RELAYING : _GW_SENT;
   r->upstream = to;
   r->upstream_id = up->entry.id;
--- a/packages/gateway/gw_identify.c
+++ b/packages/gateway/gw_identify.c
@@ -18,6 +18,7 @@
   { "Expect", 6 },
   { "Authorization", 13 },
 };
+#define _GW_ROUTES_MAX 2048 /* whose callers are told apart */
 
 /* True when NAME is among the COUNT NAMES, whatever its case.  */
 bool
@@ -120,14 +121,35 @@
   return rc_find_key (gw->config, st_slice (value, scheme.len + 1, value.len));
 }
 
+/* True when the caller of R, who waits for LEFT_MS more, was refused
+   before.  */
+static bool
+_gw_has_returned (const _gw_request *r, uint64_t left_ms)
+{
+  GHashTable *callers = r->gw->callers;
+  pt_route *route = g_hash_table_lookup (callers, r->route->name.ptr);
+  if (route == NULL && g_hash_table_size (callers) >= _GW_ROUTES_MAX)
+    return false;
+  if (route == NULL)
+    {
+      route = g_new0 (pt_route, 1);
+      g_hash_table_insert (
+          callers, g_strndup (r->route->name.ptr, r->route->name.len), route);
+    }
+  return pt_returned (route, left_ms * CK_MS_US);
+}
+
 /* Times of the request: until when it is of use, and when it is late.  */
 static void
 _gw_set_times (_gw_request *r, st_str deadline)
 {
   uint64_t ms = 0;
   uint64_t limit_ms = r->route->timeout_ms > 0 ? r->route->timeout_ms : 30000;
-  if (st_parse_u64 (deadline, &ms) && ms < limit_ms)
-    limit_ms = ms;
+  if (st_parse_u64 (deadline, &ms))
+    {
+      r->demand.returned = _gw_has_returned (r, ms);
+      limit_ms = ms < limit_ms ? ms : limit_ms;
+    }
   r->demand.arrived_us = r->gw->now_us;
   r->end_us = r->gw->now_us + limit_ms * CK_MS_US;
   r->demand.deadline_us = r->end_us;
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -11,6 +11,7 @@
 #include "hp.h"
 #include "lo.h"
 #include "pe.h"
+#include "pt.h"
 #include "uc.h"
 
 #include <event2/buffer.h>
@@ -178,6 +179,7 @@
   _gw_cell cell;
   GPtrArray *services; /* of _gw_service */
   GPtrArray *teams;    /* of _gw_team */
+  GHashTable *callers; /* name of a route -> pt_route */
   GPtrArray *conns;
   _gw_request *requests; /* pool */
   uint32_t free_first;   /* index + 1; 0: none */
--- a/packages/gateway/gw_load.c
+++ b/packages/gateway/gw_load.c
@@ -6,7 +6,7 @@
 #define _GW_LOAD_MIN_US 25000
 #define _GW_LOAD_MAX_US 400000
 /* VMs up to which reports go out as often as they may.  */
-#define _GW_LOAD_MATES 6
+#define _GW_LOAD_MATES 12
 /* Sums between cells are exchanged, and cells worked out, this often.  */
 #define _GW_CELL_US 200000
 #define _GW_CELL_BUILD_US 400000
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -48,7 +48,7 @@
 static void
 _gw_forget_peer (gw_task *gw, _gw_peer *p)
 {
-  ut_set_peer (gw->upstreams, p->key, NULL, 0, gw->now_us);
+  ut_set_peer (gw->upstreams, p->key, &(ut_report){ 0 }, gw->now_us);
   for (guint i = 0; i < gw->teams->len; i++)
     bu_forget_peer (&((_gw_team *)gw->teams->pdata[i])->quota, p->key);
   g_free (p->rows);
@@ -140,7 +140,10 @@
   if (p == NULL)
     return;
   _gw_keep_load (gw, p, load);
-  ut_set_peer (gw->upstreams, p->key, p->rows, p->row_count, gw->now_us);
+  ut_report report = { .rows = p->rows, .count = p->row_count };
+  for (uint32_t rank = 0; rank < GQ_RANKS; rank++)
+    report.waiting_ranks |= p->waiting[rank] > 0 ? 1u << rank : 0;
+  ut_set_peer (gw->upstreams, p->key, &report, gw->now_us);
   _gw_count_teams (gw, p);
   if (load->scope == MS_LOAD_VM
       && load->config_version > gw_query_config_version (gw))
@@ -249,6 +252,7 @@
   snprintf (gw->incarnation, sizeof gw->incarnation,
             "%.*s-%08" PRIx32 "%08" PRIx32, ST_FMT (gw->desc.vm_name),
             _gw_random (gw), _gw_random (gw));
+  ut_set_key (gw->upstreams, ut_hash (st_from_cstr (gw->incarnation)));
 }
 
 static void
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -8,6 +8,10 @@
 #define _GW_PAUSE_PART 0.75
 /* Part of a quota's slack that the most urgent requests alone use.  */
 #define _GW_KEPT_PART 0.5
+#define _GW_KEPT_PART_BEGUN 0.25
+/* When a caller that goes on with a stream is to come back: soon, since it
+   has borne a pause already.  */
+#define _GW_BEGUN_RETRY_US 250000
 /* Mean time in a slot before any was measured.  */
 #define _GW_ENGINE_SERVICE_US 600000.0
 #define _GW_PLAIN_SERVICE_US 40000.0
@@ -17,8 +21,9 @@
 static void
 _gw_mark_begun (_gw_request *r)
 {
+  r->demand.rank = gq_rank_in (&r->demand, GQ_WAIT);
   if (!r->demand.begun && r->demand.rank > 0)
-    r->demand.rank--;
+    r->demand.rank -= 2;
   r->demand.begun = true;
 }
 
@@ -134,9 +139,9 @@
   return (uint64_t)(_GW_PAUSE_PART * (double)pause);
 }
 
-/* Lets R wait, or refuses it.  */
+/* Lets R wait, or refuses it for REASON.  */
 static void
-_gw_wait_or_refuse (_gw_request *r, bool at_front)
+_gw_wait_or_refuse (_gw_request *r, bool at_front, const char *reason)
 {
   gw_task *gw = r->gw;
   if (r->demand.begun || r->events > 0)
@@ -147,23 +152,33 @@
     }
   gq_backlog backlog = _gw_backlog (r);
   gq_decision decision = { 0 };
+  if (r->route->kind == RC_STREAM)
+    r->demand.pause_us = _gw_pause_us (r);
   gq_verdict verdict = gq_admit (&backlog, &r->demand, gw->now_us,
                                  _gw_random (gw), &decision);
-  LO_EVENT (
-      verdict == GQ_WAIT ? "queue" : "refuse", st_name_str (&r->id),
-      LO_INT ("rank", r->demand.rank),
-      LO_INT ("expected_wait_ms", decision.expected_us / CK_MS_US),
-      LO_INT ("slots", backlog.slots), LO_INT ("running", backlog.running),
-      LO_INT ("waiting_here", backlog.waiting[r->demand.rank]),
-      LO_INT ("waiting_elsewhere", backlog.peer_waiting[r->demand.rank]));
+  uint32_t rank = gq_rank_in (&r->demand, verdict);
+  LO_EVENT (verdict == GQ_REFUSE ? "refuse" : "queue", st_name_str (&r->id),
+            LO_INT ("rank", rank), LO_BOOL ("late", verdict == GQ_WAIT_LATE),
+            LO_BOOL ("returned", r->demand.returned),
+            LO_INT ("left_ms", (r->end_us - gw->now_us) / CK_MS_US),
+            LO_INT ("expected_wait_ms", decision.expected_us / CK_MS_US),
+            LO_INT ("slots", backlog.slots),
+            LO_INT ("running", backlog.running),
+            LO_INT ("waiting_here", backlog.waiting[rank]),
+            LO_INT ("waiting_elsewhere", backlog.peer_waiting[rank]));
   switch (verdict)
     {
+    case GQ_WAIT_LATE:
+      r->demand.waited_late = true;
+      at_front = false;
+      /* Fall through.  */
     case GQ_WAIT:
+      r->demand.rank = rank;
       r->give_up_us = decision.wait_until_us;
       _gw_enqueue (r, at_front);
       return;
     case GQ_REFUSE:
-      _gw_refuse (r, 503, "overload", decision.retry_after_us);
+      _gw_refuse (r, 503, reason, decision.retry_after_us);
       return;
     }
 }
@@ -227,13 +242,15 @@
 }
 
 /* What R has to leave of its team's quota.  Requests to plain services are
-   small and gain nothing for others by waiting.  */
+   small and gain nothing for others by waiting.  A stream that its caller goes
+   on with is lost if it is refused, so it leaves less than a new one.  */
 static double
 _gw_quota_kept (const _gw_request *r)
 {
   if (r->demand.tier == 0 || !r->engine)
     return 0;
-  return _GW_KEPT_PART * _gw_quota_slack (r->gw, r->team);
+  double part = r->has_last_event ? _GW_KEPT_PART_BEGUN : _GW_KEPT_PART;
+  return part * _gw_quota_slack (r->gw, r->team);
 }
 
 /* Takes a request that has been identified.  */
@@ -262,12 +279,14 @@
   /* The caller goes on with a stream that another VM has lost.  */
   if (r->has_last_event)
     _gw_mark_begun (r);
+  else if (r->demand.returned && r->engine)
+    r->demand.rank = gq_rank_in (&r->demand, GQ_WAIT_LATE);
   if (!_gw_more_urgent_waits (&service->queue, r->demand.rank))
     to = _gw_place (r);
   if (to.generation != 0)
     _gw_dispatch (r, to);
-  else if (!_gw_take_place (r))
-    _gw_wait_or_refuse (r, false);
+  else if (gq_is_late (&r->demand) || !_gw_take_place (r))
+    _gw_wait_or_refuse (r, false, "overload");
 }
 
 /* Sends R once more, or puts it in front of its queue.  */
@@ -280,7 +299,7 @@
   if (to.generation != 0)
     _gw_dispatch (r, to);
   else
-    _gw_wait_or_refuse (r, true);
+    _gw_wait_or_refuse (r, true, "overload");
 }
 
 /* Sends what can be sent, the most urgent tier first.  A tier that finds no
@@ -323,7 +342,25 @@
   return NULL;
 }
 
-/* Ends the requests that have waited for as long as they may.  */
+/* R has waited for as long as it may.  */
+static void
+_gw_end_wait (_gw_request *r)
+{
+  if (r->runs > 0)
+    {
+      _gw_fail (r, 504, "no_upstream_to_resume");
+      return;
+    }
+  if (r->demand.begun)
+    {
+      _gw_refuse (r, 503, "waited_too_long", _GW_BEGUN_RETRY_US);
+      return;
+    }
+  _gw_dequeue (r);
+  _gw_wait_or_refuse (r, false, "waited_too_long");
+}
+
+/* Ends the waits that are over.  */
 void
 _gw_expire_queues (gw_task *gw)
 {
@@ -333,15 +370,6 @@
       _gw_service *service = gw->services->pdata[i];
       _gw_request *r;
       while ((r = _gw_find_expired (service, gw->now_us)) != NULL)
-        if (r->runs > 0)
-          _gw_fail (r, 504, "no_upstream_to_resume");
-        else
-          {
-            gq_backlog backlog = _gw_backlog (r);
-            gq_decision decision = { 0 };
-            gq_admit (&backlog, &r->demand, gw->now_us, _gw_random (gw),
-                      &decision);
-            _gw_refuse (r, 503, "waited_too_long", decision.retry_after_us);
-          }
+        _gw_end_wait (r);
     }
 }
--- a/packages/wire/ms.h
+++ b/packages/wire/ms.h
@@ -70,7 +70,7 @@
 #define MS_EVIDENCE_MAX 512
 #define MS_COUNTS_MAX 128
 #define MS_LOAD_ROWS_MAX 1024
-#define MS_LOAD_RANKS 8
+#define MS_LOAD_RANKS 16
 #define MS_TIERS 5
 #define MS_TOKENS_MAX (1u << 26)
 
