Report loads twice as often only while requests wait

Change: pc_report_pause_us tells the pause from the number of VMs that are told and from whether requests wait here or at others.

--- a/packages/decide/pc.c
+++ b/packages/decide/pc.c
@@ -3,6 +3,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Shortest time between two reports of load.  */
+#define _PC_REPORT_MIN_US 25000
+/* VMs that are told as often as that: while requests wait, and while none do,
+   when few depend on the reports and traffic between regions is saved.  */
+#define _PC_TOLD_BUSY 12
+#define _PC_TOLD_CALM 6
+
 /* Order of the VMs within a cell, so that all agree on who comes first:
    shorter names first, which puts numbered ones in their order.  */
 int
@@ -145,3 +152,14 @@
                                .active = one_cell || active[at] };
     }
 }
+
+/* Time from one report of load to the next for a VM that tells TOLD others.
+   What a VM sends does not grow with their number beyond a few.  BUSY:
+   requests wait here or at others.  */
+uint64_t
+pc_report_pause_us (uint32_t told, bool busy)
+{
+  uint32_t most = busy ? _PC_TOLD_BUSY : _PC_TOLD_CALM;
+  return told > most ? (uint64_t)_PC_REPORT_MIN_US * told / most
+                     : _PC_REPORT_MIN_US;
+}
--- a/packages/decide/pc.h
+++ b/packages/decide/pc.h
@@ -56,6 +56,7 @@
 {
 #endif
 
+  uint64_t pc_report_pause_us (uint32_t told, bool busy);
   void pc_place_all (const pc_member *members, uint32_t count,
                      pc_place *places);
   void pc_choose_active (const pc_member *members, uint32_t count,
--- a/packages/decide/tests/pc_test.cc
+++ b/packages/decide/tests/pc_test.cc
@@ -148,4 +148,17 @@
   pc_choose_active (vms.members.data (), 23, active);
   EXPECT_TRUE (active[9] && active[13]);
 }
+
+// Guards against what a VM sends growing with the fleet, and against reports
+// that come late while slots that become free are waited for.
+TEST (Pc, ReportsAreMoreFrequentWhileRequestsWait)
+{
+  EXPECT_EQ (pc_report_pause_us (1, false), pc_report_pause_us (1, true));
+  EXPECT_EQ (2 * pc_report_pause_us (12, true),
+             pc_report_pause_us (12, false));
+  for (uint32_t told : { 60u, 600u })
+    for (bool busy : { false, true })
+      EXPECT_EQ (pc_report_pause_us (told, busy) / told,
+                 pc_report_pause_us (60, busy) / 60);
+}
 } // namespace
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -267,6 +267,6 @@
 void _gw_load_changed (gw_task *gw);
 void _gw_expire_peers (gw_task *gw);
 uint64_t _gw_reports_age_us (const gw_task *gw);
-void _gw_peer_waiting (gw_task *gw, uint32_t waiting[GQ_RANKS]);
+void _gw_peer_waiting (const gw_task *gw, uint32_t waiting[GQ_RANKS]);
 
 #endif
--- a/packages/gateway/gw_load.c
+++ b/packages/gateway/gw_load.c
@@ -2,11 +2,8 @@
 #include "gw_internal.h"
 #include "pc.h"
 
-/* Reports go out at most this often, and at least this often.  */
-#define _GW_LOAD_MIN_US 25000
+/* Reports go out at least this often.  */
 #define _GW_LOAD_MAX_US 400000
-/* VMs up to which reports go out as often as they may.  */
-#define _GW_LOAD_MATES 12
 /* Sums between cells are exchanged, and cells worked out, this often.  */
 #define _GW_CELL_US 200000
 #define _GW_CELL_BUILD_US 400000
@@ -358,6 +355,19 @@
     }
 }
 
+/* True when requests wait here or at another VM.  */
+static bool
+_gw_is_busy (const gw_task *gw)
+{
+  uint32_t waiting[GQ_RANKS];
+  _gw_peer_waiting (gw, waiting);
+  _gw_own_waiting (gw, waiting);
+  for (uint32_t rank = 0; rank < GQ_RANKS; rank++)
+    if (waiting[rank] > 0)
+      return true;
+  return false;
+}
+
 /* Tells the cell soon that this VM's load has changed.  */
 void
 _gw_load_changed (gw_task *gw)
@@ -365,10 +375,7 @@
   if (gw->peers == NULL || gw->load_dirty)
     return;
   gw->load_dirty = true;
-  /* What a VM sends does not grow with its cell beyond a few VMs.  */
-  uint64_t pause = _GW_LOAD_MIN_US;
-  if (gw->cell.close->len > _GW_LOAD_MATES)
-    pause = pause * gw->cell.close->len / _GW_LOAD_MATES;
+  uint64_t pause = pc_report_pause_us (gw->cell.close->len, _gw_is_busy (gw));
   uint64_t since = gw->now_us - gw->load_sent_us;
   struct timeval tv = ck_timeval (since >= pause ? CK_MS_US : pause - since);
   event_add (gw->load_timer, &tv);
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -354,7 +354,7 @@
 
 /* Requests that wait at the other VMs, by tier.  */
 void
-_gw_peer_waiting (gw_task *gw, uint32_t waiting[GQ_RANKS])
+_gw_peer_waiting (const gw_task *gw, uint32_t waiting[GQ_RANKS])
 {
   memset (waiting, 0, GQ_RANKS * sizeof *waiting);
   for (int i = 0; i < UT_PEERS_MAX; i++)
