Give a begun stream the places of the next tier up

Ruled out: the upstream (its run ended because we cancelled it) and the budget of repeats (no denial in the log).

Change: the places of a begun stream are those of the next tier up, like its rank. The new test fails without it.

--- a/packages/decide/gq.c
+++ b/packages/decide/gq.c
@@ -99,17 +99,22 @@
   return false;
 }
 
-/* Requests that UP may have for one of DEMAND to be sent there.  */
+/* Requests that UP may have for one of DEMAND to be sent there.  A stream that
+   has begun goes with the next tier up, as in the order of waiting: with fewer
+   places it would find none as long as requests of that tier come.  */
 static uint32_t
 _gq_limit (const ut_upstream *up, const gq_demand *demand)
 {
   uint32_t limit = up->entry.slots > 0 ? up->entry.slots : 1;
+  uint32_t tier
+      = demand->tier < GQ_ROUTE_TIERS ? demand->tier : GQ_ROUTE_TIERS - 1;
   uint32_t reserved = 0;
   if (!demand->engine)
     return limit;
+  if (demand->begun && tier > 0)
+    tier--;
   if (!demand->several_cells)
-    limit += _gq_extra[demand->tier < GQ_ROUTE_TIERS ? demand->tier
-                                                     : GQ_ROUTE_TIERS - 1];
+    limit += _gq_extra[tier];
   else if (demand->tier >= 2 && !demand->begun)
     reserved = _GQ_RESERVED_SLOTS;
   if (demand->tier > 0 && demand->urgent_elsewhere)
--- a/packages/decide/tests/gq_test.cc
+++ b/packages/decide/tests/gq_test.cc
@@ -115,7 +115,26 @@
   EXPECT_EQ (fleet.place (demand (0)), "a");
 }
 
-// The same where the loads of other VMs come late and slots are dealt out.
+// Guards against a stream that has made room being broken off because requests
+// of the next tier up fill every engine beyond its slots, up to their limit.
+TEST (Gq, ABegunStreamFindsThePlacesOfTheNextTierUp)
+{
+  for (uint32_t tier = 1; tier < 4; tier++)
+    {
+      Fleet fleet;
+      ut_id a = fleet.add ("a");
+      gq_demand begun = demand (tier);
+      begun.begun = true;
+      while (fleet.place (demand (tier - 1)) == "a")
+        {
+          EXPECT_EQ (fleet.place (begun), "a") << "tier " << tier;
+          fleet.fill (a, 1);
+        }
+    }
+}
+
+// Where the loads of other VMs come late and slots are dealt out, one slot is
+// kept free.
 TEST (Gq, KeepsASlotFreeOfTheLowestTiersInSeveralCells)
 {
   Fleet fleet;
