Key the callers of routes by the hash of the route's name

Cause: the table of routes took the bytes of a length-counted name for a string that ends with a zero byte. Names from the adapter happen to have one; others would be read beyond their end. Found while reading the change.

--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -123,7 +123,7 @@
   gw->services = g_ptr_array_new_with_free_func (g_free);
   gw->teams = g_ptr_array_new_with_free_func (g_free);
   gw->callers
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   gw->conns = g_ptr_array_new ();
   _gw_make_cell (&gw->cell);
   gw->heard
--- a/packages/gateway/gw_identify.c
+++ b/packages/gateway/gw_identify.c
@@ -4,6 +4,9 @@
 
 #include <string.h>
 
+/* Routes whose callers are told apart; those of others count as new.  */
+#define _GW_ROUTES_MAX 2048
+
 static const st_str _gw_hop_by_hop[] = {
   { "Connection", 10 },
   { "Keep-Alive", 10 },
@@ -18,7 +21,6 @@
   { "Expect", 6 },
   { "Authorization", 13 },
 };
-#define _GW_ROUTES_MAX 2048 /* whose callers are told apart */
 
 /* True when NAME is among the COUNT NAMES, whatever its case.  */
 bool
@@ -127,14 +129,14 @@
 _gw_has_returned (const _gw_request *r, uint64_t left_ms)
 {
   GHashTable *callers = r->gw->callers;
-  pt_route *route = g_hash_table_lookup (callers, r->route->name.ptr);
+  uint64_t key = ut_hash (r->route->name);
+  pt_route *route = g_hash_table_lookup (callers, &key);
   if (route == NULL && g_hash_table_size (callers) >= _GW_ROUTES_MAX)
     return false;
   if (route == NULL)
     {
       route = g_new0 (pt_route, 1);
-      g_hash_table_insert (
-          callers, g_strndup (r->route->name.ptr, r->route->name.len), route);
+      g_hash_table_insert (callers, g_memdup2 (&key, sizeof key), route);
     }
   return pt_returned (route, left_ms * CK_MS_US);
 }
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -179,7 +179,7 @@
   _gw_cell cell;
   GPtrArray *services; /* of _gw_service */
   GPtrArray *teams;    /* of _gw_team */
-  GHashTable *callers; /* name of a route -> pt_route */
+  GHashTable *callers; /* hash of a route's name -> pt_route */
   GPtrArray *conns;
   _gw_request *requests; /* pool */
   uint32_t free_first;   /* index + 1; 0: none */
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -6,7 +6,8 @@
    left for the next event to be made.  */
 #define _GW_PAUSE_MIN_US 2000000
 #define _GW_PAUSE_PART 0.75
-/* Part of a quota's slack that the most urgent requests alone use.  */
+/* Parts of a quota's slack that new requests, and streams that have begun,
+   leave to the most urgent ones.  */
 #define _GW_KEPT_PART 0.5
 #define _GW_KEPT_PART_BEGUN 0.25
 /* When a caller that goes on with a stream is to come back: soon, since it
