Choose the active VMs by the slots that they serve

Cause: of 195 VMs, 46 accepted callers, 28 of them with 0.12 cores, because a fixed fraction of the fleet's capacity was active. The same work was divided among VMs that see each other's load late, and their number was above the one up to which active VMs report directly to each other. The deployment has about the traffic of the 61 VMs that 12 active ones serve.

The active VMs of a data centre now have its share of what the upstreams' slots need, 8 thousandths of a core a slot, and at most the former fraction. The deployments with 58 to 68 VMs keep the 12 that they had (computed from their site files); the large one has 12 as well, and a fleet before 60,000 slots keeps the fraction.

decide.Pc.MoreVmsDoNotMakeMoreOfThemActive fails without the limit.

--- a/packages/decide/pc.c
+++ b/packages/decide/pc.c
@@ -42,30 +42,54 @@
   return member->capacity > 0 ? member->capacity : 1;
 }
 
+/* Capacity, in thousandths of a core, that the active VMs need for upstreams
+   with SLOTS slots; 0, no limit, when no slot is known.  */
+uint64_t
+pc_needed_capacity (uint32_t slots)
+{
+  uint64_t steps = ((uint64_t)slots + PC_SLOTS_STEP - 1) / PC_SLOTS_STEP;
+  return steps * PC_SLOTS_STEP * PC_CAPACITY_PER_SLOT;
+}
+
+/* Capacity that is active in a data centre with CAPACITY of ALL.  */
+static double
+_pc_active_capacity (uint64_t capacity, uint64_t all, uint64_t needed)
+{
+  double largest = PC_ACTIVE_FRACTION * (double)capacity;
+  double share = (double)needed * (double)capacity / (double)all;
+  return needed > 0 && share < largest ? share : largest;
+}
+
 /* Sets in ACTIVE which of the MEMBERS accept callers in a deployment of
-   several groups.  Members beyond PC_MEMBERS_MAX do not.  */
+   several groups, where NEEDED is the result of pc_needed_capacity.  Members
+   beyond PC_MEMBERS_MAX do not.  */
 void
-pc_choose_active (const pc_member *members, uint32_t count, bool *active)
+pc_choose_active (const pc_member *members, uint32_t count, uint64_t needed,
+                  bool *active)
 {
   const pc_member *order[PC_MEMBERS_MAX];
   uint32_t used = count < PC_MEMBERS_MAX ? count : PC_MEMBERS_MAX;
+  uint64_t all = 0;
   memset (active, 0, count * sizeof *active);
   for (uint32_t i = 0; i < used; i++)
-    order[i] = &members[i];
+    {
+      order[i] = &members[i];
+      all += _pc_capacity (order[i]);
+    }
   qsort (order, used, sizeof (const pc_member *), _pc_compare_size);
   for (uint32_t from = 0, to; from < used; from = to)
     {
-      uint64_t all = 0;
+      uint64_t capacity = 0;
       uint64_t chosen = 0;
       for (to = from;
            to < used
            && st_equal (order[to]->data_center, order[from]->data_center);
            to++)
-        all += _pc_capacity (order[to]);
+        capacity += _pc_capacity (order[to]);
+      double enough = _pc_active_capacity (capacity, all, needed);
       for (uint32_t i = from; i < to; i++)
         {
-          if (i - from >= PC_ACTIVE_MIN
-              && (double)chosen >= PC_ACTIVE_FRACTION * (double)all)
+          if (i - from >= PC_ACTIVE_MIN && (double)chosen >= enough)
             break;
           chosen += _pc_capacity (order[i]);
           active[order[i] - members] = true;
@@ -125,10 +149,11 @@
     }
 }
 
-/* Sets in ROLES the role of each of the MEMBERS.  Members beyond
-   PC_MEMBERS_MAX are ignored.  */
+/* Sets in ROLES the role of each of the MEMBERS, where NEEDED is the result of
+   pc_needed_capacity.  Members beyond PC_MEMBERS_MAX are ignored.  */
 void
-pc_assign_roles (const pc_member *members, uint32_t count, pc_role *roles)
+pc_assign_roles (const pc_member *members, uint32_t count, uint64_t needed,
+                 pc_role *roles)
 {
   _pc_entry entries[PC_MEMBERS_MAX];
   bool active[PC_MEMBERS_MAX];
@@ -140,7 +165,7 @@
   if (!one_group)
     {
       _pc_set_vm_groups (entries, count);
-      pc_choose_active (members, count, active);
+      pc_choose_active (members, count, needed, active);
     }
   qsort (entries, count, sizeof *entries, _pc_compare_vm_group);
   uint32_t position = 0; /* in the group */
--- a/packages/decide/tests/pc_test.cc
+++ b/packages/decide/tests/pc_test.cc
@@ -31,7 +31,7 @@
   assign_roles (const std::vector<pc_member> &all)
   {
     std::vector<pc_role> found (all.size ());
-    pc_assign_roles (all.data (), (uint32_t)all.size (), found.data ());
+    pc_assign_roles (all.data (), (uint32_t)all.size (), 0, found.data ());
     return found;
   }
   std::map<uint64_t, std::vector<size_t>>
@@ -113,7 +113,7 @@
   bool active[24];
   for (size_t i = 0; i < vms.members.size (); i++)
     vms.members[i].capacity = i % 8 == 3 || i % 8 == 6 ? 500 : 120;
-  pc_choose_active (vms.members.data (), 24, active);
+  pc_choose_active (vms.members.data (), 24, 0, active);
   for (size_t i = 0; i < 24; i++)
     EXPECT_EQ (active[i], i % 8 == 3 || i % 8 == 6) << i;
 }
@@ -128,7 +128,7 @@
       bool active[100];
       for (pc_member &m : vms.members)
         m.capacity = capacity;
-      pc_choose_active (vms.members.data (), 100, active);
+      pc_choose_active (vms.members.data (), 100, 0, active);
       for (int d = 0; d < 2; d++)
         EXPECT_EQ (std::count (active + 50 * d, active + 50 * d + 50, true),
                    (int)(50 * PC_ACTIVE_FRACTION));
@@ -144,14 +144,55 @@
   vms.members[9].capacity = 4000;
   for (size_t i : { 10, 14 })
     vms.members[i].capacity = 300;
-  pc_choose_active (vms.members.data (), 24, active);
+  pc_choose_active (vms.members.data (), 24, 0, active);
   EXPECT_TRUE (active[9] && active[10]);
   EXPECT_FALSE (active[14]);
   vms.members.erase (vms.members.begin () + 9);
-  pc_choose_active (vms.members.data (), 23, active);
+  pc_choose_active (vms.members.data (), 23, 0, active);
   EXPECT_TRUE (active[9] && active[13]);
 }
 
+// Guards against small VMs that become active only because the fleet grew, so
+// that the same work is divided among more VMs with late reports.
+TEST (Pc, MoreVmsDoNotMakeMoreOfThemActive)
+{
+  for (size_t each : { 10, 32, 64 })
+    {
+      Vms vms (6, (int)each);
+      std::vector<char> active (vms.members.size ());
+      for (size_t i = 0; i < vms.members.size (); i++)
+        vms.members[i].capacity = i % each < 3 ? 500 : 120;
+      pc_choose_active (vms.members.data (), (uint32_t)vms.members.size (),
+                        pc_needed_capacity (621), (bool *)active.data ());
+      EXPECT_EQ (std::count (active.begin (), active.end (), 1), 12) << each;
+    }
+}
+
+// Guards against active VMs that are too few for the upstreams of a large
+// deployment: the fraction of the capacity limits them, not a fixed number.
+TEST (Pc, MoreSlotsMakeMoreVmsActive)
+{
+  Vms vms (6, 32);
+  for (pc_member &m : vms.members)
+    m.capacity = 500;
+  bool active[192];
+  for (auto &[slots, expected] :
+       std::map<uint32_t, int>{ { 0, 78 }, { 1000, 18 }, { 60000, 78 } })
+    {
+      pc_choose_active (vms.members.data (), 192, pc_needed_capacity (slots),
+                        active);
+      EXPECT_EQ (std::count (active, active + 192, true), expected) << slots;
+    }
+}
+
+// Guards against VMs that choose different active VMs because they differ by a
+// few upstreams.
+TEST (Pc, AFewSlotsDoNotChangeTheNeededCapacity)
+{
+  EXPECT_EQ (pc_needed_capacity (520), pc_needed_capacity (640));
+  EXPECT_EQ (pc_needed_capacity (0), 0u);
+}
+
 // Guards against traffic of a VM that grows with the fleet, and against late
 // reports while requests wait for freed slots.
 TEST (Pc, ReportsAreMoreFrequentWhileRequestsWait)
--- a/packages/decide/ut.c
+++ b/packages/decide/ut.c
@@ -278,6 +278,17 @@
   return false;
 }
 
+/* Slots of all upstreams, those that are leaving included.  */
+uint32_t
+ut_query_slots (const ut_table *t)
+{
+  uint32_t slots = 0;
+  ut_id id = { 0, 0 };
+  while (ut_next (t, &id))
+    slots += ut_query (t, id)->entry.slots;
+  return slots;
+}
+
 /* 0 in this VM's data centre, 1 in its region, 2 elsewhere.  */
 uint32_t
 ut_query_distance (const ut_table *t, ut_id id)
--- a/packages/decide/ut.h
+++ b/packages/decide/ut.h
@@ -135,6 +135,7 @@
   ut_id ut_find_hash (const ut_table *t, uint64_t hash);
   const ut_upstream *ut_query (const ut_table *t, ut_id id);
   bool ut_next (const ut_table *t, ut_id *cursor);
+  uint32_t ut_query_slots (const ut_table *t);
   uint32_t ut_query_distance (const ut_table *t, ut_id id);
   uint64_t ut_hash (st_str id);
 
--- a/packages/gateway/gw_load.c
+++ b/packages/gateway/gw_load.c
@@ -66,7 +66,9 @@
         fleet->members[fleet->count++]
             = (pc_member){ record.name, record.data_center, record.capacity };
       }
-  pc_assign_roles (fleet->members, fleet->count, fleet->roles);
+  pc_assign_roles (fleet->members, fleet->count,
+                   pc_needed_capacity (ut_query_slots (gw->upstreams)),
+                   fleet->roles);
 }
 
 static void
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -436,7 +436,9 @@
   if (gw->group.id == 0)
     memset (active, true, sizeof active);
   else
-    pc_choose_active (ready, ready_count, active);
+    pc_choose_active (ready, ready_count,
+                      pc_needed_capacity (ut_query_slots (gw->upstreams)),
+                      active);
   for (uint32_t i = 0, k = 0; i < count; i++)
     vms[i].active = vms[i].ready && active[k++];
   return count;
