Count the quota use of other VMs once, and charge it when a request is sent

Three causes of 429 for teams below their quota:

The sums between groups left out VMs whose report was late, and both aggregators of a group wrote to one account. Requests were charged on arrival. One that was refused or gave up in the queue used up quota, so refusals caused further refusals.

qa_ledger counts reports by source: the counts only grow, so a report that is late, repeated or out of order changes nothing. A group is an account that its aggregators report, each with counts since its own start, aligned when it is first heard. Sums are made of increments and contain VMs that are silent. What is reserved for an unresponsive VM is returned to the token. A request holds its quota until it is sent. Reports of teams that no configuration has named yet are kept. Up to 256 teams are reported (64 before) and 192 peers kept (64).

--- a/packages/decide/bu.c
+++ b/packages/decide/bu.c
@@ -69,10 +69,12 @@
       bu_peer *p = &quota->peers[i];
       if (p->peer != 0 && now_us - p->at_us > _BU_ENDED_US)
         *p = (bu_peer){ 0 };
-      if (p->peer != 0 && now_us - p->at_us > _BU_UNRESPONSIVE_US)
-        reserved += p->rate;
+      if (p->peer == 0 || now_us - p->at_us <= _BU_UNRESPONSIVE_US)
+        continue;
+      p->reserved += p->rate * elapsed_s;
+      reserved += p->rate * elapsed_s;
     }
-  quota->level += (quota->rate - reserved) * elapsed_s;
+  quota->level += quota->rate * elapsed_s - reserved;
   if (quota->level > quota->burst)
     quota->level = quota->burst;
   /* A larger debt than that of one large request comes from late reports.  It
@@ -83,87 +85,103 @@
 }
 
 /* Sets the rate, per second, and the burst of QUOTA.  A zeroed one starts with
-   a fraction of the burst.  */
+   a fraction of the burst, less what was reported before.  */
 void
 bu_set_quota (bu_quota *quota, double rate, double burst, uint64_t now_us)
 {
+  if (burst < rate / 4)
+    burst = rate / 4;
   if (quota->filled_at_us == 0)
-    {
-      quota->level = _BU_START_FRACTION * burst;
-      quota->filled_at_us = now_us;
-    }
-  _bu_refill (quota, now_us);
+    quota->level += _BU_START_FRACTION * burst;
+  else
+    _bu_refill (quota, now_us);
+  quota->filled_at_us = now_us;
   quota->rate = rate;
-  quota->burst = burst > rate / 4 ? burst : rate / 4;
+  quota->burst = burst;
   if (quota->level > quota->burst)
     quota->level = quota->burst;
 }
 
-/* Subtracts AMOUNT from the quota when more than RESERVE_AMOUNT, which is for
-   more urgent requests, is left; else sets RETRY_AFTER_US to the time until it
-   will be.  AMOUNT is not compared with what is left and may run into debt:
+/* Holds AMOUNT of the quota when more than RESERVE_AMOUNT, which is for more
+   urgent requests, is left; else sets RETRY_AFTER_US to the time until it will
+   be.  AMOUNT is not compared with what is left and may run into debt:
    otherwise the small requests of a team at its limit would be served and none
    of its large ones.  */
 bool
-bu_take_quota (bu_quota *quota, double amount, double reserve_amount,
+bu_hold_quota (bu_quota *quota, double amount, double reserve_amount,
                uint64_t now_us, uint64_t *retry_after_us)
 {
   *retry_after_us = 0;
   if (quota->rate > 0)
     {
       _bu_refill (quota, now_us);
-      if (quota->level <= reserve_amount)
+      double left = quota->level - quota->held;
+      if (left <= reserve_amount)
         {
           *retry_after_us
-              = (uint64_t)((reserve_amount - quota->level) / quota->rate * 1e6)
-                + 1;
+              = (uint64_t)((reserve_amount - left) / quota->rate * 1e6) + 1;
           return false;
         }
-      quota->level -= amount;
     }
-  quota->admitted += (uint64_t)amount;
+  quota->held += amount;
   return true;
 }
 
-/* Stores a report of PEER (any number but 0): ADMITTED since its start.  The
-   first report is subtracted in full when the peer STARTED_LATER than this VM;
-   that of an earlier one is what it had admitted before this VM started.  */
+/* Charges AMOUNT, which was held, when its request is sent.  */
 void
-bu_report_quota (bu_quota *quota, uint64_t peer, uint64_t admitted,
-                 bool started_later, uint64_t now_us)
+bu_charge_quota (bu_quota *quota, double amount)
 {
-  bu_peer *p = NULL;
-  for (int i = 0; i < BU_PEERS_MAX && p == NULL; i++)
-    if (quota->peers[i].peer == peer)
-      p = &quota->peers[i];
-  for (int i = 0; i < BU_PEERS_MAX && p == NULL; i++)
-    if (quota->peers[i].peer == 0)
-      {
-        p = &quota->peers[i];
-        *p = (bu_peer){ .peer = peer, .admitted = admitted, .at_us = now_us };
-        if (started_later)
-          {
-            _bu_refill (quota, now_us);
-            quota->level -= (double)admitted;
-          }
-      }
-  if (p == NULL || now_us <= p->at_us)
-    return;
-  _bu_refill (quota, now_us);
-  double elapsed_s = (double)(now_us - p->at_us) / 1e6;
-  /* The amount reserved while the peer was unresponsive is returned.  */
-  if (now_us - p->at_us > _BU_UNRESPONSIVE_US)
-    quota->level += p->rate * (elapsed_s - _BU_UNRESPONSIVE_US / 1e6);
-  if (admitted > p->admitted)
+  bu_release_quota (quota, amount);
+  if (quota->rate > 0)
+    quota->level -= amount;
+  quota->admitted += (uint64_t)amount;
+}
+
+/* Releases AMOUNT, which was held: its request ends without having been
+   sent.  */
+void
+bu_release_quota (bu_quota *quota, double amount)
+{
+  quota->held -= amount;
+  if (quota->held < 0)
+    quota->held = 0;
+}
+
+/* The entry of PEER; for a new one, that of the peer with the lowest rate.  */
+static bu_peer *
+_bu_find_peer (bu_quota *quota, uint64_t peer, uint64_t now_us)
+{
+  bu_peer *lowest = &quota->peers[0];
+  for (int i = 0; i < BU_PEERS_MAX; i++)
     {
-      double used = (double)(admitted - p->admitted);
-      quota->level -= used;
-      p->rate += 0.3 * (used / (elapsed_s > 0.05 ? elapsed_s : 0.05) - p->rate)
-                 * (elapsed_s < 1 ? elapsed_s : 1);
+      bu_peer *p = &quota->peers[i];
+      if (p->peer == peer)
+        return p;
+      if (lowest->peer != 0 && (p->peer == 0 || p->rate < lowest->rate))
+        lowest = p;
     }
-  else
-    p->rate -= p->rate * 0.3 * (elapsed_s < 1 ? elapsed_s : 1);
-  p->admitted = admitted;
+  *lowest = (bu_peer){ .peer = peer, .at_us = now_us };
+  return lowest;
+}
+
+/* Stores a report of PEER (any number but 0): INCREMENT is what it admitted
+   since its last report.  */
+void
+bu_report_quota (bu_quota *quota, uint64_t peer, uint64_t increment,
+                 uint64_t now_us)
+{
+  bu_peer *p = _bu_find_peer (quota, peer, now_us);
+  if (quota->filled_at_us != 0)
+    _bu_refill (quota, now_us);
+  double elapsed_s = (double)(now_us - p->at_us) / 1e6;
+  /* The amount reserved while the peer was unresponsive is returned.  */
+  quota->level += p->reserved - (double)increment;
+  p->reserved = 0;
+  if (elapsed_s <= 0)
+    return;
+  double sample
+      = (double)increment / (elapsed_s > 0.05 ? elapsed_s : 0.05);
+  p->rate += 0.3 * (sample - p->rate) * (elapsed_s < 1 ? elapsed_s : 1);
   p->at_us = now_us;
 }
 
--- a/packages/decide/bu.h
+++ b/packages/decide/bu.h
@@ -13,13 +13,17 @@
 
    Quotas.  A team has a token bucket, of tokens or of requests.  Every VM
    keeps the whole bucket and subtracts what it admits and what the others
-   report.  Less urgent requests leave an amount in reserve, so that the urgent
-   ones of a team above its quota are served; its rate stays the same.  For a
-   VM that is unresponsive, its last rate is reserved.
+   report (qa.h).  Less urgent requests leave an amount in reserve, so that the
+   urgent ones of a team above its quota are served; its rate stays the same.
+   For a VM that is unresponsive, its last rate is reserved.
 
-     if (!bu_take_quota (&quota, 1460, 0, now_us, &retry_after_us)) 429
-     bu_report_quota (&quota, peer, admitted_since_its_start, started_later,
-                      now_us)
+   A request holds its amount from its arrival on and is charged when it is
+   sent, so that a team pays nothing for requests that are refused.
+
+     if (!bu_hold_quota (&quota, 1460, 0, now_us, &retry_after_us)) 429
+     bu_charge_quota (&quota, 1460)    when the request is first sent, or
+     bu_release_quota (&quota, 1460)   when it ends without having been sent
+     bu_report_quota (&quota, peer, increment, now_us)
  */
 #ifndef BU_H
 #define BU_H
@@ -47,10 +51,10 @@
 
 typedef struct
 {
-  uint64_t peer;     /* 0: free */
-  uint64_t admitted; /* since its start */
-  uint64_t at_us;    /* last report */
-  double rate;       /* per second */
+  uint64_t peer;   /* 0: free */
+  uint64_t at_us;  /* last report */
+  double rate;     /* per second */
+  double reserved; /* since its last report */
 } bu_peer;
 
 typedef struct
@@ -58,8 +62,9 @@
   double rate; /* per second; 0: no limit */
   double burst;
   double level;
+  double held; /* for requests that have not been sent */
   uint64_t filled_at_us;
-  uint64_t admitted; /* by this VM since its start */
+  uint64_t admitted; /* charged by this VM since its start */
   bu_peer peers[BU_PEERS_MAX];
 } bu_quota;
 
@@ -74,10 +79,12 @@
 
   void bu_set_quota (bu_quota *quota, double rate, double burst,
                      uint64_t now_us);
-  bool bu_take_quota (bu_quota *quota, double amount, double reserve_amount,
+  bool bu_hold_quota (bu_quota *quota, double amount, double reserve_amount,
                       uint64_t now_us, uint64_t *retry_after_us);
-  void bu_report_quota (bu_quota *quota, uint64_t peer, uint64_t admitted,
-                        bool started_later, uint64_t now_us);
+  void bu_charge_quota (bu_quota *quota, double amount);
+  void bu_release_quota (bu_quota *quota, double amount);
+  void bu_report_quota (bu_quota *quota, uint64_t peer, uint64_t increment,
+                        uint64_t now_us);
   void bu_remove_peer (bu_quota *quota, uint64_t peer);
 
 #ifdef __cplusplus
--- a/packages/decide/tests/bu_test.cc
+++ b/packages/decide/tests/bu_test.cc
@@ -1,4 +1,5 @@
 #include "bu.h"
+#include "qa.h"
 
 #include <gtest/gtest.h>
 #include <vector>
@@ -18,6 +19,55 @@
   return t;
 }
 
+// Holds AMOUNT and charges it at once, as for a request that need not wait.
+bool
+take (bu_quota *quota, double amount, double reserve_amount, uint64_t now_us,
+      uint64_t *retry_after_us)
+{
+  if (!bu_hold_quota (quota, amount, reserve_amount, now_us, retry_after_us))
+    return false;
+  bu_charge_quota (quota, amount);
+  return true;
+}
+
+// VMs that report to each other what they admitted.
+struct Vms
+{
+  std::vector<bu_quota> quotas;
+  std::vector<qa_ledger *> ledgers;
+
+  explicit Vms (size_t count) : quotas (count)
+  {
+    for (size_t i = 0; i < count; i++)
+      {
+        qa_desc desc = {};
+        ledgers.push_back (qa_make (&desc));
+      }
+  }
+  ~Vms ()
+  {
+    for (qa_ledger *ledger : ledgers)
+      qa_destroy (ledger);
+  }
+  void
+  report (size_t from, size_t to, bool all_counted, uint64_t now)
+  {
+    qa_row row = { 1, quotas[from].admitted };
+    qa_row increment;
+    qa_report report = { from + 1, 0, all_counted, &row, 1 };
+    qa_count (ledgers[to], &report, &increment);
+    bu_report_quota (&quotas[to], from + 1, increment.used, now);
+  }
+  void
+  report_all (bool all_counted, uint64_t now)
+  {
+    for (size_t to = 0; to < quotas.size (); to++)
+      for (size_t from = 0; from < quotas.size (); from++)
+        if (from != to)
+          report (from, to, all_counted, now);
+  }
+};
+
 // Guards against a storm of retries: in any window all VMs together stay
 // within the ratio of the requests plus the fixed number.
 TEST (Bu, RetriesStayWithinTheBudgetOfAllVms)
@@ -68,7 +118,8 @@
 {
   const int vms = 7;
   const double rate = 10000, burst = 10000, slack = 5000;
-  std::vector<bu_quota> a (vms);
+  Vms fleet (vms);
+  std::vector<bu_quota> &a = fleet.quotas;
   for (bu_quota &one : a)
     bu_set_quota (&one, rate, burst, 1);
   std::vector<std::pair<uint64_t, double>> admitted;
@@ -76,13 +127,10 @@
   for (uint64_t now = 1000; now < 30 * second; now += 5000)
     {
       for (int v = 0; v < vms; v++)
-        if (bu_take_quota (&a[v], 300, 0, now, &retry))
+        if (take (&a[v], 300, 0, now, &retry))
           admitted.push_back ({ now, 300 });
       if (now % 50000 == 1000)
-        for (int v = 0; v < vms; v++)
-          for (int from = 0; from < vms; from++)
-            if (from != v)
-              bu_report_quota (&a[v], from + 1, a[from].admitted, false, now);
+        fleet.report_all (false, now);
     }
   for (uint64_t from = 0; from < 22 * second; from += second)
     {
@@ -111,9 +159,9 @@
   bu_set_quota (&a, 10000, 5000, 1);
   for (uint64_t now = 1000; now < 60 * second; now += 97000, each++)
     {
-      if (bu_take_quota (&a, 100, 0, now, &retry))
+      if (take (&a, 100, 0, now, &retry))
         small++, sum += 100;
-      if (bu_take_quota (&a, 3000, 0, now + 41000, &retry))
+      if (take (&a, 3000, 0, now + 41000, &retry))
         large++, sum += 3000;
     }
   EXPECT_LT (large, each / 2);
@@ -131,12 +179,12 @@
   double other = 0;
   uint64_t now = 1000;
   for (; now < 20 * second; now += 10000)
-    if (bu_take_quota (&a, 20, 400, now, &retry))
+    if (take (&a, 20, 400, now, &retry))
       other += 20;
   EXPECT_GE (other, 900 * 19.0);
   for (int i = 0; i < 15; i++)
-    EXPECT_TRUE (bu_take_quota (&a, 20, 0, now, &retry)) << i;
-  EXPECT_FALSE (bu_take_quota (&a, 20, 400, now, &retry));
+    EXPECT_TRUE (take (&a, 20, 0, now, &retry)) << i;
+  EXPECT_FALSE (take (&a, 20, 400, now, &retry));
   EXPECT_GT (retry, 200000u);
 }
 
@@ -146,7 +194,8 @@
 {
   const int vms = 12;
   const double rate = 10000, burst = 10000;
-  std::vector<bu_quota> a (vms);
+  Vms fleet (vms);
+  std::vector<bu_quota> &a = fleet.quotas;
   for (bu_quota &one : a)
     bu_set_quota (&one, rate, burst, 1);
   double sum = 0;
@@ -154,13 +203,10 @@
   for (uint64_t now = 1000; now < 8 * second; now += 5000)
     {
       for (int v = 0; v < vms; v++)
-        if (bu_take_quota (&a[v], 30, 0, now, &retry))
+        if (take (&a[v], 30, 0, now, &retry))
           sum += 30;
       if (now > 300000 && now % 50000 == 1000)
-        for (int v = 0; v < vms; v++)
-          for (int from = 0; from < vms; from++)
-            if (from != v)
-              bu_report_quota (&a[v], from + 1, a[from].admitted, true, now);
+        fleet.report_all (true, now);
     }
   EXPECT_LE (sum, (rate * 8 + burst) * 1.1);
 }
@@ -173,7 +219,7 @@
   double admitted = 0;
   bu_set_quota (&a, 1000, 1000, 1);
   for (uint64_t now = 2; now < 20 * second; now += 10000)
-    if (bu_take_quota (&a, 9, 0, now, &retry))
+    if (take (&a, 9, 0, now, &retry))
       admitted += 9;
   EXPECT_GE (admitted, 900 * 19.0);
 }
@@ -186,15 +232,14 @@
     double sum = 0;
     uint64_t retry;
     for (uint64_t now = from; now < to; now += 10000)
-      while (bu_take_quota (a, 10, 0, now, &retry))
+      while (take (a, 10, 0, now, &retry))
         sum += 10;
     return sum;
   };
   bu_quota a = {};
   bu_set_quota (&a, 1000, 100, 1);
-  uint64_t used = 0;
   for (uint64_t now = 100000; now < 10 * second; now += 100000)
-    bu_report_quota (&a, 7, used += 50, false, now);
+    bu_report_quota (&a, 7, 50, now);
   admit (&a, 10 * second, 10 * second + 1);
   double partitioned = admit (&a, 11 * second, 13 * second);
   EXPECT_LT (partitioned, 0.7 * 2000);
@@ -203,13 +248,78 @@
   EXPECT_GT (alone, 0.9 * 2000);
 }
 
+// Guards against a quota that is used up by requests that were refused or gave
+// up before they were sent, so that refusals cause further refusals.
+TEST (Bu, RequestsThatAreNotSentCostNothing)
+{
+  bu_quota a = {};
+  uint64_t retry;
+  bu_set_quota (&a, 1000, 1000, 1);
+  for (int i = 0; i < 100; i++)
+    {
+      ASSERT_TRUE (bu_hold_quota (&a, 400, 0, 2, &retry)) << i;
+      bu_release_quota (&a, 400);
+    }
+  EXPECT_EQ (a.admitted, 0u);
+  EXPECT_TRUE (take (&a, 400, 0, 2, &retry));
+  EXPECT_EQ (a.admitted, 400u);
+}
+
+// Guards against more requests in a queue than the quota has room for.
+TEST (Bu, WaitingRequestsHoldTheirQuota)
+{
+  bu_quota a = {};
+  uint64_t retry;
+  int held = 0;
+  bu_set_quota (&a, 1000, 1000, 1);
+  while (bu_hold_quota (&a, 100, 0, 1, &retry))
+    held++;
+  EXPECT_EQ (held, 5); /* of the half bucket that a VM starts with */
+  EXPECT_GT (retry, 0u);
+}
+
+// Guards against a late report that costs its sender's rate twice, however
+// often the quota was used in between.
+TEST (Bu, ALateReportReturnsExactlyWhatWasReserved)
+{
+  bu_quota late = {}, steady = {};
+  uint64_t retry;
+  bu_set_quota (&late, 10000, 100000, 1);
+  bu_set_quota (&steady, 10000, 100000, 1);
+  uint64_t unreported = 0;
+  for (uint64_t now = 100000; now <= 10 * second; now += 100000)
+    {
+      bu_report_quota (&steady, 7, 900, now);
+      unreported += 900;
+      if (now < 5 * second || now % (2 * second) == 0)
+        {
+          bu_report_quota (&late, 7, unreported, now);
+          unreported = 0;
+        }
+      bu_hold_quota (&late, 0, 0, now, &retry);
+    }
+  EXPECT_NEAR (late.level, steady.level, 1);
+}
+
+// Guards against reports that are not subtracted because the table of the
+// peers is full.
+TEST (Bu, MorePeersThanEntriesCount)
+{
+  bu_quota a = {};
+  bu_set_quota (&a, 1, 100000, 1);
+  double before = a.level;
+  for (uint64_t peer = 1; peer <= 3 * BU_PEERS_MAX; peer++)
+    bu_report_quota (&a, peer, 10, 2);
+  EXPECT_NEAR (a.level, before - 30 * BU_PEERS_MAX, 1);
+}
+
 TEST (Bu, NoRateMeansNoLimit)
 {
   bu_quota a = {};
   uint64_t retry = 1;
   bu_set_quota (&a, 0, 0, 1);
   for (int i = 0; i < 1000; i++)
-    ASSERT_TRUE (bu_take_quota (&a, 1e9, 0, 2, &retry));
+    ASSERT_TRUE (take (&a, 1e9, 0, 2, &retry));
   EXPECT_EQ (retry, 0u);
 }
 
@@ -219,9 +329,9 @@
   bu_quota a = {};
   uint64_t retry = 0;
   bu_set_quota (&a, 1000, 1000, 1);
-  while (bu_take_quota (&a, 100, 0, 2, &retry))
+  while (take (&a, 100, 0, 2, &retry))
     ;
   EXPECT_GT (retry, 0u);
-  EXPECT_TRUE (bu_take_quota (&a, 100, 0, 2 + retry + 1000, &retry));
+  EXPECT_TRUE (take (&a, 100, 0, 2 + retry + 1000, &retry));
 }
 } // namespace
--- a/packages/decide/ut.h
+++ b/packages/decide/ut.h
@@ -29,7 +29,7 @@
 #include "st.h"
 
 #define UT_UPSTREAMS_MAX 1024
-#define UT_PEERS_MAX 64
+#define UT_PEERS_MAX 192
 /* Number of queue ranks; rank 0 is served first.  */
 #define UT_RANKS 16
 
--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -54,23 +54,32 @@
   return _gw_find_service (r->gw, st_name_str (&r->service));
 }
 
-/* State of the team NAME, created on first use.  */
+/* State of the team whose name has HASH, created on first use.  */
 _gw_team *
-_gw_find_team (gw_task *gw, st_str name)
+_gw_find_team_hash (gw_task *gw, uint64_t hash)
 {
   for (guint i = 0; i < gw->teams->len; i++)
     {
       _gw_team *team = gw->teams->pdata[i];
-      if (st_equal (st_name_str (&team->name), name))
+      if (team->hash == hash)
         return team;
     }
   _gw_team *team = g_new0 (_gw_team, 1);
-  st_name_set (&team->name, name);
-  team->hash = ut_hash (name);
+  team->hash = hash;
   g_ptr_array_add (gw->teams, team);
   return team;
 }
 
+/* State of the team NAME, created on first use.  */
+_gw_team *
+_gw_find_team (gw_task *gw, st_str name)
+{
+  _gw_team *team = _gw_find_team_hash (gw, ut_hash (name));
+  if (team->name.len == 0)
+    st_name_set (&team->name, name);
+  return team;
+}
+
 static void
 _gw_on_tick (evutil_socket_t fd, short what, void *user)
 {
@@ -130,6 +139,7 @@
   _gw_make_group (&gw->group);
   gw->seen_peers
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  gw->quota_ledger = qa_make (&(qa_desc){ 0 });
   gw->requests = g_new0 (_gw_request, GW_REQUESTS_MAX);
   ut_desc table = { 0 };
   st_name_set (&table.vm, desc->vm_name);
@@ -139,9 +149,9 @@
   gw->pool = uc_make (
       &(uc_desc){ .base = desc->base, .id_field = desc->names->request_id });
   gw->started_us = _gw_now (gw);
-  if (gw->upstreams == NULL)
-    er_set (err, ER_INTERNAL, "out of memory for the upstreams");
-  if (gw->upstreams == NULL || !_gw_listen (gw, err)
+  if (gw->upstreams == NULL || gw->quota_ledger == NULL)
+    er_set (err, ER_INTERNAL, "out of memory for the upstreams and quotas");
+  if (gw->upstreams == NULL || gw->quota_ledger == NULL || !_gw_listen (gw, err)
       || !_gw_start_peers (gw, err))
     {
       gw_destroy (gw);
@@ -183,6 +193,7 @@
   g_ptr_array_free (gw->conns, TRUE);
   _gw_destroy_group (&gw->group);
   g_hash_table_destroy (gw->seen_peers);
+  qa_destroy (gw->quota_ledger);
   for (int i = 0; i < UT_PEERS_MAX; i++)
     g_free (gw->peer[i].rows);
   g_free (gw->requests);
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -90,6 +90,7 @@
   if (!r->budget_counted)
     bu_count_request (&_gw_service_of (r)->retries, &terms, gw->now_us);
   r->budget_counted = true;
+  _gw_charge_quota (r);
   /* After a failed attempt it may wait again, as on time or as late.  */
   r->demand.rank = gq_queue_rank (&r->demand, GQ_WAIT);
   r->demand.waited_as_late = false;
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -12,6 +12,7 @@
 #include "lo.h"
 #include "pe.h"
 #include "pt.h"
+#include "qa.h"
 #include "uc.h"
 
 #include <event2/buffer.h>
@@ -28,7 +29,7 @@
 /* A VM that has not reported for this long is not ready for callers.  */
 #define _GW_REPORT_TIMEOUT_US 1300000
 /* Most teams whose quota use is reported to the other VMs.  */
-#define _GW_TEAMS_MAX 64
+#define _GW_TEAMS_MAX 256
 
 typedef enum
 {
@@ -79,6 +80,7 @@
   bool retryable; /* may run more than once */
   bool retry_due; /* its next attempt has yet to be taken from the budget */
   bool budget_counted; /* in the retry budget */
+  bool quota_held;     /* and not charged yet */
   bool has_last_event;
   bool is_signed; /* the current response has a signature */
   bool not_run;   /* it states that the request did not run */
@@ -115,11 +117,22 @@
   double service_us; /* mean time in a slot; 0: none yet */
 } _gw_service;
 
+/* Loads that a sum contains.  */
+typedef enum
+{
+  _GW_SUM_GROUP = 0,    /* of the group; sent to other groups */
+  _GW_SUM_OTHER_GROUPS, /* of the other groups; sent to active VMs */
+  _GW_SUM_OTHER_VMS,    /* of the other groups and of the active VMs there;
+                            sent to VMs on standby */
+  _GW_SUMS
+} _gw_sum;
+
 typedef struct
 {
-  st_name name;
+  st_name name; /* empty until a configuration has it */
   uint64_t hash;
   bu_quota quota;
+  uint64_t sums[_GW_SUMS]; /* admitted since this VM's start */
 } _gw_team;
 
 typedef struct
@@ -127,8 +140,7 @@
   uint64_t key; /* hash of the incarnation, or a group; 0: free */
   ms_load_scope scope;
   uint64_t vm_group;  /* of the VM */
-  bool active;        /* accepts callers */
-  bool started_later; /* than this VM */
+  bool active;       /* accepts callers */
   st_name name;
   char incarnation[MS_INCARNATION_MAX + 1];
   uint64_t report_received_us;
@@ -139,8 +151,6 @@
   uint32_t waiting[MS_LOAD_RANKS];
   ut_row *rows; /* upstream loads, for the sum of the group */
   size_t row_count;
-  ms_load_team teams[_GW_TEAMS_MAX];
-  size_t team_count;
 } _gw_peer;
 
 /* The VM group of this VM and the recipients of its reports, rebuilt from the
@@ -177,6 +187,7 @@
   char incarnation[MS_INCARNATION_MAX + 1];
   _gw_peer peer[UT_PEERS_MAX]; /* VMs, other groups, or their sum */
   GHashTable *seen_peers;      /* keys of VMs that started later */
+  qa_ledger *quota_ledger;     /* what the other VMs admitted */
   _gw_group group;
   GPtrArray *services;       /* of _gw_service */
   GPtrArray *teams;          /* of _gw_team */
@@ -207,6 +218,9 @@
 void _gw_arm_queue_timer (gw_task *gw);
 _gw_service *_gw_find_service (gw_task *gw, st_str name);
 _gw_team *_gw_find_team (gw_task *gw, st_str name);
+_gw_team *_gw_find_team_hash (gw_task *gw, uint64_t hash);
+void _gw_charge_quota (_gw_request *r);
+void _gw_release_quota (_gw_request *r);
 double _gw_quota_slack (const gw_task *gw, const rc_team *team);
 _gw_service *_gw_service_of (_gw_request *r);
 bool _gw_is_named (const st_str *names, size_t count, st_str name);
@@ -261,6 +275,7 @@
 void _gw_make_group (_gw_group *group);
 void _gw_destroy_group (_gw_group *group);
 void _gw_build_group (gw_task *gw);
+bool _gw_is_in_sum (const _gw_group *group, const _gw_peer *p, _gw_sum what);
 void _gw_send_to_all (gw_task *gw, const GPtrArray *incarnations,
                       const ms_message *m);
 
--- a/packages/gateway/gw_load.c
+++ b/packages/gateway/gw_load.c
@@ -173,23 +173,6 @@
     }
 }
 
-static void
-_gw_add_teams (ms_load *load, ms_load_team *teams, const ms_load_team *more,
-               size_t count)
-{
-  for (size_t i = 0; i < count; i++)
-    {
-      size_t at = 0;
-      while (at < load->team_count && teams[at].team != more[i].team)
-        at++;
-      if (at == _GW_TEAMS_MAX)
-        return;
-      if (at == load->team_count)
-        teams[load->team_count++] = (ms_load_team){ more[i].team, 0 };
-      teams[at].admitted += more[i].admitted;
-    }
-}
-
 static size_t
 _gw_own_teams (const gw_task *gw, ms_load_team teams[_GW_TEAMS_MAX])
 {
@@ -256,18 +239,9 @@
   _gw_send_to_all (gw, to, &m);
 }
 
-/* Loads that a sum contains.  */
-typedef enum
-{
-  _GW_SUM_GROUP = 0,    /* of the group; sent to other groups */
-  _GW_SUM_OTHER_GROUPS, /* of the other groups; sent to active VMs */
-  _GW_SUM_OTHER_VMS     /* of the other groups and of the active VMs there;
-                            sent to VMs on standby */
-} _gw_sum;
-
 /* True when the load of P is part of the sum WHAT.  The VMs of an active group
    report their loads directly to each other and to the aggregators.  */
-static bool
+bool
 _gw_is_in_sum (const _gw_group *group, const _gw_peer *p, _gw_sum what)
 {
   bool reports_directly = group->active_group && p->active;
@@ -281,23 +255,41 @@
     case _GW_SUM_OTHER_VMS:
       return p->scope == MS_LOAD_GROUP
              || (p->scope == MS_LOAD_VM && p->vm_group != group->id);
+    case _GW_SUMS:
+      return false;
     }
   return false;
 }
 
-/* Sends the sum WHAT of the loads to the VMs in TO.  Reports past the report
-   time-out are left out.  */
+/* Fills TEAMS with what was admitted by the VMs of the sum WHAT; returns the
+   number of teams.  */
+static size_t
+_gw_sum_teams (const gw_task *gw, _gw_sum what,
+               ms_load_team teams[_GW_TEAMS_MAX])
+{
+  size_t count = 0;
+  for (guint i = 0; i < gw->teams->len && count < _GW_TEAMS_MAX; i++)
+    {
+      const _gw_team *team = gw->teams->pdata[i];
+      if (team->sums[what] > 0)
+        teams[count++] = (ms_load_team){ team->hash, team->sums[what] };
+    }
+  return count;
+}
+
+/* Sends the sum WHAT of the loads to the VMs in TO.  Loads whose report is
+   past the report time-out are left out; what these VMs admitted is not.  */
 static void
 _gw_send_sum (gw_task *gw, _gw_sum what, const GPtrArray *to)
 {
+  static const ms_load_scope scopes[_GW_SUMS]
+      = { MS_LOAD_GROUP, MS_LOAD_OTHER_GROUPS, MS_LOAD_OTHER_VMS };
   static ut_row own[MS_LOAD_ROWS_MAX];
   static ms_load_row rows[MS_LOAD_ROWS_MAX];
-  ms_load_team teams[_GW_TEAMS_MAX] = { { 0 } };
-  ms_load_team own_teams[_GW_TEAMS_MAX] = { { 0 } };
+  ms_load_team teams[_GW_TEAMS_MAX];
   if (to->len == 0)
     return;
-  ms_message m = _gw_load_message (
-      gw, what == _GW_SUM_GROUP ? MS_LOAD_GROUP : MS_LOAD_OTHER_GROUPS);
+  ms_message m = _gw_load_message (gw, scopes[what]);
   ms_load *load = &m.u.load;
   GHashTable *sum
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
@@ -307,7 +299,6 @@
     {
       _gw_add_rows (sum, own,
                     ut_query_rows (gw->upstreams, own, MS_LOAD_ROWS_MAX));
-      _gw_add_teams (load, teams, own_teams, _gw_own_teams (gw, own_teams));
       _gw_own_waiting (gw, load->waiting);
     }
   for (int i = 0; i < UT_PEERS_MAX; i++)
@@ -317,7 +308,6 @@
           || gw->now_us - p->report_received_us > _GW_REPORT_TIMEOUT_US)
         continue;
       _gw_add_rows (sum, p->rows, p->row_count);
-      _gw_add_teams (load, teams, p->teams, p->team_count);
       for (uint32_t rank = 0; rank < GQ_RANKS; rank++)
         load->waiting[rank] += p->waiting[rank];
     }
@@ -326,6 +316,7 @@
          && g_hash_table_iter_next (&iter, NULL, &value))
     rows[load->row_count++] = *(const ms_load_row *)value;
   load->rows = rows;
+  load->team_count = _gw_sum_teams (gw, what, teams);
   load->teams = teams;
   _gw_send_to_all (gw, to, &m);
   g_hash_table_destroy (sum);
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -18,9 +18,10 @@
 #define _GW_SEEN_PEERS_MAX 16384
 /* Start times of VMs that are started together differ by less than this.  */
 #define _GW_START_SKEW_US 500000
-/* Key of the sum of all other groups among the peers.  It is even, and hashes
-   of names are odd.  */
+/* Keys of the sums of other groups and of other VMs among the peers.  They are
+   even, and hashes of names are odd.  */
 #define _GW_OTHER_GROUPS_KEY 2
+#define _GW_OTHER_VMS_KEY 4
 
 static _gw_peer *
 _gw_find_peer (gw_task *gw, uint64_t key)
@@ -77,10 +78,6 @@
 static void
 _gw_store_load (gw_task *gw, _gw_peer *p, const ms_load *load)
 {
-  if (p->report_received_us == 0)
-    p->started_later = _gw_started_later (gw, p->key, load);
-  else if (gw->now_us - p->report_received_us > _GW_REPORT_TIMEOUT_US)
-    p->started_later = false; /* quotas may have dropped its earlier reports */
   p->report_received_us = gw->now_us;
   p->scope = load->scope;
   p->vm_group = load->cell;
@@ -96,23 +93,37 @@
   for (size_t i = 0; i < load->row_count; i++)
     p->rows[i] = (ut_row){ load->rows[i].upstream, load->rows[i].running,
                            load->rows[i].unread_tokens };
-  p->team_count
-      = load->team_count < _GW_TEAMS_MAX ? load->team_count : _GW_TEAMS_MAX;
-  if (p->team_count > 0)
-    memcpy (p->teams, load->teams, p->team_count * sizeof *p->teams);
 }
 
+/* Counts what the VMs of LOAD, which the VM SENDER reports for the peer P,
+   admitted since its last report.  FIRST: P has not reported before.  */
 static void
-_gw_report_teams (gw_task *gw, const _gw_peer *p)
+_gw_count_quotas (gw_task *gw, const _gw_peer *p, const pe_sender *sender,
+                  const ms_load *load, bool first)
 {
-  for (size_t i = 0; i < p->team_count; i++)
-    for (guint k = 0; k < gw->teams->len; k++)
-      {
-        _gw_team *team = gw->teams->pdata[k];
-        if (team->hash == p->teams[i].team)
-          bu_report_quota (&team->quota, p->key, p->teams[i].admitted,
-                           p->started_later, gw->now_us);
-      }
+  qa_row rows[_GW_TEAMS_MAX];
+  qa_row increments[_GW_TEAMS_MAX];
+  size_t count = load->team_count < _GW_TEAMS_MAX ? load->team_count
+                                                  : _GW_TEAMS_MAX;
+  for (size_t i = 0; i < count; i++)
+    rows[i] = (qa_row){ load->teams[i].team, load->teams[i].admitted };
+  count = qa_count (
+      gw->quota_ledger,
+      &(qa_report){ .source = ut_hash (sender->incarnation),
+                    .group = load->scope != MS_LOAD_VM ? p->key : 0,
+                    .all_counted
+                    = first && _gw_started_later (gw, p->key, load),
+                    .rows = rows,
+                    .count = count },
+      increments);
+  for (size_t i = 0; i < count; i++)
+    {
+      _gw_team *team = _gw_find_team_hash (gw, increments[i].team);
+      bu_report_quota (&team->quota, p->key, increments[i].used, gw->now_us);
+      for (_gw_sum what = _GW_SUM_GROUP; what < _GW_SUMS; what++)
+        if (_gw_is_in_sum (&gw->group, p, what))
+          team->sums[what] += increments[i].used;
+    }
 }
 
 static void
@@ -132,24 +143,30 @@
     case MS_LOAD_OTHER_GROUPS:
       key = _GW_OTHER_GROUPS_KEY;
       break;
+    case MS_LOAD_OTHER_VMS:
+      key = _GW_OTHER_VMS_KEY;
+      break;
     case MS_LOAD_SCOPES:
       return;
     }
   /* An aggregator uses the sums of the single groups, the others the sum of
      all groups.  */
-  if ((load->scope == MS_LOAD_OTHER_GROUPS && gw->group.aggregator)
+  if (((load->scope == MS_LOAD_OTHER_GROUPS
+        || load->scope == MS_LOAD_OTHER_VMS)
+       && gw->group.aggregator)
       || (load->scope == MS_LOAD_GROUP
           && (!gw->group.aggregator || load->cell == gw->group.id)))
     return;
   _gw_peer *p = key != 0 ? _gw_add_peer (gw, key, sender) : NULL;
   if (p == NULL)
     return;
+  bool first = p->report_received_us == 0;
   _gw_store_load (gw, p, load);
   ut_report report = { .rows = p->rows, .count = p->row_count };
   for (uint32_t rank = 0; rank < GQ_RANKS; rank++)
     report.waiting_ranks |= p->waiting[rank] > 0 ? 1u << rank : 0;
   ut_set_peer (gw->upstreams, p->key, &report, gw->now_us);
-  _gw_report_teams (gw, p);
+  _gw_count_quotas (gw, p, sender, load, first);
   if (load->scope == MS_LOAD_VM
       && load->config_version > gw_query_config_version (gw))
     gw_fetch_document (gw);
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -265,6 +265,30 @@
   return fraction * _gw_quota_slack (r->gw, r->team);
 }
 
+/* Charges the quota that R holds, when R is first sent.  */
+void
+_gw_charge_quota (_gw_request *r)
+{
+  gw_task *gw = r->gw;
+  if (!r->quota_held)
+    return;
+  r->quota_held = false;
+  _gw_team *team = _gw_find_team (gw, r->team->name);
+  bu_charge_quota (&team->quota, r->quota);
+  /* An active VM reports directly to all that use the sums.  */
+  if (!(gw->group.active && gw->group.active_group))
+    team->sums[_GW_SUM_GROUP] += (uint64_t)r->quota;
+}
+
+/* Releases the quota that R holds, which has not been sent.  */
+void
+_gw_release_quota (_gw_request *r)
+{
+  if (r->quota_held)
+    bu_release_quota (&_gw_find_team (r->gw, r->team->name)->quota, r->quota);
+  r->quota_held = false;
+}
+
 /* Admits R, which has been identified: dispatches, queues or refuses it.  */
 void
 _gw_admit (_gw_request *r)
@@ -275,18 +299,20 @@
   struct timeval left = ck_timeval (r->end_us - gw->now_us);
   event_add (r->timer, &left);
   if (r->team != NULL
-      && !bu_take_quota (&_gw_find_team (gw, r->team->name)->quota, r->quota,
+      && !bu_hold_quota (&_gw_find_team (gw, r->team->name)->quota, r->quota,
                          _gw_quota_reserve (r), gw->now_us, &retry_after_us))
     {
       const bu_quota *a = &_gw_find_team (gw, r->team->name)->quota;
       LO_EVENT ("over_quota", st_name_str (&r->id),
                 LO_STR ("team", r->team->name), LO_INT ("asked", r->quota),
-                LO_INT ("left", a->level), LO_INT ("rate", a->rate),
+                LO_INT ("left", a->level), LO_INT ("held", a->held),
+                LO_INT ("rate", a->rate),
                 LO_INT ("burst", a->burst),
                 LO_INT ("config", rc_query_version (r->config)));
       _gw_refuse (r, 429, "over_quota", retry_after_us);
       return;
     }
+  r->quota_held = r->team != NULL;
   ut_id to = { 0, 0 };
   /* The caller resumes a stream whose earlier connection was lost.  */
   if (r->has_last_event)
--- a/packages/gateway/gw_request.c
+++ b/packages/gateway/gw_request.c
@@ -63,6 +63,7 @@
   gw_task *gw = r->gw;
   if (r->conn != NULL && r->conn->request == r)
     r->conn->request = NULL;
+  _gw_release_quota (r);
   event_free (r->timer);
   g_string_free (r->head, TRUE);
   g_string_free (r->body, TRUE);
--- a/packages/gateway/tests/fleet_test.cc
+++ b/packages/gateway/tests/fleet_test.cc
@@ -262,9 +262,12 @@
   };
   for (int i = 0; i < 30; i++)
     send_request (2, "a" + std::to_string (i));
+  callers.clear ();
+  // Requests count when they are sent, here as others end; the bucket is full
+  // again after this.
+  f.run ([] { return false; }, 2500);
   gw_leave (f.vms[2]);
   f.run ([] { return false; }, 1500);
-  callers.clear ();
   for (int i = 0; i < 4; i++)
     send_request (3, "b" + std::to_string (i));
   for (auto &c : callers)
--- a/packages/wire/ms.h
+++ b/packages/wire/ms.h
@@ -357,7 +357,9 @@
 {
   MS_LOAD_VM = 0,       /* of the sender */
   MS_LOAD_GROUP,        /* of all VMs of the sender's group */
-  MS_LOAD_OTHER_GROUPS, /* of all VMs of other groups */
+  MS_LOAD_OTHER_GROUPS, /* sum of the loads of other groups */
+  MS_LOAD_OTHER_VMS,    /* and of the VMs there that report directly to the
+                           sender */
   MS_LOAD_SCOPES
 } ms_load_scope;
 
