Drain without cutting requests, end stalled responses, bound endless ones

Connections that the system has established are accepted before the listener is closed (they were reset), and a connection with unread bytes, or one that was just opened, is kept.

Stalled responses (sg.h). A request that may run again and whose upstream makes no progress for half of the caller's tolerance, and for 20 times that upstream's own pace, is sent to another one. Bytes that complete no event are no progress. A caller that reads slowly does not count against the upstream.

Responses without end. Each VM stores at most 12 MiB of responses (8 MiB for each response before, without a sum); the largest ones fail first, their upstream is avoided for 5 s, a line and a counter name the limit. A stray response is skipped for at most 1 MiB. An upstream is not read while 64 KiB wait for its caller.

Tests, red with the mechanism off: Dn, Sg, GwLeave, GwStall, GwEndless (each of nine kinds of endless bytes; 40 of them at once stay under 13 MiB).

--- a/packages/decide/bu.c
+++ b/packages/decide/bu.c
@@ -179,8 +179,7 @@
   p->reserved = 0;
   if (elapsed_s <= 0)
     return;
-  double sample
-      = (double)increment / (elapsed_s > 0.05 ? elapsed_s : 0.05);
+  double sample = (double)increment / (elapsed_s > 0.05 ? elapsed_s : 0.05);
   p->rate += 0.3 * (sample - p->rate) * (elapsed_s < 1 ? elapsed_s : 1);
   p->at_us = now_us;
 }
--- a/packages/decide/qa.c
+++ b/packages/decide/qa.c
@@ -48,8 +48,8 @@
   l->desc = *desc;
   if (l->desc.sources_max == 0)
     l->desc.sources_max = QA_SOURCES_MAX;
-  l->entries = al_alloc (&desc->allocator,
-                         l->desc.sources_max * sizeof *l->entries);
+  l->entries
+      = al_alloc (&desc->allocator, l->desc.sources_max * sizeof *l->entries);
   if (l->entries != NULL)
     return l;
   qa_destroy (l);
@@ -63,8 +63,8 @@
   if (ledger == NULL)
     return;
   al_allocator al = ledger->desc.allocator;
-  for (uint32_t i = 0;
-       ledger->entries != NULL && i < ledger->desc.sources_max; i++)
+  for (uint32_t i = 0; ledger->entries != NULL && i < ledger->desc.sources_max;
+       i++)
     al_free (&al, ledger->entries[i].cells);
   al_free (&al, ledger->entries);
   al_free (&al, ledger);
@@ -182,10 +182,9 @@
       const qa_row *row = &report->rows[i];
       increments[i].team = row->team;
       increments[i].used
-          = group != NULL
-                ? _qa_count_group (ledger, group, source, fresh, row)
-                : _qa_count_vm (ledger, source, fresh && !report->all_counted,
-                                row);
+          = group != NULL ? _qa_count_group (ledger, group, source, fresh, row)
+                          : _qa_count_vm (ledger, source,
+                                          fresh && !report->all_counted, row);
     }
   return report->count;
 }
--- a/packages/decide/tests/qa_test.cc
+++ b/packages/decide/tests/qa_test.cc
@@ -122,9 +122,9 @@
   for (uint64_t vm = 1; vm <= 4; vm++)
     l.count (vm, 0, 10, true);
   l.count (1, 0, 20);
-  l.count (5, 0, 30, true);              // replaces 2
-  EXPECT_EQ (l.count (1, 0, 25), 5u);    // kept
-  EXPECT_EQ (l.count (2, 0, 1000), 0u);  // its first report again
+  l.count (5, 0, 30, true);             // replaces 2
+  EXPECT_EQ (l.count (1, 0, 25), 5u);   // kept
+  EXPECT_EQ (l.count (2, 0, 1000), 0u); // its first report again
   EXPECT_EQ (l.count (2, 0, 1001), 1u);
 }
 
@@ -233,8 +233,16 @@
   uint64_t sources_ = 0;
   std::multimap<uint64_t, Message> under_way_;
 
-  size_t group_of (size_t vm) { return vm / GroupSize; }
-  bool is_aggregator (size_t vm) { return vm % GroupSize < 2; }
+  size_t
+  group_of (size_t vm)
+  {
+    return vm / GroupSize;
+  }
+  bool
+  is_aggregator (size_t vm)
+  {
+    return vm % GroupSize < 2;
+  }
   void
   request (size_t i, double amount)
   {
@@ -257,8 +265,8 @@
     bool later = vms[from].started + 500 * ms >= vms[to].started;
     for (int copies = random_ () % 10 == 0 ? 2 : 1; copies > 0; copies--)
       under_way_.insert ({ now + ms + random_ () % (100 * ms),
-                           { to, from, vms[to].source, vms[from].source, group, used,
-                             group == 0 && later } });
+                           { to, from, vms[to].source, vms[from].source, group,
+                             used, group == 0 && later } });
   }
   void
   send_own ()
--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -88,6 +88,7 @@
   (void)what;
   _gw_now (gw);
   _gw_expire_peers (gw);
+  _gw_end_stalled (gw);
   _gw_schedule_all (gw);
 }
 
@@ -151,8 +152,8 @@
   gw->started_us = _gw_now (gw);
   if (gw->upstreams == NULL || gw->quota_ledger == NULL)
     er_set (err, ER_INTERNAL, "out of memory for the upstreams and quotas");
-  if (gw->upstreams == NULL || gw->quota_ledger == NULL || !_gw_listen (gw, err)
-      || !_gw_start_peers (gw, err))
+  if (gw->upstreams == NULL || gw->quota_ledger == NULL
+      || !_gw_listen (gw, err) || !_gw_start_peers (gw, err))
     {
       gw_destroy (gw);
       return NULL;
@@ -288,43 +289,11 @@
   g_free (entries);
 }
 
-/* Begins a planned stop of this VM: it is no longer ready, and responses tell
-   callers to close their connections.  */
-void
-gw_leave (gw_task *gw)
-{
-  if (gw->leaving)
-    return;
-  gw->leaving = true;
-  gw->leaving_us = _gw_now (gw);
-  if (gw->peers != NULL)
-    {
-      _gw_load_changed (gw);
-      pe_leave (gw->peers);
-    }
-}
-
-/* Closes the listener of callers and the connections without a request.  */
-void
-gw_close_callers (gw_task *gw)
-{
-  if (gw->listener != NULL)
-    evconnlistener_free (gw->listener);
-  gw->listener = NULL;
-  for (guint i = gw->conns->len; i > 0; i--)
-    {
-      _gw_conn *conn = gw->conns->pdata[i - 1];
-      if (conn->request == NULL && !hp_query_started (conn->reader)
-          && evbuffer_get_length (bufferevent_get_output (conn->bev)) == 0)
-        _gw_close_conn (conn);
-    }
-}
-
 /* True when callers may be sent to this VM.  */
 bool
 gw_query_ready (const gw_task *gw)
 {
-  return gw->config != NULL && !gw->leaving;
+  return gw->config != NULL && gw->drain.start_us == 0;
 }
 
 /* Requests since the start, and the requests and caller connections that are
@@ -334,7 +303,8 @@
 {
   return (gw_counts){ .requests = gw->request_count,
                       .open = gw->open_count,
-                      .callers = gw->conns->len };
+                      .callers = gw->conns->len,
+                      .stored_bytes = gw->stored_bytes };
 }
 
 /* The upstreams and their load.  */
--- a/packages/gateway/gw.h
+++ b/packages/gateway/gw.h
@@ -10,7 +10,7 @@
      gw_set_config (gw, config);         // each newer version
      gw_put_upstream (gw, &entry);       // from the registry
      gw_remove_upstream (gw, id);
-     gw_leave (gw);                      // SIGTERM: no new callers
+     gw_leave (gw, grace_us);            // SIGTERM: no new callers
      gw_destroy (gw);
 
    A caller receives 429 or 503 only when no upstream has run the request or
@@ -118,9 +118,10 @@
 
 typedef struct
 {
-  uint64_t requests; /* since the start */
-  uint32_t open;     /* requests */
-  uint32_t callers;  /* connections */
+  uint64_t requests;   /* since the start */
+  uint32_t open;       /* requests */
+  uint32_t callers;    /* connections */
+  size_t stored_bytes; /* of responses that are not forwarded yet */
 } gw_counts;
 
 typedef struct gw_task gw_task;
@@ -141,7 +142,7 @@
                            uint64_t *newest);
   uint32_t gw_query_vm_count (const gw_task *gw);
   void gw_fetch_document (gw_task *gw);
-  void gw_leave (gw_task *gw);
+  void gw_leave (gw_task *gw, uint64_t grace_us);
   void gw_close_callers (gw_task *gw);
   bool gw_query_ready (const gw_task *gw);
   uint32_t gw_query_vms (const gw_task *gw, gw_vm *vms, uint32_t max);
--- a/packages/gateway/gw_accept.c
+++ b/packages/gateway/gw_accept.c
@@ -69,6 +69,7 @@
 _gw_after_response (_gw_conn *conn)
 {
   conn->request = NULL;
+  conn->idle_since_us = ck_now_us (conn->gw->desc.clock);
   if (conn->close_after)
     {
       /* The write callback closes once all has been written.  */
@@ -89,7 +90,7 @@
 _gw_keep_alive (_gw_conn *conn)
 {
   const hp_head *head = hp_query_head (conn->reader);
-  if (!head->keep_alive || conn->gw->leaving)
+  if (!head->keep_alive || conn->gw->drain.start_us != 0)
     conn->close_after = true;
   return !conn->close_after;
 }
@@ -289,6 +290,8 @@
   (void)bev;
   if (conn->close_after && conn->request == NULL)
     _gw_close_conn (conn);
+  else if (conn->request != NULL)
+    _gw_on_unsent_empty (conn->request);
 }
 
 static void
@@ -316,14 +319,10 @@
     _gw_close_conn (conn);
 }
 
-static void
-_gw_on_accept (struct evconnlistener *listener, evutil_socket_t fd,
-               struct sockaddr *address, int len, void *user)
+/* Adds a connection of a caller, on the socket FD.  */
+void
+_gw_add_conn (gw_task *gw, evutil_socket_t fd)
 {
-  gw_task *gw = user;
-  (void)listener;
-  (void)address;
-  (void)len;
   rc_limits limits = _gw_limits (gw);
   _gw_conn *conn = g_new0 (_gw_conn, 1);
   conn->gw = gw;
@@ -335,6 +334,7 @@
                                       .user = conn });
   conn->body = g_string_new (NULL);
   conn->timer = event_new (gw->desc.base, -1, 0, _gw_on_timer, conn);
+  conn->idle_since_us = ck_now_us (gw->desc.clock);
   conn->index = gw->conns->len;
   g_ptr_array_add (gw->conns, conn);
   nt_set_tcp_options (fd);
@@ -344,6 +344,16 @@
   _gw_arm_conn_timer (conn, limits.idle_timeout_ms + _GW_IDLE_MARGIN_MS);
 }
 
+static void
+_gw_on_accept (struct evconnlistener *listener, evutil_socket_t fd,
+               struct sockaddr *address, int len, void *user)
+{
+  (void)listener;
+  (void)address;
+  (void)len;
+  _gw_add_conn (user, fd);
+}
+
 static void
 _gw_on_accept_error (struct evconnlistener *listener, void *user)
 {
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -11,8 +11,6 @@
    because it was full, or because it was another instance than expected.  */
 #define _GW_FULL_AVOID_US 100000
 #define _GW_OTHER_INSTANCE_AVOID_US 5000000
-/* Longest body of a complete (non-streamed) response.  */
-#define _GW_RESPONSE_MAX_BYTES (8 * 1024 * 1024)
 /* Weight of the newest request in the moving average of the time that a
    request occupies a slot.  */
 #define _GW_SERVICE_WEIGHT 0.05
@@ -104,6 +102,7 @@
   r->status = 0;
   r->is_stream = false;
   g_string_truncate (r->response_body, 0);
+  _gw_count_stored (r);
   /* waited_ms counts from the arrival and includes earlier attempts.  */
   LO_EVENT (
       "dispatch", st_name_str (&r->id),
@@ -341,6 +340,8 @@
 _gw_on_exchange_failed (_gw_request *r, const uc_event *event)
 {
   bool connection_lost = event->sent && r->status == 0;
+  if (event->over_limit)
+    _gw_on_limit_exceeded (r, event->reason);
   /* The idle connections of an upstream that has ended are useless, and a
      request that is sent on one counts as one that may have run.  */
   if (connection_lost)
@@ -363,18 +364,13 @@
       return;
     case UC_BODY:
       if (r->is_stream)
-        _gw_relay (r, event->bytes);
-      else if (r->response_body->len + event->bytes.len
-               > _GW_RESPONSE_MAX_BYTES)
         {
-          uc_exchange *x = r->exchange;
-          _gw_end_exchange (r, UT_FAILED);
-          uc_cancel (x);
-          _gw_retry (r, true, true, "answer_too_large");
+          _gw_relay (r, event->bytes);
+          return;
         }
-      else
-        g_string_append_len (r->response_body, event->bytes.ptr,
-                             (gssize)event->bytes.len);
+      g_string_append_len (r->response_body, event->bytes.ptr,
+                           (gssize)event->bytes.len);
+      _gw_check_limits (r);
       return;
     case UC_END:
       if (r->is_stream)
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -6,6 +6,7 @@
 #define GW_INTERNAL_H
 
 #include "bu.h"
+#include "dn.h"
 #include "gq.h"
 #include "gw.h"
 #include "hp.h"
@@ -63,6 +64,7 @@
   uint64_t last_event;    /* id */
   uint64_t last_event_us; /* 0 until the first event of the attempt */
   uint64_t events;        /* forwarded */
+  size_t stored_bytes;    /* of response_body, in the sum of all */
   struct event *timer;
   struct _gw_request *next; /* in the queue */
   uint32_t index;
@@ -98,7 +100,8 @@
   GString *body;
   bool body_too_large;
   bool close_after;
-  bool chunked; /* the response in progress is */
+  bool chunked;           /* the response in progress is */
+  uint64_t idle_since_us; /* start, or end of the last response */
   uint32_t index;
 };
 
@@ -139,7 +142,7 @@
 {
   uint64_t key; /* hash of the incarnation, or a group; 0: free */
   ms_load_scope scope;
-  uint64_t vm_group;  /* of the VM */
+  uint64_t vm_group; /* of the VM */
   bool active;       /* accepts callers */
   st_name name;
   char incarnation[MS_INCARNATION_MAX + 1];
@@ -198,8 +201,8 @@
   uint32_t used;         /* entries of the pool used so far */
   uint32_t open_count;
   uint64_t request_count;
-  bool leaving;
-  uint64_t leaving_us;
+  size_t stored_bytes; /* of all responses */
+  dn_drain drain;      /* of a planned stop */
   struct event *tick;
   struct event *load_timer;
   uint64_t load_sent_us;
@@ -237,6 +240,7 @@
 
 /* Accept: gw_accept.c.  */
 bool _gw_listen (gw_task *gw, er_error *err);
+void _gw_add_conn (gw_task *gw, evutil_socket_t fd);
 void _gw_close_conn (_gw_conn *conn);
 void _gw_send_response (_gw_conn *conn, int status, st_str fields,
                         st_str body);
@@ -253,6 +257,7 @@
 /* Admit and queue: gw_queue.c.  */
 void _gw_admit (_gw_request *r);
 void _gw_requeue (_gw_request *r);
+uint64_t _gw_stream_tolerance_us (const _gw_request *r);
 void _gw_dequeue (_gw_request *r);
 void _gw_schedule (gw_task *gw, _gw_service *service);
 void _gw_schedule_all (gw_task *gw);
@@ -261,15 +266,29 @@
 /* Dispatch: gw_dispatch.c.  */
 void _gw_dispatch (_gw_request *r, ut_id to);
 void _gw_end_exchange (_gw_request *r, ut_outcome outcome);
+void _gw_fail_exchange (_gw_request *r, const char *reason);
 void _gw_record_service_time (_gw_request *r);
 bool _gw_take_retry (_gw_request *r);
 void _gw_retry (_gw_request *r, bool arrived, bool may_have_run,
                 const char *reason);
 
+/* Leave: gw_leave.c.  */
+bool _gw_refuse_while_leaving (_gw_request *r);
+
 /* Relay: gw_relay.c.  */
 void _gw_relay (_gw_request *r, st_str bytes);
 void _gw_relay_end (_gw_request *r);
 
+/* Limit: gw_limit.c.  */
+void _gw_count_stored (_gw_request *r);
+bool _gw_check_limits (_gw_request *r);
+void _gw_on_limit_exceeded (_gw_request *r, const char *reason);
+void _gw_limit_unsent (_gw_request *r);
+void _gw_on_unsent_empty (_gw_request *r);
+
+/* Stall: gw_stall.c.  */
+void _gw_end_stalled (gw_task *gw);
+
 /* Load reports: gw_load.c.  */
 void _gw_start_reports (gw_task *gw);
 void _gw_make_group (_gw_group *group);
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -103,8 +103,8 @@
 {
   qa_row rows[_GW_TEAMS_MAX];
   qa_row increments[_GW_TEAMS_MAX];
-  size_t count = load->team_count < _GW_TEAMS_MAX ? load->team_count
-                                                  : _GW_TEAMS_MAX;
+  size_t count
+      = load->team_count < _GW_TEAMS_MAX ? load->team_count : _GW_TEAMS_MAX;
   for (size_t i = 0; i < count; i++)
     rows[i] = (qa_row){ load->teams[i].team, load->teams[i].admitted };
   count = qa_count (
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -129,18 +129,25 @@
   return backlog;
 }
 
-/* Longest time in microseconds that stream R may wait in the queue.  Its
-   caller leaves after the longest of the minimum, four times the latency
-   target and eight times the route's event gap.  */
-static uint64_t
-_gw_stream_wait_us (const _gw_request *r)
+/* Gap between events in microseconds after which the caller of stream R
+   leaves: the longest of the minimum, four times the latency target and eight
+   times the route's event gap.  */
+uint64_t
+_gw_stream_tolerance_us (const _gw_request *r)
 {
   uint64_t wait_us = _GW_STREAM_WAIT_MIN_US;
   uint64_t target_us = 4 * r->demand.target_us;
   uint64_t gap_us = 8 * (uint64_t)r->route->max_event_gap_ms * CK_MS_US;
   wait_us = target_us > wait_us ? target_us : wait_us;
-  wait_us = gap_us > wait_us ? gap_us : wait_us;
-  return (uint64_t)(_GW_STREAM_WAIT_FRACTION * (double)wait_us);
+  return gap_us > wait_us ? gap_us : wait_us;
+}
+
+/* Longest time in microseconds that stream R may wait in the queue.  */
+static uint64_t
+_gw_stream_wait_us (const _gw_request *r)
+{
+  return (uint64_t)(_GW_STREAM_WAIT_FRACTION
+                    * (double)_gw_stream_tolerance_us (r));
 }
 
 /* Queues R, or refuses it for REASON.  A stream that has started always goes
@@ -298,6 +305,8 @@
   _gw_service *service = _gw_service_of (r);
   struct timeval left = ck_timeval (r->end_us - gw->now_us);
   event_add (r->timer, &left);
+  if (_gw_refuse_while_leaving (r))
+    return;
   if (r->team != NULL
       && !bu_hold_quota (&_gw_find_team (gw, r->team->name)->quota, r->quota,
                          _gw_quota_reserve (r), gw->now_us, &retry_after_us))
@@ -306,8 +315,7 @@
       LO_EVENT ("over_quota", st_name_str (&r->id),
                 LO_STR ("team", r->team->name), LO_INT ("asked", r->quota),
                 LO_INT ("left", a->level), LO_INT ("held", a->held),
-                LO_INT ("rate", a->rate),
-                LO_INT ("burst", a->burst),
+                LO_INT ("rate", a->rate), LO_INT ("burst", a->burst),
                 LO_INT ("config", rc_query_version (r->config)));
       _gw_refuse (r, 429, "over_quota", retry_after_us);
       return;
@@ -401,6 +409,18 @@
   _gw_wait_or_refuse (r, false, "waited_too_long");
 }
 
+/* A request of SERVICE that waits, has not run and would outlast this VM's
+   planned stop; NULL when there is none.  */
+static _gw_request *
+_gw_find_outlasting (const _gw_service *service, const gw_task *gw)
+{
+  for (uint32_t rank = 0; rank < GQ_RANKS; rank++)
+    for (_gw_request *r = service->queue.first[rank]; r != NULL; r = r->next)
+      if (r->runs == 0 && !dn_accepts (&gw->drain, r->end_us, gw->now_us))
+        return r;
+  return NULL;
+}
+
 /* Handles all requests whose queue time-out has passed.  */
 void
 _gw_expire_queues (gw_task *gw)
@@ -410,6 +430,8 @@
     {
       _gw_service *service = gw->services->pdata[i];
       _gw_request *r;
+      while ((r = _gw_find_outlasting (service, gw)) != NULL)
+        _gw_refuse_while_leaving (r);
       while ((r = _gw_find_timed_out (service, gw->now_us)) != NULL)
         _gw_on_queue_timeout (r);
     }
--- a/packages/gateway/gw_relay.c
+++ b/packages/gateway/gw_relay.c
@@ -3,9 +3,6 @@
 
 #include <string.h>
 
-/* Most bytes of an event that is not complete.  */
-#define _GW_EVENT_MAX_BYTES (1024 * 1024)
-
 /* Length in bytes of the first event in BYTES with its empty line; 0 when it
    is not complete.  */
 static size_t
@@ -85,7 +82,7 @@
 }
 
 /* Ends the current attempt of R as failed for REASON, and retries R.  */
-static void
+void
 _gw_fail_exchange (_gw_request *r, const char *reason)
 {
   uc_exchange *x = r->exchange;
@@ -116,8 +113,8 @@
       done += length;
     }
   g_string_erase (r->response_body, 0, (gssize)done);
-  if (r->response_body->len > _GW_EVENT_MAX_BYTES)
-    _gw_fail_exchange (r, "event_too_large");
+  if (_gw_check_limits (r))
+    _gw_limit_unsent (r);
 }
 
 /* Handles the end of the upstream's stream.  */
--- a/packages/gateway/gw_request.c
+++ b/packages/gateway/gw_request.c
@@ -64,6 +64,8 @@
   if (r->conn != NULL && r->conn->request == r)
     r->conn->request = NULL;
   _gw_release_quota (r);
+  g_string_truncate (r->response_body, 0);
+  _gw_count_stored (r);
   event_free (r->timer);
   g_string_free (r->head, TRUE);
   g_string_free (r->body, TRUE);
--- a/packages/gateway/tests/fleet_test.cc
+++ b/packages/gateway/tests/fleet_test.cc
@@ -204,7 +204,7 @@
 {
   Fleet f;
   ASSERT_TRUE (f.run ([&] { return f.active (0, "a") == large_a; }));
-  gw_leave (f.vms[2]);
+  gw_leave (f.vms[2], 0);
   EXPECT_TRUE (f.run ([&] {
     std::set<std::string> now = f.active (0, "a");
     return now.size () >= 2 && now.count ("a-3") == 0
@@ -266,7 +266,7 @@
   // Requests count when they are sent, here as others end; the bucket is full
   // again after this.
   f.run ([] { return false; }, 2500);
-  gw_leave (f.vms[2]);
+  gw_leave (f.vms[2], 0);
   f.run ([] { return false; }, 1500);
   for (int i = 0; i < 4; i++)
     send_request (3, "b" + std::to_string (i));
--- a/packages/gateway/tests/gw_test.cc
+++ b/packages/gateway/tests/gw_test.cc
@@ -450,6 +450,16 @@
 TEST (GwQueue, RefusesWhenTheWaitIsTooLong)
 {
   Gateway g;
+  g.configure (2, [] (rc_config *c) {
+    rc_route *r = rc_add_route (c, ST_LIT ("api.example"), ST_LIT ("/long/"));
+    r->name = ST_LIT ("long");
+    r->kind = RC_STREAM;
+    r->attempts = 1;
+    r->tier = 2;
+    r->timeout_ms = 1500;
+    r->target_ms = 4000;
+    rc_add_weighted_service (c, r, ST_LIT ("llm"), 1);
+  });
   g.put (0, false, 1);
   g.up ().default_behaviour = Silent;
   std::vector<std::unique_ptr<Caller>> callers;
@@ -623,7 +633,7 @@
   auto c = g.caller ();
   c->request ("r1", "/once/x");
   g.run ([&] { return c->complete (); });
-  gw_leave (g.gw);
+  gw_leave (g.gw, 0);
   EXPECT_FALSE (gw_query_ready (g.gw));
   c->received.clear ();
   c->request ("r2", "/once/x");
@@ -632,6 +642,182 @@
   EXPECT_TRUE (c->has ("Connection: close"));
 }
 
+// Guards against a stream that is accepted late in the drain, or waits in the
+// queue, and is cut off when the process ends.
+TEST (GwLeave, ARequestThatMayOutlastTheProcessIsTold)
+{
+  Gateway g;
+  g.configure (2, [] (rc_config *c) {
+    rc_route *r = rc_add_route (c, ST_LIT ("api.example"), ST_LIT ("/long/"));
+    r->name = ST_LIT ("long");
+    r->kind = RC_STREAM;
+    r->attempts = 1;
+    r->tier = 2;
+    r->timeout_ms = 1500;
+    r->target_ms = 4000;
+    rc_add_weighted_service (c, r, ST_LIT ("llm"), 1);
+  });
+  g.put (0, false, 1);
+  g.up ().default_behaviour = Silent;
+  auto running = g.caller ();
+  running->request ("r1", "/once/x");
+  ASSERT_TRUE (g.run ([&] { return g.up ().runs == 1; }));
+  auto queued = g.caller ();
+  queued->request ("r2", "/long/x");
+  g.wait (20);
+  gw_leave (g.gw, 1000000); /* less than the time-out of the route */
+  g.wait (50);
+  EXPECT_EQ (queued->status (), 0) << queued->received;
+  EXPECT_TRUE (g.run ([&] { return queued->complete (); }, 500));
+  auto late = g.caller ();
+  late->request ("r3", "/long/x");
+  auto in_time = g.caller ();
+  in_time->request ("r4", "/once/x", "X-Deadline: 100\r\n");
+  EXPECT_TRUE (g.run ([&] { return late->complete (); }, 100));
+  for (const Caller *c : { queued.get (), late.get () })
+    {
+      EXPECT_EQ (c->status (), 503) << c->received;
+      EXPECT_TRUE (c->has ("vm_leaving") && c->has ("Retry-After: 0.050"));
+      EXPECT_TRUE (c->has ("Connection: close"));
+    }
+  EXPECT_FALSE (in_time->has ("vm_leaving"));
+  EXPECT_EQ (g.up ().runs_of.count ("r2") + g.up ().runs_of.count ("r3"), 0u);
+}
+
+// Guards against requests on connections that the system has established and
+// this process has not accepted yet: closing the listener resets them.
+TEST (GwLeave, ConnectionsThatAreNotAcceptedYetAreAnswered)
+{
+  Gateway g;
+  g.put (0, false, 64);
+  std::vector<int> sockets;
+  const std::string request
+      = "POST /once/x HTTP/1.1\r\nHost: api.example\r\nX-Id: r1\r\n"
+        "Authorization: Token key-1\r\nContent-Length: 0\r\n\r\n";
+  struct sockaddr_in sin = ipv4 (INADDR_LOOPBACK, gw_query_port (g.gw));
+  for (int i = 0; i < 20; i++)
+    {
+      sockets.push_back (socket (AF_INET, SOCK_STREAM, 0));
+      ASSERT_EQ (
+          connect (sockets.back (), (struct sockaddr *)&sin, sizeof sin), 0);
+      ASSERT_EQ (send (sockets.back (), request.data (), request.size (), 0),
+                 (ssize_t)request.size ());
+    }
+  gw_leave (g.gw, 2000000);
+  gw_close_callers (g.gw);
+  g.run ([&] { return g.up ().runs == 20; });
+  g.wait (50);
+  for (int fd : sockets)
+    {
+      char bytes[512] = "";
+      ssize_t n = recv (fd, bytes, sizeof bytes - 1, MSG_DONTWAIT);
+      EXPECT_GT (n, 0) << strerror (errno);
+      EXPECT_EQ (std::string (bytes).compare (0, 12, "HTTP/1.1 200"), 0)
+          << bytes;
+      close (fd);
+    }
+}
+
+// Guards against a connection that is closed while its request is in the
+// system's buffer, or just after it was accepted.
+TEST (GwLeave, AConnectionWithUnreadBytesIsNotClosed)
+{
+  Gateway g;
+  auto c = g.caller ();
+  c->request ("r1", "/once/x");
+  g.run ([&] { return c->complete (); });
+  auto fresh = g.caller ();
+  g.wait (20);
+  gw_leave (g.gw, 5000000);
+  gw_close_callers (g.gw);
+  c->received.clear ();
+  c->request ("r2", "/once/x");
+  fresh->request ("r3", "/once/x");
+  EXPECT_TRUE (g.run ([&] { return c->complete () && fresh->complete (); }));
+  EXPECT_EQ (c->status (), 200);
+  EXPECT_EQ (fresh->status (), 200);
+  auto unused = g.caller ();
+  EXPECT_TRUE (g.run ([&] { return unused->closed; })) << "not listening";
+}
+
+// Guards against a caller that waits until its deadline for an upstream from
+// which no answer comes, though another one could run the request.
+TEST (GwStall, ASilentUpstreamIsReplaced)
+{
+  for (const char *path : { "/repeat/x", "/sturdy/x" })
+    for (Behaviour b : { Silent, StreamStall, StreamDribble })
+      {
+        Gateway g (2);
+        g.configure (2, [] (rc_config *c) {
+          for (const char *prefix : { "/repeat/", "/sturdy/" })
+            {
+              rc_route *r = rc_add_route (c, ST_LIT ("api.example"),
+                                          st_from_cstr (prefix));
+              bool stream = prefix[1] == 's';
+              r->name = st_from_cstr (prefix);
+              r->kind = stream ? RC_STREAM : RC_IDEMPOTENT;
+              r->resumable = stream;
+              r->attempts = 2;
+              r->timeout_ms = 20000;
+              r->target_ms = 100;
+              r->max_event_gap_ms = 100;
+              rc_add_weighted_service (c, r, ST_LIT ("llm"), 1);
+            }
+        });
+        if (b != Silent && path[1] != 's')
+          continue;
+        g.up (0).default_behaviour = b;
+        g.up (1).default_behaviour = path[1] == 's' ? Stream : Respond;
+        g.put (1, true);
+        auto c = g.caller ();
+        c->request ("r1", path);
+        ASSERT_TRUE (g.run ([&] { return g.up (0).runs == 1; }));
+        g.put (1);
+        EXPECT_TRUE (g.run (
+            [&] {
+              return path[1] == 's' ? c->has ("\r\n0\r\n\r\n")
+                                    : c->complete ();
+            },
+            4000))
+            << path << " " << b << ": " << c->received;
+        EXPECT_EQ (c->status (), 200) << path;
+        EXPECT_EQ (g.up (1).runs, 1u) << path;
+        EXPECT_TRUE (g.run ([&] { return g.up (0).closed_by_peer == 1; }));
+      }
+}
+
+// Guards against a slow stream that is cut, and against a request that may run
+// only once being run again because its upstream is silent.
+TEST (GwStall, SlowStreamsAndSingleRunsKeepTheirUpstream)
+{
+  Gateway g (2);
+  g.up (0).default_behaviour = StreamSlow;
+  g.up (1).default_behaviour = StreamSlow;
+  g.configure (2, [] (rc_config *c) {
+    rc_route *r = rc_add_route (c, ST_LIT ("api.example"), ST_LIT ("/slow/"));
+    r->name = ST_LIT ("slow");
+    r->kind = RC_STREAM;
+    r->resumable = true;
+    r->attempts = 3;
+    r->timeout_ms = 20000;
+    r->target_ms = 100;
+    r->max_event_gap_ms = 50;
+    rc_add_weighted_service (c, r, ST_LIT ("llm"), 1);
+  });
+  auto c = g.caller ();
+  c->request ("r1", "/slow/x");
+  EXPECT_TRUE (g.run ([&] { return c->has ("\r\n0\r\n\r\n"); }, 8000));
+  EXPECT_EQ (g.up (0).runs + g.up (1).runs, 1u);
+  Gateway once (2);
+  once.up (0).default_behaviour = Silent;
+  once.up (1).default_behaviour = Silent;
+  auto d = once.caller ();
+  d->request ("r2", "/once/x");
+  EXPECT_TRUE (once.run ([&] { return d->complete (); }));
+  EXPECT_EQ (d->status (), 504);
+  EXPECT_EQ (once.up (0).runs + once.up (1).runs, 1u);
+}
+
 // Guards against limits that are not enforced.
 TEST (GwLimits, BoundsHeadsAndBodies)
 {
@@ -654,4 +840,120 @@
   EXPECT_EQ (e->status (), 408);
   EXPECT_EQ (g.up ().runs, 0u);
 }
+
+// Adds routes with a long time-out: /whole/ and /events/, which may run twice.
+void
+add_patient_routes (Gateway &g)
+{
+  g.configure (2, [] (rc_config *c) {
+    for (const char *prefix : { "/whole/", "/events/" })
+      {
+        rc_route *r
+            = rc_add_route (c, ST_LIT ("api.example"), st_from_cstr (prefix));
+        bool stream = prefix[1] == 'e';
+        r->name = st_from_cstr (prefix);
+        r->kind = stream ? RC_STREAM : RC_IDEMPOTENT;
+        r->resumable = stream;
+        r->attempts = 2;
+        r->timeout_ms = 20000;
+        r->target_ms = 5000;
+        r->max_event_gap_ms = 5000;
+        rc_add_weighted_service (c, r, ST_LIT ("llm"), 1);
+      }
+  });
+}
+
+// Guards against a response without an end that fills the memory, holds the
+// caller until its deadline or reaches the caller as a success.
+TEST (GwEndless, TheRequestIsSentToAnotherUpstream)
+{
+  for (int b = EndlessHead; b <= EndlessComments; b++)
+    {
+      Gateway g (2);
+      add_patient_routes (g);
+      bool stream = b >= EndlessEvent;
+      g.up (0).default_behaviour = (Behaviour)b;
+      g.up (1).default_behaviour = stream ? Stream : Respond;
+      g.put (1, true);
+      auto c = g.caller ();
+      c->request ("r1", stream ? "/events/x" : "/whole/x");
+      ASSERT_TRUE (g.run ([&] { return g.up (0).runs == 1; })) << b;
+      g.put (1);
+      EXPECT_TRUE (g.run (
+          [&] { return stream ? c->has ("\r\n0\r\n\r\n") : c->complete (); },
+          6000))
+          << b << " after " << g.up (0).sent_bytes;
+      EXPECT_EQ (c->status (), 200) << b;
+      EXPECT_EQ (g.up (1).runs, 1u) << b;
+      EXPECT_TRUE (g.run ([&] { return g.up (0).closed_by_peer == 1; })) << b;
+      EXPECT_EQ (gw_query_counts (g.gw).stored_bytes, 0u) << b;
+    }
+}
+
+// Guards against responses without an end of many upstreams at once, each of
+// which is within the limit for one.
+TEST (GwEndless, AllResponsesTogetherAreBounded)
+{
+  for (const char *path : { "/whole/x", "/events/x" })
+    {
+      Gateway g (1);
+      add_patient_routes (g);
+      g.put (0, false, 64);
+      g.up ().default_behaviour = path[1] == 'e' ? EndlessEvent : EndlessBody;
+      std::vector<std::unique_ptr<Caller>> callers;
+      size_t most = 0;
+      for (int i = 0; i < 40; i++)
+        {
+          callers.push_back (g.caller ());
+          callers.back ()->request ("r" + std::to_string (i), path);
+        }
+      EXPECT_TRUE (g.run (
+          [&] {
+            most = std::max (most, gw_query_counts (g.gw).stored_bytes);
+            for (auto &c : callers)
+              if (!c->complete () && !c->closed)
+                return false;
+            return true;
+          },
+          20000));
+      EXPECT_LT (most, 13u * 1024 * 1024) << path;
+      for (auto &c : callers)
+        EXPECT_EQ (c->status (), 502) << c->received;
+    }
+}
+
+// Guards against events that are stored for a caller that does not read them,
+// and against cutting the stream of one that reads slowly.
+TEST (GwEndless, ASlowCallerSlowsItsUpstream)
+{
+  Gateway g (1);
+  add_patient_routes (g);
+  g.up ().default_behaviour = EndlessEvents;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  struct sockaddr_in sin = ipv4 (INADDR_LOOPBACK, gw_query_port (g.gw));
+  ASSERT_EQ (connect (fd, (struct sockaddr *)&sin, sizeof sin), 0);
+  const std::string request
+      = "POST /events/x HTTP/1.1\r\nHost: api.example\r\nX-Id: r1\r\n"
+        "Authorization: Token key-1\r\nContent-Length: 0\r\n\r\n";
+  ASSERT_EQ (send (fd, request.data (), request.size (), 0),
+             (ssize_t)request.size ());
+  g.wait (1500);
+  size_t before = g.up ().sent_bytes;
+  EXPECT_GT (before, 0u);
+  g.wait (500);
+  EXPECT_EQ (g.up ().sent_bytes, before) << "the system's buffers are full";
+  // It goes on as the caller reads.
+  std::string bytes (1024 * 1024, 0);
+  size_t got = 0;
+  g.run (
+      [&] {
+        ssize_t n = recv (fd, &bytes[0], bytes.size (), MSG_DONTWAIT);
+        got += n > 0 ? (size_t)n : 0;
+        return got > before + 4 * bytes.size ();
+      },
+      5000);
+  EXPECT_GT (got, before + 4 * bytes.size ());
+  EXPECT_EQ (g.up ().runs, 1u);
+  close (fd);
+}
 } // namespace
--- a/packages/gateway/tests/support.hh
+++ b/packages/gateway/tests/support.hh
@@ -154,6 +154,19 @@
   StreamTruncated, // two events and half of one, then the connection ends
   StreamGap,       // leaves out an event
   StreamStall,     // two events, then nothing
+  StreamDribble,   // two events, then bytes that complete none
+  StreamSlow,      // an event every 800 ms
+  EndlessHead,     // bytes without end: a field,
+  EndlessFields,   // fields,
+  EndlessContinue, // interim responses,
+  EndlessBody,     // a body without a length,
+  EndlessLength,   // a body with a huge one,
+  EndlessChunk,    // the extension of a chunk,
+  EndlessTrailer,  // the trailer,
+  EndlessOther,    // the response of another request,
+  EndlessEvent,    // an event,
+  EndlessComments, // or an event of short lines
+  EndlessEvents,   // events in order, as fast as they are read
 };
 
 // An upstream on a loopback port.  Each request takes the next of BEHAVIOURS,
@@ -185,6 +198,7 @@
   uint32_t connections = 0;
   uint32_t closed_by_peer = 0;
   uint16_t port = 0;
+  size_t sent_bytes = 0; // of endless responses
 
   explicit Upstream (struct event_base *base)
       : base_ (base),
@@ -212,9 +226,44 @@
   }
 
 private:
+  // Sends something to CONN at intervals, while SEND returns true.
+  struct Pulse
+  {
+    Upstream *owner;
+    Conn *conn;
+    int count;
+    std::function<bool (int)> send;
+    struct event *timer;
+  };
   struct event_base *base_;
   struct evconnlistener *listener_;
   std::set<Conn *> conns_;
+  std::set<Pulse *> pulses_;
+
+  void
+  end_pulse (Pulse *p)
+  {
+    pulses_.erase (p);
+    event_free (p->timer);
+    delete p;
+  }
+  void
+  pulse (Conn *c, int interval_ms, int first,
+         const std::function<bool (int)> &send)
+  {
+    Pulse *p = new Pulse{ this, c, first, send, nullptr };
+    struct timeval tv = { 0, interval_ms * 1000 };
+    p->timer = event_new (
+        base_, -1, EV_PERSIST,
+        [] (evutil_socket_t, short, void *user) {
+          Pulse *self = static_cast<Pulse *> (user);
+          if (!self->send (self->count++))
+            self->owner->end_pulse (self);
+        },
+        p);
+    event_add (p->timer, &tv);
+    pulses_.insert (p);
+  }
 
   void
   drop (Conn *c, bool reset = false)
@@ -225,6 +274,11 @@
         setsockopt (bufferevent_getfd (c->bev), SOL_SOCKET, SO_LINGER, &now,
                     sizeof now);
       }
+    for (auto p = pulses_.begin (); p != pulses_.end ();)
+      if ((*p)->conn == c)
+        end_pulse (*p++);
+      else
+        p++;
     conns_.erase (c);
     bufferevent_free (c->bev);
     hp_destroy (c->reader);
@@ -355,8 +409,25 @@
                  + field (c, names.id.c_str ()) + "\r\n" + names.sign
                  + ": s1\r\nContent-Type: text/event-stream\r\n"
                    "Transfer-Encoding: chunked\r\n\r\n");
+    if (b == StreamSlow)
+      {
+        pulse (c, 800, first, [this, c] (int id) {
+          send (c, chunk (event_text (id, field (c, names.id.c_str ())))
+                       + (id == 6 ? "0\r\n\r\n" : ""));
+          return id < 6;
+        });
+        return;
+      }
     for (int id = first; id <= 6; id++)
       {
+        if (b == StreamDribble && id == first + 2)
+          {
+            pulse (c, 100, 0, [this, c] (int) {
+              send (c, chunk (": "));
+              return true;
+            });
+            return;
+          }
         if (b == StreamGap && id == first + 2)
           continue;
         if ((b == StreamTruncated || b == StreamStall) && id == first + 2)
@@ -369,6 +440,57 @@
       }
     send (c, "0\r\n\r\n");
   }
+  // What an endless response begins with, and what it repeats.
+  std::pair<std::string, std::string>
+  endless_text (Conn *c, Behaviour b)
+  {
+    const std::string id = field (c, names.id.c_str ());
+    const std::string start = "HTTP/1.1 200 OK\r\n";
+    const std::string head
+        = start + names.id + ": " + id + "\r\n" + names.sign + ": s1\r\n";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    switch (b)
+      {
+      case EndlessHead:
+        return { head + "X-Long: ", "xxxxxxxxxxxxxxxx" };
+      case EndlessFields:
+        return { head, "X-Field: value\r\n" };
+      case EndlessContinue:
+        return { "", "HTTP/1.1 100 Continue\r\n\r\n" };
+      case EndlessLength:
+        return { head + "Content-Length: 4000000000000\r\n\r\n", "body" };
+      case EndlessChunk:
+        return { head + chunked + "4;", "extension" };
+      case EndlessTrailer:
+        return { head + chunked + "2\r\nab\r\n0\r\n", "X-T: value\r\n" };
+      case EndlessOther:
+        return { start + names.id + ": other\r\n\r\n", "body" };
+      case EndlessComments:
+        return { head + "\r\n", ": comment\n" };
+      default:
+        return { head + "\r\n", "body" };
+      }
+  }
+  void
+  endless (Conn *c, Behaviour b)
+  {
+    auto [start, repeated] = endless_text (c, b);
+    auto pending = std::make_shared<std::string> (start);
+    auto id = std::make_shared<int> (0);
+    std::string more = repeated;
+    pulse (c, 1, 0, [this, c, b, pending, id, more] (int) {
+      while (pending->size () < 256 * 1024)
+        if (b == EndlessEvents)
+          *pending += event_text (++*id, std::string (1000, 'x'));
+        else
+          *pending += more;
+      ssize_t n = ::send (bufferevent_getfd (c->bev), pending->data (),
+                          pending->size (), MSG_NOSIGNAL | MSG_DONTWAIT);
+      sent_bytes += n > 0 ? (size_t)n : 0;
+      pending->erase (0, n > 0 ? (size_t)n : 0);
+      return true;
+    });
+  }
   void
   finish (Conn *c, bool reset = false)
   {
@@ -385,7 +507,7 @@
       return Stream;
     if (!streams
         && (b == Stream || b == StreamTruncated || b == StreamGap
-            || b == StreamStall))
+            || b == StreamStall || b == StreamDribble || b == StreamSlow))
       return Respond;
     return b;
   }
@@ -459,6 +581,19 @@
         else
           reset_soon (c);
         return false;
+      case EndlessHead:
+      case EndlessFields:
+      case EndlessContinue:
+      case EndlessBody:
+      case EndlessLength:
+      case EndlessChunk:
+      case EndlessTrailer:
+      case EndlessOther:
+      case EndlessEvent:
+      case EndlessComments:
+      case EndlessEvents:
+        endless (c, b);
+        return true;
       case Encoded:
         respond (c, 200, "zip", true, "", "Content-Encoding: gzip\r\n");
         return true;
@@ -466,6 +601,8 @@
       case StreamTruncated:
       case StreamGap:
       case StreamStall:
+      case StreamDribble:
+      case StreamSlow:
         stream (c, b);
         if (b != StreamTruncated)
           return true;
--- a/packages/gateway/uc.c
+++ b/packages/gateway/uc.c
@@ -18,6 +18,8 @@
 /* Most responses to other requests that are skipped in one exchange; after
    more the connection fails.  */
 #define _UC_SKIP_MAX 2
+/* Most bytes of such responses that are read.  */
+#define _UC_SKIP_MAX_BYTES (1024 * 1024)
 
 typedef struct _uc_conn _uc_conn;
 
@@ -33,6 +35,7 @@
   bool head_seen;
   bool skipping; /* the current response belongs to another request */
   uint32_t skipped_count;
+  size_t skipped_bytes;
 };
 
 struct _uc_conn
@@ -88,6 +91,7 @@
     {
       struct timeval idle = ck_timeval (conn->idle_ms * CK_MS_US);
       hp_next (conn->reader);
+      bufferevent_enable (conn->bev, EV_READ);
       event_add (conn->timer, &idle);
       g_ptr_array_add (conn->pool->idle, conn);
     }
@@ -124,7 +128,9 @@
 {
   _uc_conn *conn = user;
   uc_exchange *x = conn->exchange;
-  if (x != NULL && !x->skipping)
+  if (x != NULL && x->skipping)
+    x->skipped_bytes += bytes.len;
+  else if (x != NULL)
     x->on_event (x->user, &(uc_event){ .kind = UC_BODY, .bytes = bytes });
 }
 
@@ -198,7 +204,10 @@
   if (result == HP_HEAD && !conn->cancelled && !_uc_on_head (conn))
     result = HP_BAD;
   conn->reading = false;
-  return conn->cancelled ? HP_MORE : result;
+  if (conn->cancelled)
+    return HP_MORE;
+  return conn->exchange->skipped_bytes > _UC_SKIP_MAX_BYTES ? HP_TOO_LARGE
+                                                            : result;
 }
 
 static void
@@ -234,7 +243,14 @@
                     conn->reusable && conn->idle_ms > 0);
         return;
       case HP_TOO_LARGE:
-        _uc_fail (conn, "head_too_large");
+        _uc_finish (conn,
+                    &(uc_event){ .kind = UC_FAILED,
+                                 .over_limit = true,
+                                 .reason = conn->exchange->skipped_bytes
+                                                   > _UC_SKIP_MAX_BYTES
+                                               ? "stray_response_too_large"
+                                               : "head_too_large" },
+                    false);
         return;
       case HP_BAD:
         _uc_fail (conn, "malformed_answer");
@@ -397,6 +413,19 @@
     _uc_free_conn (conn);
 }
 
+/* Stops reading the response of X, so that its upstream cannot send more than
+   the system buffers, or goes on reading it.  */
+void
+uc_set_reading (uc_exchange *x, bool reading)
+{
+  if (x->conn->exchange != x || !x->conn->connected)
+    return;
+  if (reading)
+    bufferevent_enable (x->conn->bev, EV_READ);
+  else
+    bufferevent_disable (x->conn->bev, EV_READ);
+}
+
 /* Closes the idle connections to INSTANCE.  */
 void
 uc_close_instance (uc_pool *pool, st_str instance)
--- a/packages/gateway/uc.h
+++ b/packages/gateway/uc.h
@@ -43,6 +43,7 @@
   st_str bytes;
   bool sent;          /* of UC_FAILED: bytes may have reached the upstream */
   const char *reason; /* of UC_FAILED, for logs */
+  bool over_limit;    /* of UC_FAILED: the response exceeded a limit */
 } uc_event;
 
 typedef void (*uc_on_event) (void *user, const uc_event *event);
@@ -74,6 +75,7 @@
   void uc_destroy (uc_pool *pool);
   uc_exchange *uc_send (uc_pool *pool, const uc_request *request);
   void uc_cancel (uc_exchange *x);
+  void uc_set_reading (uc_exchange *x, bool reading);
   void uc_close_instance (uc_pool *pool, st_str instance);
 
 #ifdef __cplusplus
--- a/packages/testing/proc.cc
+++ b/packages/testing/proc.cc
@@ -709,7 +709,9 @@
     {
       std::string log = n.process.log ();
       size_t from = log.size () > 4000 ? log.size () - 4000 : 0;
-      fprintf (stderr, "---- %s\n%s\n", n.name.c_str (), log.c_str () + from);
+      // -1: it still runs
+      fprintf (stderr, "---- %s, exit status %d\n%s\n", n.name.c_str (),
+               n.process.wait (0), log.c_str () + from);
     }
 }
 
--- a/packages/testing/tests/e2e_request_test.cc
+++ b/packages/testing/tests/e2e_request_test.cc
@@ -203,7 +203,8 @@
   for (size_t i = 0; i < sent.size (); i++)
     {
       Response r = responses[i].get ();
-      EXPECT_TRUE (r.done ()) << r.error << r.body.size ();
+      EXPECT_TRUE (r.done ()) << sent[i] << ": " << r.error << " after "
+                              << r.body.size () << " bytes";
       EXPECT_EQ (r.text (), Cluster::expected (sent[i], 100));
     }
   check_received ({});
