Carry out the operator's rollouts

vr.h decides. The new version gets 3% of the requests until 0.6 s before the deadline. Each VM compares failures and latency of its own requests to both versions; the first that finds the new one bad stops using it and writes "reverted". Near the deadline the first active VM writes "completed" or "reverted". Writes are conditional on the revision of the stored state, so a VM that was paused overwrites nothing.

Weighed: the stepwise rollout of ro.h and ev.h, which takes minutes and a message exchange for the evidence of all VMs; these orders end after 12 to 16 s. A fault that shows only under full load is found after completion.

Tests: decide.Vr, red with the share, the comparison or the order of revisions off.

--- a/packages/decide/gq.c
+++ b/packages/decide/gq.c
@@ -84,12 +84,15 @@
   return demand->rank - demand->rank % 2 + (verdict == GQ_WAIT_LATE);
 }
 
-/* True when UP may get new requests of SERVICE.  */
+/* True when UP may get DEMAND, a new request to SERVICE.  */
 bool
-gq_usable (const ut_upstream *up, st_str service)
+gq_usable (const ut_upstream *up, st_str service, const gq_demand *demand)
 {
   return !up->entry.leaving
-         && st_equal (st_name_str (&up->entry.service), service);
+         && st_equal (st_name_str (&up->entry.service), service)
+         && (demand->rollout == NULL
+             || vr_allows (demand->rollout, demand->versions,
+                           st_name_str (&up->entry.version)));
 }
 
 static bool
@@ -227,7 +230,7 @@
       while (ut_next (t, &id))
         {
           const ut_upstream *up = ut_query (t, id);
-          if (!gq_usable (up, service)
+          if (!gq_usable (up, service, demand)
               || !_gq_is_candidate (candidates, up, _gq_was_tried (demand, id),
                                     now_us))
             continue;
--- a/packages/decide/gq.h
+++ b/packages/decide/gq.h
@@ -32,6 +32,7 @@
 #define GQ_H
 
 #include "ut.h"
+#include "vr.h"
 
 /* Number of route tiers and of team tiers; a higher tier is treated as the
    last one.  */
@@ -60,6 +61,8 @@
   ut_id tried[GQ_TRIED_MAX]; /* used again only if no other upstream is left */
   uint64_t arrived_us;
   uint64_t deadline_us;
+  const vr_rollout *rollout; /* of the service; NULL: none */
+  vr_choice versions;        /* that it may be sent to */
 } gq_demand;
 
 /* Waiting requests and slots of one service; PEER_WAITING covers all services,
@@ -101,7 +104,8 @@
                     uint32_t route_tier);
   bool gq_is_late (const gq_demand *demand);
   uint32_t gq_queue_rank (const gq_demand *demand, gq_verdict verdict);
-  bool gq_usable (const ut_upstream *up, st_str service);
+  bool gq_usable (const ut_upstream *up, st_str service,
+                  const gq_demand *demand);
 
 #ifdef __cplusplus
 }
--- /dev/null
+++ b/packages/decide/tests/vr_test.cc
@@ -0,0 +1,134 @@
+#include "vr.h"
+
+#include <gtest/gtest.h>
+#include <random>
+
+namespace
+{
+const uint64_t second = 1000000;
+const uint64_t ms = 1000;
+
+vr_rollout
+ordered ()
+{
+  vr_rollout r = {};
+  vr_set_order (&r, ST_LIT ("v2"), 12 * second, 5, 100 * second);
+  return r;
+}
+
+vr_state
+tick (vr_rollout *r, uint64_t now, bool controller = true,
+      uint32_t target_slots = 90)
+{
+  vr_inputs in = { controller, target_slots, 100, now };
+  return vr_tick (r, &in);
+}
+
+// Guards against a new version that gets more than a small share before its
+// deadline.
+TEST (Vr, TheNewVersionGetsASmallShare)
+{
+  vr_rollout r = ordered ();
+  std::mt19937 rng (7);
+  int target = 0;
+  for (int i = 0; i < 100000; i++)
+    target += vr_choose (&r, (uint32_t)rng ()) == VR_TARGET;
+  EXPECT_GT (target, 2000);
+  EXPECT_LT (target, 4000);
+  vr_rollout none = {};
+  EXPECT_EQ (vr_choose (&none, 1), VR_ANY);
+  EXPECT_TRUE (vr_allows (&r, VR_TARGET, ST_LIT ("v2")));
+  EXPECT_FALSE (vr_allows (&r, VR_OTHERS, ST_LIT ("v2")));
+  EXPECT_TRUE (vr_allows (&r, VR_OTHERS, ST_LIT ("v1")));
+}
+
+// Guards against requests to a bad version after its fault has shown, whether
+// it fails or is slow.
+TEST (Vr, ABadVersionIsRevertedAtOnce)
+{
+  for (bool slow : { false, true })
+    {
+      vr_rollout r = ordered ();
+      for (int i = 0; i < 200; i++)
+        vr_record (&r, false, i % 50 == 0, 80 * ms);
+      for (int i = 0; i < 10 && !r.found_bad; i++)
+        vr_record (&r, true, !slow && i % 2 == 0, slow ? 640 * ms : 80 * ms);
+      EXPECT_TRUE (r.found_bad) << slow;
+      EXPECT_EQ (vr_choose (&r, 0), VR_OTHERS);
+      EXPECT_EQ (tick (&r, 104 * second, false), VR_REVERTED);
+    }
+}
+
+// Guards against reverting a version that fails as often as the old one, as in
+// an outage of something else.
+TEST (Vr, FailuresOfBothVersionsAreNoReason)
+{
+  int reverted = 0;
+  std::mt19937 rng (11);
+  for (int round = 0; round < 200; round++)
+    {
+      vr_rollout r = ordered ();
+      for (int i = 0; i < 600; i++)
+        vr_record (&r, i % 30 == 0, rng () % 7 == 0, 80 * ms);
+      reverted += r.found_bad;
+    }
+  EXPECT_LT (reverted, 10);
+}
+
+TEST (Vr, AGoodVersionIsCompletedBeforeTheDeadline)
+{
+  vr_rollout r = ordered ();
+  EXPECT_EQ (tick (&r, 100 * second + ms), VR_RUNNING);
+  EXPECT_EQ (tick (&r, 100 * second + 2 * ms), VR_NONE) << "written";
+  vr_set_status (&r, ST_LIT ("v2"), VR_RUNNING, 6);
+  for (int i = 0; i < 20; i++)
+    vr_record (&r, true, false, 80 * ms);
+  EXPECT_EQ (tick (&r, 110 * second), VR_NONE);
+  EXPECT_EQ (tick (&r, 112 * second - 500 * ms), VR_COMPLETED);
+  vr_set_status (&r, ST_LIT ("v2"), VR_COMPLETED, 9);
+  EXPECT_EQ (vr_choose (&r, 0xffffffff), VR_TARGET);
+  EXPECT_EQ (tick (&r, 113 * second), VR_NONE);
+}
+
+// Guards against completing a version that was hardly used, or whose upstreams
+// cannot carry the traffic.
+TEST (Vr, AnUndecidedVersionIsReverted)
+{
+  vr_rollout few = ordered ();
+  vr_record (&few, true, false, 80 * ms);
+  EXPECT_EQ (tick (&few, 112 * second), VR_REVERTED);
+  vr_rollout small = ordered ();
+  for (int i = 0; i < 20; i++)
+    vr_record (&small, true, false, 80 * ms);
+  EXPECT_EQ (tick (&small, 112 * second, true, 50), VR_REVERTED);
+}
+
+// Guards against a VM that was paused, or is not the controller, deciding for
+// all, and against an order that is read again starting the rollout anew.
+TEST (Vr, AFinalStateStays)
+{
+  vr_rollout r = ordered ();
+  EXPECT_EQ (tick (&r, 112 * second, false), VR_NONE);
+  vr_set_status (&r, ST_LIT ("v2"), VR_REVERTED, 8);
+  vr_set_order (&r, ST_LIT ("v2"), 12 * second, 5, 200 * second);
+  EXPECT_EQ (tick (&r, 212 * second), VR_NONE);
+  EXPECT_EQ (vr_choose (&r, 0), VR_OTHERS);
+  vr_set_status (&r, ST_LIT ("v2"), VR_RUNNING, 7);
+  EXPECT_EQ (r.state, VR_REVERTED) << "an older state";
+  vr_set_order (&r, ST_LIT ("v3"), 12 * second, 20, 300 * second);
+  EXPECT_EQ (r.state, VR_RUNNING);
+  EXPECT_TRUE (vr_allows (&r, VR_OTHERS, ST_LIT ("v1")));
+}
+
+// Guards against a state of the rollout before being taken for that of a new
+// order, whichever is read first.
+TEST (Vr, AStatusReadBeforeItsOrderApplies)
+{
+  vr_rollout r = {};
+  vr_set_status (&r, ST_LIT ("v2"), VR_REVERTED, 8);
+  vr_set_order (&r, ST_LIT ("v2"), 12 * second, 5, 100 * second);
+  EXPECT_EQ (r.state, VR_REVERTED);
+  vr_set_order (&r, ST_LIT ("v2"), 12 * second, 9, 200 * second);
+  EXPECT_EQ (r.state, VR_RUNNING) << "ordered again";
+}
+} // namespace
--- /dev/null
+++ b/packages/decide/vr.c
@@ -0,0 +1,166 @@
+#include "vr.h"
+
+#include <math.h>
+
+/* Share of the new version until the last phase, of 65536: 3%, less than a
+   third of the share that a bad version may get.  */
+#define _VR_SHARE 1966
+/* Length of the last phase, in which the controller decides: time for a write
+   and for its way to all VMs.  With the share before, the whole traffic in it
+   is under 10% of a rollout of 10 s.  */
+#define _VR_LAST_PHASE_US 600000
+/* Time after which a state is written again if it has not come back.  */
+#define _VR_REWRITE_US 700000
+/* Fewest failures, and fewest standard deviations above the old version's
+   rate, at which the new version is bad.  */
+#define _VR_BAD_MIN 4
+#define _VR_BAD_DEVIATIONS 3.0
+/* A response is slow, and counts as failed, beyond this multiple of the old
+   version's mean latency plus the margin.  */
+#define _VR_SLOW_FACTOR 4.0
+#define _VR_SLOW_MARGIN_US 100000.0
+/* Fewest requests of the controller to the new version for completion.  */
+#define _VR_GOOD_MIN 8
+/* Fraction of the old version's slots that the new one must have.  */
+#define _VR_SLOTS_FRACTION 0.7
+#define _VR_LATENCY_WEIGHT 0.1
+
+/* Adopts the stored state, if it was written after the order.  */
+static void
+_vr_apply_status (vr_rollout *r)
+{
+  if (r->status_revision > r->order_revision && r->target.len > 0
+      && st_equal (st_name_str (&r->target), st_name_str (&r->status_target)))
+    r->state = r->status;
+}
+
+/* Starts the rollout to TARGET, which the order of REVISION requests within
+   DURATION_US; an order that is not newer is ignored.  */
+void
+vr_set_order (vr_rollout *r, st_str target, uint64_t duration_us,
+              uint64_t revision, uint64_t now_us)
+{
+  if (revision <= r->order_revision || target.len == 0)
+    return;
+  vr_rollout before = *r;
+  *r = (vr_rollout){ .order_revision = revision,
+                     .start_us = now_us,
+                     .end_us = now_us + duration_us,
+                     .state = VR_RUNNING,
+                     .status_revision = before.status_revision,
+                     .status_target = before.status_target,
+                     .status = before.status };
+  st_name_set (&r->target, target);
+  _vr_apply_status (r);
+}
+
+/* Stores the STATE of the rollout to TARGET, as written at REVISION.  */
+void
+vr_set_status (vr_rollout *r, st_str target, vr_state state, uint64_t revision)
+{
+  if (revision <= r->status_revision)
+    return;
+  r->status_revision = revision;
+  r->status = state;
+  st_name_set (&r->status_target, target);
+  _vr_apply_status (r);
+}
+
+static bool
+_vr_is_avoided (const vr_rollout *r)
+{
+  return r->state == VR_REVERTED || (r->state == VR_RUNNING && r->found_bad);
+}
+
+/* The versions for a new request; RANDOM is uniform.  */
+vr_choice
+vr_choose (const vr_rollout *r, uint32_t random)
+{
+  if (r->target.len == 0 || r->state == VR_NONE)
+    return VR_ANY;
+  if (_vr_is_avoided (r))
+    return VR_OTHERS;
+  /* The old upstreams stop on completion.  */
+  if (r->state == VR_COMPLETED)
+    return VR_TARGET;
+  return (random >> 8 & 0xffff) < _VR_SHARE ? VR_TARGET : VR_OTHERS;
+}
+
+/* True when a request with CHOICE may be sent to an upstream of VERSION.  */
+bool
+vr_allows (const vr_rollout *r, vr_choice choice, st_str version)
+{
+  bool is_target = st_equal (st_name_str (&r->target), version);
+  switch (choice)
+    {
+    case VR_ANY:
+      return true;
+    case VR_TARGET:
+      return is_target;
+    case VR_OTHERS:
+      return !is_target;
+    }
+  return true;
+}
+
+/* True when the failures of the new version exceed what the old version's rate
+   explains.  */
+static bool
+_vr_is_bad (const vr_rollout *r)
+{
+  const vr_counts *t = &r->target_counts;
+  double rate
+      = (r->other_counts.failed + 1.0) / (double)(r->other_counts.seen + 20);
+  double expected = rate * t->seen;
+  return t->failed >= _VR_BAD_MIN
+         && t->failed > expected + _VR_BAD_DEVIATIONS * sqrt (expected);
+}
+
+/* Records the end of a request to the new version (TARGET) or another one,
+   with the time to its first event or whole response.  */
+void
+vr_record (vr_rollout *r, bool target, bool failed, uint64_t latency_us)
+{
+  vr_counts *counts = target ? &r->target_counts : &r->other_counts;
+  double old_us = r->other_counts.latency_us;
+  if (r->state != VR_RUNNING)
+    return;
+  if (target && old_us > 0
+      && (double)latency_us > _VR_SLOW_FACTOR * old_us + _VR_SLOW_MARGIN_US)
+    failed = true;
+  counts->seen++;
+  counts->failed += failed;
+  if (!failed)
+    counts->latency_us
+        += (counts->latency_us > 0 ? _VR_LATENCY_WEIGHT : 1)
+           * ((double)latency_us - counts->latency_us);
+  if (target && _vr_is_bad (r))
+    r->found_bad = true;
+}
+
+/* The state that this VM has to write now, conditional on the revision of the
+   stored one; VR_NONE when there is nothing to write.  */
+vr_state
+vr_tick (vr_rollout *r, const vr_inputs *in)
+{
+  vr_state state = VR_NONE;
+  if (r->target.len == 0 || r->state != VR_RUNNING)
+    return VR_NONE;
+  bool last_phase = in->now_us + _VR_LAST_PHASE_US >= r->end_us;
+  if (r->found_bad)
+    state = VR_REVERTED;
+  else if (in->controller && last_phase)
+    state = r->target_counts.seen >= _VR_GOOD_MIN
+                    && in->target_slots
+                           >= _VR_SLOTS_FRACTION * (double)in->other_slots
+                ? VR_COMPLETED
+                : VR_REVERTED;
+  else if (in->controller && r->status_revision < r->order_revision)
+    state = VR_RUNNING;
+  if (state == VR_NONE
+      || (r->written_us != 0 && in->now_us - r->written_us < _VR_REWRITE_US
+          && !last_phase))
+    return VR_NONE;
+  r->written_us = in->now_us;
+  return state;
+}
--- /dev/null
+++ b/packages/decide/vr.h
@@ -0,0 +1,96 @@
+/* vr.h -- rollout of a service's new version whose upstreams run beside the old
+   ones, with a deadline of seconds.
+
+   Used by the gateway.  A rollout of minutes, whose share rises in steps, is
+   in ro.h.
+
+   Until shortly before the deadline the new version gets a small share of the
+   requests.  Each VM compares the failures and the latency of its own requests
+   to both versions.  A VM that finds the new version bad stops using it at
+   once and writes the state "reverted".  Near the deadline the controller, the
+   first active VM, writes "completed" when the evidence suffices and the new
+   upstreams can carry the traffic, else "reverted".  Writes are conditional on
+   the revision of the last state, so a VM that was paused overwrites nothing,
+   and a state that is final is not changed.
+
+   The full share comes last, so that a version whose fault shows only then has
+   run few requests before the deadline.
+
+     vr_set_order (&rollout, target, duration_us, revision, now_us);
+     vr_set_status (&rollout, target, VR_RUNNING, revision);
+     if (vr_choose (&rollout, random) == VR_TARGET) use the new version
+     vr_record (&rollout, true, failed, latency_us);
+     vr_state state = vr_tick (&rollout, &inputs);
+     if (state != VR_NONE) write it  */
+#ifndef VR_H
+#define VR_H
+
+#include "st.h"
+
+typedef enum
+{
+  VR_NONE = 0, /* no rollout */
+  VR_RUNNING,
+  VR_COMPLETED,
+  VR_REVERTED
+} vr_state;
+
+/* Versions that a request may be sent to.  */
+typedef enum
+{
+  VR_ANY = 0,
+  VR_TARGET, /* the new version; others when it has no room */
+  VR_OTHERS
+} vr_choice;
+
+typedef struct
+{
+  uint32_t seen;
+  uint32_t failed; /* or much slower than the old version */
+  double latency_us; /* mean of the requests that did not fail */
+} vr_counts;
+
+typedef struct
+{
+  st_name target; /* the new version; empty: no rollout */
+  uint64_t order_revision;
+  uint64_t start_us;
+  uint64_t end_us; /* deadline */
+  vr_state state;
+  uint64_t status_revision; /* 0: none is stored */
+  st_name status_target;
+  vr_state status; /* as it is stored */
+  bool found_bad;           /* by this VM */
+  vr_counts target_counts;
+  vr_counts other_counts;
+  uint64_t written_us; /* last write; 0: none */
+} vr_rollout;
+
+typedef struct
+{
+  bool controller;       /* this VM writes the progress */
+  uint32_t target_slots; /* of the new version's upstreams */
+  uint32_t other_slots;
+  uint64_t now_us;
+} vr_inputs;
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  void vr_set_order (vr_rollout *r, st_str target, uint64_t duration_us,
+                     uint64_t revision, uint64_t now_us);
+  void vr_set_status (vr_rollout *r, st_str target, vr_state state,
+                      uint64_t revision);
+  vr_choice vr_choose (const vr_rollout *r, uint32_t random);
+  bool vr_allows (const vr_rollout *r, vr_choice choice, st_str version);
+  void vr_record (vr_rollout *r, bool target, bool failed,
+                  uint64_t latency_us);
+  vr_state vr_tick (vr_rollout *r, const vr_inputs *in);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/packages/gateway/gw.h
+++ b/packages/gateway/gw.h
@@ -25,6 +25,7 @@
 #include "mt.h"
 #include "rc.h"
 #include "ut.h"
+#include "vr.h"
 
 #include <event2/event.h>
 
@@ -89,6 +90,10 @@
      receives one from another VM; see gw_publish_document.  */
   st_str (*query_document) (void *user, uint64_t since);
   void (*on_document) (void *user, st_str document);
+  /* Writes STATE of the rollout of SERVICE to TARGET, provided that the stored
+     state has REVISION (0: there is none).  May be NULL.  */
+  void (*write_rollout) (void *user, st_str service, st_str target,
+                         vr_state state, uint64_t revision);
   /* State of the store follower; reported to the other VMs of the group.  */
   gw_follow_state (*query_follow_state) (void *user);
   void *user;
@@ -137,6 +142,10 @@
   void gw_put_upstream (gw_task *gw, const ut_entry *entry);
   void gw_remove_upstream (gw_task *gw, st_str id, const char *reason);
   void gw_set_vms (gw_task *gw, const gw_vm_entry *vms, uint32_t count);
+  void gw_set_rollout (gw_task *gw, st_str service, st_str target,
+                       uint64_t duration_us, uint64_t revision);
+  void gw_set_rollout_state (gw_task *gw, st_str service, st_str target,
+                             vr_state state, uint64_t revision);
   void gw_publish_document (gw_task *gw, st_str document);
   void gw_query_followers (const gw_task *gw, uint32_t *first,
                            uint64_t *newest);
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -98,6 +98,7 @@
   r->prefill_tokens = r->demand.prompt_tokens;
   r->sent_us = gw->now_us;
   r->last_event_us = 0;
+  r->attempt_first_us = 0;
   r->attempt_count++;
   r->status = 0;
   r->is_stream = false;
@@ -135,6 +136,7 @@
 _gw_end_exchange (_gw_request *r, ut_outcome outcome)
 {
   gw_task *gw = r->gw;
+  _gw_record_version (r, outcome);
   ut_on_end (gw->upstreams, r->upstream, r->prefill_tokens, outcome,
              gw->now_us);
   r->prefill_tokens = 0;
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -63,6 +63,7 @@
   GString *response_body; /* body, or the last incomplete event */
   uint64_t last_event;    /* id */
   uint64_t last_event_us; /* 0 until the first event of the attempt */
+  uint64_t attempt_first_us; /* first event of the attempt */
   uint64_t events;        /* forwarded */
   size_t stored_bytes;    /* of response_body, in the sum of all */
   struct event *timer;
@@ -118,6 +119,7 @@
   _gw_queue queue;
   bu_retries retries;
   double service_us; /* mean time in a slot; 0: none yet */
+  vr_rollout rollout;
 } _gw_service;
 
 /* Loads that a sum contains.  */
@@ -286,6 +288,11 @@
 void _gw_limit_unsent (_gw_request *r);
 void _gw_on_unsent_empty (_gw_request *r);
 
+/* Rollouts: gw_rollout.c.  */
+void _gw_choose_versions (_gw_request *r);
+void _gw_record_version (_gw_request *r, ut_outcome outcome);
+void _gw_tick_rollouts (gw_task *gw);
+
 /* Stall: gw_stall.c.  */
 void _gw_end_stalled (gw_task *gw);
 
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -101,6 +101,13 @@
   r->demand.remote_loads_delayed = gw->group.remote_loads_delayed;
   for (uint32_t i = 0; i < r->demand.rank; i++)
     r->demand.urgent_elsewhere |= waiting[i] > 0;
+  _gw_choose_versions (r);
+  ut_id to = gq_choose_upstream (gw->upstreams, st_name_str (&r->service),
+                                 &r->demand, gw->now_us, _gw_random (gw));
+  if (to.generation != 0 || r->demand.versions != VR_TARGET)
+    return to;
+  /* The new version has no room.  */
+  r->demand.versions = VR_OTHERS;
   return gq_choose_upstream (gw->upstreams, st_name_str (&r->service),
                              &r->demand, gw->now_us, _gw_random (gw));
 }
@@ -118,7 +125,7 @@
   while (ut_next (gw->upstreams, &id))
     {
       const ut_upstream *up = ut_query (gw->upstreams, id);
-      if (!gq_usable (up, st_name_str (&r->service)))
+      if (!gq_usable (up, st_name_str (&r->service), &r->demand))
         continue;
       backlog.slots += up->entry.slots > 0 ? up->entry.slots : 1;
       backlog.running += up->own_running + up->peer_running;
@@ -237,7 +244,7 @@
     return false;
   ut_id to = victim->upstream;
   const ut_upstream *up = ut_query (gw->upstreams, to);
-  if (up == NULL || !gq_usable (up, st_name_str (&r->service))
+  if (up == NULL || !gq_usable (up, st_name_str (&r->service), &r->demand)
       || !_gw_take_retry (victim))
     return false;
   LO_EVENT ("preempt", st_name_str (&victim->id),
--- a/packages/gateway/gw_relay.c
+++ b/packages/gateway/gw_relay.c
@@ -68,6 +68,7 @@
     }
   if (r->last_event_us == 0)
     {
+      r->attempt_first_us = gw->now_us;
       ut_on_response_start (gw->upstreams, r->upstream, r->prefill_tokens);
       r->prefill_tokens = 0;
       _gw_load_changed (gw);
--- /dev/null
+++ b/packages/gateway/gw_rollout.c
@@ -0,0 +1,143 @@
+/* Rollouts: which version of a service requests are sent to, by the rules of
+   vr.h.  */
+#include "gw_internal.h"
+#include "pc.h"
+
+/* Starts the rollout of SERVICE to the version TARGET, as the order of REVISION
+   requests; an order that is known is ignored.  */
+void
+gw_set_rollout (gw_task *gw, st_str service, st_str target,
+                uint64_t duration_us, uint64_t revision)
+{
+  vr_rollout *rollout = &_gw_find_service (gw, service)->rollout;
+  if (revision <= rollout->order_revision)
+    return;
+  LO_EVENT ("rollout_ordered", ST_LIT (""), LO_STR ("service", service),
+            LO_STR ("target", target), LO_INT ("revision", revision),
+            LO_INT ("duration_ms", duration_us / CK_MS_US));
+  vr_set_order (rollout, target, duration_us, revision, _gw_now (gw));
+}
+
+/* Stores the STATE of the rollout of SERVICE to TARGET, which was written at
+   REVISION.  */
+void
+gw_set_rollout_state (gw_task *gw, st_str service, st_str target,
+                      vr_state state, uint64_t revision)
+{
+  vr_rollout *rollout = &_gw_find_service (gw, service)->rollout;
+  vr_state before = rollout->state;
+  _gw_now (gw);
+  vr_set_status (rollout, target, state, revision);
+  if (rollout->state == before)
+    return;
+  LO_EVENT ("rollout_state", ST_LIT (""), LO_STR ("service", service),
+            LO_STR ("target", target), LO_INT ("state", rollout->state),
+            LO_INT ("revision", revision));
+  _gw_schedule_all (gw);
+}
+
+/* Sets the versions that R may be sent to.  */
+void
+_gw_choose_versions (_gw_request *r)
+{
+  const vr_rollout *rollout = &_gw_service_of (r)->rollout;
+  r->demand.rollout = rollout->target.len > 0 ? rollout : NULL;
+  r->demand.versions = vr_choose (rollout, _gw_random (r->gw));
+}
+
+/* Records the OUTCOME of R's attempt for the version that it was sent to.  */
+void
+_gw_record_version (_gw_request *r, ut_outcome outcome)
+{
+  vr_rollout *rollout = &_gw_service_of (r)->rollout;
+  const ut_upstream *up = ut_query (r->gw->upstreams, r->upstream);
+  bool failed = outcome == UT_FAILED || outcome == UT_CONNECTION_LOST;
+  if (rollout->target.len == 0 || up == NULL
+      || (!failed && outcome != UT_SERVED))
+    return;
+  bool target = st_equal (st_name_str (&rollout->target),
+                          st_name_str (&up->entry.version));
+  uint64_t first_us
+      = r->attempt_first_us > 0 ? r->attempt_first_us : r->gw->now_us;
+  bool was_bad = rollout->found_bad;
+  vr_record (rollout, target, failed, first_us - r->sent_us);
+  if (rollout->found_bad && !was_bad)
+    LO_EVENT ("rollout_bad", st_name_str (&r->id),
+              LO_STR ("service", st_name_str (&r->service)),
+              LO_STR ("target", st_name_str (&rollout->target)),
+              LO_INT ("seen", rollout->target_counts.seen),
+              LO_INT ("failed", rollout->target_counts.failed),
+              LO_INT ("old_seen", rollout->other_counts.seen),
+              LO_INT ("old_failed", rollout->other_counts.failed),
+              LO_INT ("old_latency_ms",
+                      rollout->other_counts.latency_us / CK_MS_US));
+}
+
+/* True when this VM is the first by name of the active ones that report.  */
+static bool
+_gw_is_first_active (const gw_task *gw)
+{
+  if (gw->peers != NULL && gw->group.id != 0 && !gw->group.active)
+    return false;
+  for (int i = 0; i < UT_PEERS_MAX; i++)
+    {
+      const _gw_peer *p = &gw->peer[i];
+      if (p->key != 0 && p->scope == MS_LOAD_VM && p->ready && p->active
+          && gw->now_us - p->report_received_us < _GW_REPORT_TIMEOUT_US
+          && pc_compare_names (st_name_str (&p->name), gw->desc.vm_name) < 0)
+        return false;
+    }
+  return true;
+}
+
+static void
+_gw_count_slots (const gw_task *gw, const _gw_service *service, vr_inputs *in)
+{
+  ut_id id = { 0, 0 };
+  while (ut_next (gw->upstreams, &id))
+    {
+      const ut_upstream *up = ut_query (gw->upstreams, id);
+      if (up->entry.leaving
+          || !st_equal (st_name_str (&up->entry.service),
+                        st_name_str (&service->name)))
+        continue;
+      if (st_equal (st_name_str (&up->entry.version),
+                    st_name_str (&service->rollout.target)))
+        in->target_slots += up->entry.slots;
+      else
+        in->other_slots += up->entry.slots;
+    }
+}
+
+/* Writes the states of rollouts that this VM has to write.  */
+void
+_gw_tick_rollouts (gw_task *gw)
+{
+  for (guint i = 0; i < gw->services->len; i++)
+    {
+      _gw_service *service = gw->services->pdata[i];
+      vr_rollout *rollout = &service->rollout;
+      if (rollout->target.len == 0 || rollout->state != VR_RUNNING
+          || gw->desc.write_rollout == NULL || gw->drain.start_us != 0)
+        continue;
+      vr_inputs in = { .controller = _gw_is_first_active (gw),
+                       .now_us = gw->now_us };
+      _gw_count_slots (gw, service, &in);
+      vr_state state = vr_tick (rollout, &in);
+      if (state == VR_NONE)
+        continue;
+      LO_EVENT ("rollout_write", ST_LIT (""),
+                LO_STR ("service", st_name_str (&service->name)),
+                LO_STR ("target", st_name_str (&rollout->target)),
+                LO_INT ("state", state),
+                LO_BOOL ("found_bad", rollout->found_bad),
+                LO_INT ("seen", rollout->target_counts.seen),
+                LO_INT ("failed", rollout->target_counts.failed),
+                LO_INT ("target_slots", in.target_slots),
+                LO_INT ("other_slots", in.other_slots),
+                LO_INT ("revision", rollout->status_revision));
+      gw->desc.write_rollout (
+          gw->desc.user, st_name_str (&service->name),
+          st_name_str (&rollout->target), state, rollout->status_revision);
+    }
+}
