Keep quotas while all VMs start at once

After the restart VMs hear of each other only after 2 to 4 s, and each admitted requests as if it were alone; a VM's log shows its first over_quota at 15.6 s and a debt of 695,122 when the late reports had come.

- What a VM may admit before it hears of others is divided: a quarter of a bucket by all VMs that accept callers; on standby, by all VMs.
- For six seconds the shares of VMs that have not reported are reserved.
- A request that has waited is checked again before it is sent: the queues of twelve VMs held the same rest of a quota twelve times.

Tests: decide.Bu.AllVmsTogetherStartWithAPartOfABucket, VmsThatHaveNotReportedHaveTheirShare, WaitingRequestsOfSeveralVmsStayWithinTheQuota.

--- a/packages/decide/bu.c
+++ b/packages/decide/bu.c
@@ -11,9 +11,9 @@
 #define _BU_UNRESPONSIVE_US 700000
 /* A peer that has not reported for this long is assumed to have ended.  */
 #define _BU_ENDED_US 12000000
-/* Fraction of the burst that a VM starts with: the others may have used
-   it.  */
-#define _BU_START_FRACTION 0.5
+/* Fraction of the burst that all VMs together start with: it may have been
+   used before.  */
+#define _BU_START_FRACTION 0.25
 
 static void
 _bu_advance_window (bu_retries *b, const bu_terms *terms, uint64_t now_us)
@@ -74,7 +74,7 @@
       p->reserved += p->rate * elapsed_s;
       reserved += p->rate * elapsed_s;
     }
-  quota->level += quota->rate * elapsed_s - reserved;
+  quota->level += quota->rate * (1 - quota->unheard) * elapsed_s - reserved;
   if (quota->level > quota->burst)
     quota->level = quota->burst;
   /* A larger debt than that of one large request comes from late reports.  It
@@ -84,16 +84,14 @@
   quota->filled_at_us = now_us;
 }
 
-/* Sets the rate, per second, and the burst of QUOTA.  A zeroed one starts with
-   a fraction of the burst, less what was reported before.  */
+/* Sets the rate, per second, and the burst of QUOTA.  A zeroed one is empty,
+   or in debt by what was reported before.  */
 void
 bu_set_quota (bu_quota *quota, double rate, double burst, uint64_t now_us)
 {
   if (burst < rate / 4)
     burst = rate / 4;
-  if (quota->filled_at_us == 0)
-    quota->level += _BU_START_FRACTION * burst;
-  else
+  if (quota->filled_at_us != 0)
     _bu_refill (quota, now_us);
   quota->filled_at_us = now_us;
   quota->rate = rate;
@@ -102,6 +100,26 @@
     quota->level = quota->burst;
 }
 
+/* Adds what a VM may admit before it hears of the others, when all VMS that
+   accept callers may have started at once.  */
+void
+bu_start_quota (bu_quota *quota, uint32_t vms)
+{
+  quota->level += _BU_START_FRACTION * quota->burst / (vms > 0 ? vms : 1);
+}
+
+/* Reserves the shares of UNHEARD of the VMS that accept callers, from now on:
+   they may have started with this one and admit requests, but have not
+   reported.  */
+void
+bu_reserve_unheard (bu_quota *quota, uint32_t unheard, uint32_t vms,
+                    uint64_t now_us)
+{
+  if (quota->filled_at_us != 0)
+    _bu_refill (quota, now_us);
+  quota->unheard = vms > 0 && unheard < vms ? (double)unheard / vms : 0;
+}
+
 /* Holds AMOUNT of the quota when more than RESERVE_AMOUNT, which is for more
    urgent requests, is left; else sets RETRY_AFTER_US to the time until it will
    be.  AMOUNT is not compared with what is left and may run into debt:
@@ -127,6 +145,24 @@
   return true;
 }
 
+/* True when a request that holds an amount may still be sent: others have not
+   used up the quota while it waited.  Else sets RETRY_AFTER_US as
+   bu_hold_quota does.  */
+bool
+bu_allows_held (bu_quota *quota, double reserve_amount, uint64_t now_us,
+                uint64_t *retry_after_us)
+{
+  *retry_after_us = 0;
+  if (quota->rate <= 0)
+    return true;
+  _bu_refill (quota, now_us);
+  if (quota->level > reserve_amount)
+    return true;
+  *retry_after_us
+      = (uint64_t)((reserve_amount - quota->level) / quota->rate * 1e6) + 1;
+  return false;
+}
+
 /* Charges AMOUNT, which was held, when its request is sent.  */
 void
 bu_charge_quota (bu_quota *quota, double amount)
--- a/packages/decide/bu.h
+++ b/packages/decide/bu.h
@@ -18,10 +18,12 @@
    For a VM that is unresponsive, its last rate is reserved.
 
    A request holds its amount from its arrival on and is charged when it is
-   sent, so that a team pays nothing for requests that are refused.
+   sent, so that a team pays nothing for requests that are refused.  Other VMs
+   do not see what is held, so a request that has waited is checked again.
 
      if (!bu_hold_quota (&quota, 1460, 0, now_us, &retry_after_us)) 429
-     bu_charge_quota (&quota, 1460)    when the request is first sent, or
+     if (!bu_allows_held (&quota, 0, now_us, &retry_after_us)) 429, after a
+   wait bu_charge_quota (&quota, 1460)    when the request is first sent, or
      bu_release_quota (&quota, 1460)   when it ends without having been sent
      bu_report_quota (&quota, peer, increment, now_us)
  */
@@ -63,6 +65,9 @@
   double burst;
   double level;
   double held; /* for requests that have not been sent */
+  /* Fraction of the rate that is reserved for VMs which have not reported
+     yet.  */
+  double unheard;
   uint64_t filled_at_us;
   uint64_t admitted; /* charged by this VM since its start */
   bu_peer peers[BU_PEERS_MAX];
@@ -79,8 +84,13 @@
 
   void bu_set_quota (bu_quota *quota, double rate, double burst,
                      uint64_t now_us);
+  void bu_start_quota (bu_quota *quota, uint32_t vms);
+  void bu_reserve_unheard (bu_quota *quota, uint32_t unheard, uint32_t vms,
+                           uint64_t now_us);
   bool bu_hold_quota (bu_quota *quota, double amount, double reserve_amount,
                       uint64_t now_us, uint64_t *retry_after_us);
+  bool bu_allows_held (bu_quota *quota, double reserve_amount, uint64_t now_us,
+                       uint64_t *retry_after_us);
   void bu_charge_quota (bu_quota *quota, double amount);
   void bu_release_quota (bu_quota *quota, double amount);
   void bu_report_quota (bu_quota *quota, uint64_t peer, uint64_t increment,
--- a/packages/decide/tests/bu_test.cc
+++ b/packages/decide/tests/bu_test.cc
@@ -30,6 +30,14 @@
   return true;
 }
 
+// A quota of a VM that is alone.
+void
+start (bu_quota *quota, double rate, double burst)
+{
+  bu_set_quota (quota, rate, burst, 1);
+  bu_start_quota (quota, 1);
+}
+
 // VMs that report to each other what they admitted.
 struct Vms
 {
@@ -121,7 +129,7 @@
   Vms fleet (vms);
   std::vector<bu_quota> &a = fleet.quotas;
   for (bu_quota &one : a)
-    bu_set_quota (&one, rate, burst, 1);
+    start (&one, rate, burst);
   std::vector<std::pair<uint64_t, double>> admitted;
   uint64_t retry;
   for (uint64_t now = 1000; now < 30 * second; now += 5000)
@@ -156,7 +164,7 @@
   uint64_t retry;
   uint32_t small = 0, large = 0, each = 0;
   double sum = 0;
-  bu_set_quota (&a, 10000, 5000, 1);
+  start (&a, 10000, 5000);
   for (uint64_t now = 1000; now < 60 * second; now += 97000, each++)
     {
       if (take (&a, 100, 0, now, &retry))
@@ -175,7 +183,7 @@
 {
   bu_quota a = {};
   uint64_t retry;
-  bu_set_quota (&a, 1000, 1000, 1);
+  start (&a, 1000, 1000);
   double other = 0;
   uint64_t now = 1000;
   for (; now < 20 * second; now += 10000)
@@ -188,6 +196,39 @@
   EXPECT_GT (retry, 200000u);
 }
 
+// Guards against a team getting the start of a bucket from each VM when all of
+// them start at once and have not heard of each other.
+TEST (Bu, AllVmsTogetherStartWithAPartOfABucket)
+{
+  double sum = 0;
+  for (int vm = 0; vm < 12; vm++)
+    {
+      bu_quota a = {};
+      uint64_t retry;
+      bu_set_quota (&a, 1000, 12000, 1);
+      bu_start_quota (&a, 12);
+      EXPECT_GT (a.level, 0);
+      while (take (&a, 10, 0, 1, &retry))
+        sum += 10;
+    }
+  EXPECT_LE (sum, 3000);
+  EXPECT_GT (sum, 2500);
+}
+
+// Guards against a team getting its whole rate from each VM while VMs that
+// have started at once connect to each other.
+TEST (Bu, VmsThatHaveNotReportedHaveTheirShare)
+{
+  bu_quota a = {};
+  bu_set_quota (&a, 12000, 12000, 1);
+  bu_reserve_unheard (&a, 11, 12, 1);
+  bu_report_quota (&a, 7, 0, 500001);
+  EXPECT_NEAR (a.level, 500, 1);
+  bu_reserve_unheard (&a, 0, 12, 500001);
+  bu_report_quota (&a, 7, 0, 1000001);
+  EXPECT_NEAR (a.level, 6500, 1);
+}
+
 // Guards against a team getting a full bucket from each VM when all of them
 // start at once and their first reports arrive later.
 TEST (Bu, FirstReportsCountWhenAllVmsStartAtOnce)
@@ -197,7 +238,7 @@
   Vms fleet (vms);
   std::vector<bu_quota> &a = fleet.quotas;
   for (bu_quota &one : a)
-    bu_set_quota (&one, rate, burst, 1);
+    start (&one, rate, burst);
   double sum = 0;
   uint64_t retry;
   for (uint64_t now = 1000; now < 8 * second; now += 5000)
@@ -217,7 +258,7 @@
   bu_quota a = {};
   uint64_t retry;
   double admitted = 0;
-  bu_set_quota (&a, 1000, 1000, 1);
+  start (&a, 1000, 1000);
   for (uint64_t now = 2; now < 20 * second; now += 10000)
     if (take (&a, 9, 0, now, &retry))
       admitted += 9;
@@ -237,7 +278,7 @@
     return sum;
   };
   bu_quota a = {};
-  bu_set_quota (&a, 1000, 100, 1);
+  start (&a, 1000, 100);
   for (uint64_t now = 100000; now < 10 * second; now += 100000)
     bu_report_quota (&a, 7, 50, now);
   admit (&a, 10 * second, 10 * second + 1);
@@ -254,7 +295,7 @@
 {
   bu_quota a = {};
   uint64_t retry;
-  bu_set_quota (&a, 1000, 1000, 1);
+  start (&a, 1000, 1000);
   for (int i = 0; i < 100; i++)
     {
       ASSERT_TRUE (bu_hold_quota (&a, 400, 0, 2, &retry)) << i;
@@ -271,21 +312,52 @@
   bu_quota a = {};
   uint64_t retry;
   int held = 0;
-  bu_set_quota (&a, 1000, 1000, 1);
+  start (&a, 1000, 1000);
   while (bu_hold_quota (&a, 100, 0, 1, &retry))
     held++;
-  EXPECT_EQ (held, 5); /* of the half bucket that a VM starts with */
+  EXPECT_EQ (held, 3); /* of the quarter bucket that a VM starts with */
   EXPECT_GT (retry, 0u);
 }
 
+// Guards against queues of several VMs that each hold all that is left of a
+// quota and send it once slots are free.
+TEST (Bu, WaitingRequestsOfSeveralVmsStayWithinTheQuota)
+{
+  const size_t vms = 12;
+  Vms fleet (vms);
+  double sent = 0;
+  uint64_t retry;
+  for (bu_quota &one : fleet.quotas)
+    {
+      bu_set_quota (&one, 1000, 12000, 1);
+      bu_start_quota (&one, 1);
+      while (bu_hold_quota (&one, 100, 0, 1, &retry))
+        ;
+    }
+  for (int round = 0; round < 70; round++)
+    for (size_t i = 0; i < vms; i++)
+      {
+        if (bu_allows_held (&fleet.quotas[i], 0, 1, &retry))
+          {
+            bu_charge_quota (&fleet.quotas[i], 100);
+            sent += 100;
+          }
+        else
+          EXPECT_GT (retry, 0u);
+        fleet.report_all (true, 1);
+      }
+  EXPECT_LE (sent, 3000 + 100 * (double)vms);
+  EXPECT_GE (sent, 3000);
+}
+
 // Guards against a late report that costs its sender's rate twice, however
 // often the quota was used in between.
 TEST (Bu, ALateReportReturnsExactlyWhatWasReserved)
 {
   bu_quota late = {}, steady = {};
   uint64_t retry;
-  bu_set_quota (&late, 10000, 100000, 1);
-  bu_set_quota (&steady, 10000, 100000, 1);
+  start (&late, 10000, 100000);
+  start (&steady, 10000, 100000);
   uint64_t unreported = 0;
   for (uint64_t now = 100000; now <= 10 * second; now += 100000)
     {
@@ -306,7 +378,7 @@
 TEST (Bu, MorePeersThanEntriesCount)
 {
   bu_quota a = {};
-  bu_set_quota (&a, 1, 100000, 1);
+  start (&a, 1, 100000);
   double before = a.level;
   for (uint64_t peer = 1; peer <= 3 * BU_PEERS_MAX; peer++)
     bu_report_quota (&a, peer, 10, 2);
@@ -317,7 +389,7 @@
 {
   bu_quota a = {};
   uint64_t retry = 1;
-  bu_set_quota (&a, 0, 0, 1);
+  start (&a, 0, 0);
   for (int i = 0; i < 1000; i++)
     ASSERT_TRUE (take (&a, 1e9, 0, 2, &retry));
   EXPECT_EQ (retry, 0u);
@@ -328,7 +400,7 @@
 {
   bu_quota a = {};
   uint64_t retry = 0;
-  bu_set_quota (&a, 1000, 1000, 1);
+  start (&a, 1000, 1000);
   while (take (&a, 100, 0, 2, &retry))
     ;
   EXPECT_GT (retry, 0u);
--- a/packages/decide/tests/qa_test.cc
+++ b/packages/decide/tests/qa_test.cc
@@ -187,6 +187,7 @@
     vms[i].source = ++sources_;
     vms[i].started = now;
     bu_set_quota (&vms[i].quota, rate_, rate_, now);
+    bu_start_quota (&vms[i].quota, (uint32_t)vms.size ());
   }
   // FRACTION of the rate is asked for, at any VM.
   void
--- a/packages/decide/vr.c
+++ b/packages/decide/vr.c
@@ -131,9 +131,8 @@
   counts->seen++;
   counts->failed += failed;
   if (!failed)
-    counts->latency_us
-        += (counts->latency_us > 0 ? _VR_LATENCY_WEIGHT : 1)
-           * ((double)latency_us - counts->latency_us);
+    counts->latency_us += (counts->latency_us > 0 ? _VR_LATENCY_WEIGHT : 1)
+                          * ((double)latency_us - counts->latency_us);
   if (target && _vr_is_bad (r))
     r->found_bad = true;
 }
--- a/packages/decide/vr.h
+++ b/packages/decide/vr.h
@@ -1,5 +1,5 @@
-/* vr.h -- rollout of a service's new version whose upstreams run beside the old
-   ones, with a deadline of seconds.
+/* vr.h -- rollout of a service's new version whose upstreams run beside the
+   old ones, with a deadline of seconds.
 
    Used by the gateway.  A rollout of minutes, whose share rises in steps, is
    in ro.h.
@@ -46,7 +46,7 @@
 typedef struct
 {
   uint32_t seen;
-  uint32_t failed; /* or much slower than the old version */
+  uint32_t failed;   /* or much slower than the old version */
   double latency_us; /* mean of the requests that did not fail */
 } vr_counts;
 
@@ -60,7 +60,7 @@
   uint64_t status_revision; /* 0: none is stored */
   st_name status_target;
   vr_state status; /* as it is stored */
-  bool found_bad;           /* by this VM */
+  bool found_bad;  /* by this VM */
   vr_counts target_counts;
   vr_counts other_counts;
   uint64_t written_us; /* last write; 0: none */
--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -88,6 +88,7 @@
   (void)what;
   _gw_now (gw);
   _gw_expire_peers (gw);
+  _gw_reserve_unheard (gw);
   _gw_end_stalled (gw);
   _gw_tick_rollouts (gw);
   _gw_schedule_all (gw);
@@ -288,6 +289,7 @@
   if (gw->peers != NULL)
     pe_set_vm_list (gw->peers, entries, count);
   g_free (entries);
+  _gw_start_quotas (gw);
 }
 
 /* True when callers may be sent to this VM.  */
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -59,13 +59,13 @@
   uint64_t first_us; /* first event of a stream */
   ut_id upstream;
   uc_exchange *exchange;
-  GString *response_head; /* fields to forward */
-  GString *response_body; /* body, or the last incomplete event */
-  uint64_t last_event;    /* id */
-  uint64_t last_event_us; /* 0 until the first event of the attempt */
+  GString *response_head;    /* fields to forward */
+  GString *response_body;    /* body, or the last incomplete event */
+  uint64_t last_event;       /* id */
+  uint64_t last_event_us;    /* 0 until the first event of the attempt */
   uint64_t attempt_first_us; /* first event of the attempt */
-  uint64_t events;        /* forwarded */
-  size_t stored_bytes;    /* of response_body, in the sum of all */
+  uint64_t events;           /* forwarded */
+  size_t stored_bytes;       /* of response_body, in the sum of all */
   struct event *timer;
   struct _gw_request *next; /* in the queue */
   uint32_t index;
@@ -193,6 +193,7 @@
   _gw_peer peer[UT_PEERS_MAX]; /* VMs, other groups, or their sum */
   GHashTable *seen_peers;      /* keys of VMs that started later */
   qa_ledger *quota_ledger;     /* what the other VMs admitted */
+  bool quotas_started;         /* with their part of a bucket */
   _gw_group group;
   GPtrArray *services;       /* of _gw_service */
   GPtrArray *teams;          /* of _gw_team */
@@ -309,6 +310,8 @@
 bool _gw_start_peers (gw_task *gw, er_error *err);
 void _gw_load_changed (gw_task *gw);
 void _gw_expire_peers (gw_task *gw);
+void _gw_reserve_unheard (gw_task *gw);
+void _gw_start_quotas (gw_task *gw);
 uint64_t _gw_reports_age_us (const gw_task *gw);
 void _gw_peer_waiting (const gw_task *gw, uint32_t waiting[GQ_RANKS]);
 
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -18,6 +18,9 @@
 #define _GW_SEEN_PEERS_MAX 16384
 /* Start times of VMs that are started together differ by less than this.  */
 #define _GW_START_SKEW_US 500000
+/* A VM that is reachable has reported by this time after the start, also when
+   hundreds of VMs start and connect to each other at once.  */
+#define _GW_HEARD_BY_US 6000000
 /* Keys of the sums of other groups and of other VMs among the peers.  They are
    even, and hashes of names are odd.  */
 #define _GW_OTHER_GROUPS_KEY 2
@@ -95,6 +98,63 @@
                            load->rows[i].unread_tokens };
 }
 
+/* Number of VMs that may admit requests like this one, and how many of them
+   this VM has HEARD of, itself included.  All VMs on standby may have callers
+   for a while, and hear of the active ones in the sums.  */
+static uint32_t
+_gw_count_sharers (const gw_task *gw, uint32_t *heard)
+{
+  bool active_heard = false;
+  *heard = 1;
+  for (int i = 0; i < UT_PEERS_MAX; i++)
+    {
+      const _gw_peer *p = &gw->peer[i];
+      if (p->key == 0)
+        continue;
+      if (gw->group.active)
+        *heard += p->scope == MS_LOAD_VM && p->active;
+      else
+        active_heard |= p->scope != MS_LOAD_VM;
+    }
+  if (gw->group.active)
+    return gw->group.active_count;
+  if (active_heard)
+    *heard = gw->group.vm_count;
+  return gw->group.vm_count;
+}
+
+/* Reserves the shares of VMs that have not been heard of yet, for a while
+   after this VM's start.  */
+void
+_gw_reserve_unheard (gw_task *gw)
+{
+  uint32_t heard;
+  uint32_t vms = _gw_count_sharers (gw, &heard);
+  uint32_t unheard = vms > heard ? vms - heard : 0;
+  if (gw->peers == NULL || gw->now_us - gw->started_us > _GW_HEARD_BY_US)
+    unheard = 0;
+  for (guint i = 0; i < gw->teams->len; i++)
+    bu_reserve_unheard (&((_gw_team *)gw->teams->pdata[i])->quota, unheard,
+                        vms, gw->now_us);
+}
+
+/* Gives the teams their first part of a bucket, once the configuration and the
+   VMs that share it are known.  */
+void
+_gw_start_quotas (gw_task *gw)
+{
+  uint32_t heard;
+  if (gw->quotas_started || gw->config == NULL)
+    return;
+  gw->quotas_started = true;
+  if (gw->peers != NULL)
+    _gw_build_group (gw);
+  uint32_t vms = _gw_count_sharers (gw, &heard);
+  for (guint i = 0; i < gw->teams->len; i++)
+    bu_start_quota (&((_gw_team *)gw->teams->pdata[i])->quota, vms);
+  _gw_reserve_unheard (gw);
+}
+
 /* Counts what the VMs of LOAD, which the VM SENDER reports for the peer P,
    admitted since its last report.  FIRST: P has not reported before.  */
 static void
@@ -162,6 +222,8 @@
     return;
   bool first = p->report_received_us == 0;
   _gw_store_load (gw, p, load);
+  if (first)
+    _gw_reserve_unheard (gw);
   ut_report report = { .rows = p->rows, .count = p->row_count };
   for (uint32_t rank = 0; rank < GQ_RANKS; rank++)
     report.waiting_ranks |= p->waiting[rank] > 0 ? 1u << rank : 0;
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -279,6 +279,33 @@
   return fraction * _gw_quota_slack (r->gw, r->team);
 }
 
+static void
+_gw_refuse_for_quota (_gw_request *r, uint64_t retry_after_us)
+{
+  const bu_quota *a = &_gw_find_team (r->gw, r->team->name)->quota;
+  LO_EVENT ("over_quota", st_name_str (&r->id), LO_STR ("team", r->team->name),
+            LO_INT ("asked", r->quota), LO_INT ("left", a->level),
+            LO_INT ("held", a->held), LO_INT ("rate", a->rate),
+            LO_INT ("burst", a->burst),
+            LO_INT ("config", rc_query_version (r->config)));
+  _gw_refuse (r, 429, "over_quota", retry_after_us);
+}
+
+/* Refuses R, which has waited, when its team's quota has been used up
+   meanwhile; true when it did.  */
+static bool
+_gw_refuse_over_quota (_gw_request *r)
+{
+  uint64_t retry_after_us;
+  if (!r->quota_held
+      || bu_allows_held (&_gw_find_team (r->gw, r->team->name)->quota,
+                         _gw_quota_reserve (r), r->gw->now_us,
+                         &retry_after_us))
+    return false;
+  _gw_refuse_for_quota (r, retry_after_us);
+  return true;
+}
+
 /* Charges the quota that R holds, when R is first sent.  */
 void
 _gw_charge_quota (_gw_request *r)
@@ -318,13 +345,7 @@
       && !bu_hold_quota (&_gw_find_team (gw, r->team->name)->quota, r->quota,
                          _gw_quota_reserve (r), gw->now_us, &retry_after_us))
     {
-      const bu_quota *a = &_gw_find_team (gw, r->team->name)->quota;
-      LO_EVENT ("over_quota", st_name_str (&r->id),
-                LO_STR ("team", r->team->name), LO_INT ("asked", r->quota),
-                LO_INT ("left", a->level), LO_INT ("held", a->held),
-                LO_INT ("rate", a->rate), LO_INT ("burst", a->burst),
-                LO_INT ("config", rc_query_version (r->config)));
-      _gw_refuse (r, 429, "over_quota", retry_after_us);
+      _gw_refuse_for_quota (r, retry_after_us);
       return;
     }
   r->quota_held = r->team != NULL;
@@ -372,6 +393,8 @@
           return;
         if (r->retry_due && !_gw_take_retry (r))
           break;
+        if (_gw_refuse_over_quota (r))
+          continue;
         r->retry_due = false;
         _gw_dequeue (r);
         _gw_dispatch (r, to);
--- a/packages/gateway/gw_rollout.c
+++ b/packages/gateway/gw_rollout.c
@@ -3,8 +3,8 @@
 #include "gw_internal.h"
 #include "pc.h"
 
-/* Starts the rollout of SERVICE to the version TARGET, as the order of REVISION
-   requests; an order that is known is ignored.  */
+/* Starts the rollout of SERVICE to the version TARGET, as the order of
+   REVISION requests; an order that is known is ignored.  */
 void
 gw_set_rollout (gw_task *gw, st_str service, st_str target,
                 uint64_t duration_us, uint64_t revision)
@@ -120,8 +120,8 @@
       if (rollout->target.len == 0 || rollout->state != VR_RUNNING
           || gw->desc.write_rollout == NULL || gw->drain.start_us != 0)
         continue;
-      vr_inputs in = { .controller = _gw_is_first_active (gw),
-                       .now_us = gw->now_us };
+      vr_inputs in
+          = { .controller = _gw_is_first_active (gw), .now_us = gw->now_us };
       _gw_count_slots (gw, service, &in);
       vr_state state = vr_tick (rollout, &in);
       if (state == VR_NONE)
@@ -136,8 +136,8 @@
                 LO_INT ("target_slots", in.target_slots),
                 LO_INT ("other_slots", in.other_slots),
                 LO_INT ("revision", rollout->status_revision));
-      gw->desc.write_rollout (
-          gw->desc.user, st_name_str (&service->name),
-          st_name_str (&rollout->target), state, rollout->status_revision);
+      gw->desc.write_rollout (gw->desc.user, st_name_str (&service->name),
+                              st_name_str (&rollout->target), state,
+                              rollout->status_revision);
     }
 }
