Let the VM list decide the active VMs before others are heard

For six seconds after its start a VM counts the VMs of the registry's list that it has not heard of as members.

gateway.GwFleet.TheVmListDecidesBeforeOthersAreHeard is red without it.

--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -140,6 +140,7 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   gw->conns = g_ptr_array_new ();
   _gw_make_group (&gw->group);
+  gw->listed = g_array_new (FALSE, TRUE, sizeof (_gw_listed_vm));
   gw->seen_peers
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   gw->quota_ledger = qa_make (&(qa_desc){ 0 });
@@ -196,6 +197,7 @@
   g_ptr_array_free (gw->conns, TRUE);
   _gw_destroy_group (&gw->group);
   g_hash_table_destroy (gw->seen_peers);
+  g_array_free (gw->listed, TRUE);
   qa_destroy (gw->quota_ledger);
   for (int i = 0; i < UT_PEERS_MAX; i++)
     g_free (gw->peer[i].rows);
@@ -274,6 +276,21 @@
   uc_close_instance (gw->pool, id);
 }
 
+static void
+_gw_store_listed (gw_task *gw, const gw_vm_entry *vms, uint32_t count)
+{
+  g_array_set_size (gw->listed, 0);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      _gw_listed_vm vm = { .capacity = vms[i].capacity };
+      st_name_set (&vm.name, vms[i].name);
+      st_name_set (&vm.region, vms[i].region);
+      st_name_set (&vm.data_center, vms[i].data_center);
+      st_name_set (&vm.callers_address, vms[i].callers_address);
+      g_array_append_val (gw->listed, vm);
+    }
+}
+
 /* Replaces the VM list by the COUNT VMS of the registry.  */
 void
 gw_set_vms (gw_task *gw, const gw_vm_entry *vms, uint32_t count)
@@ -289,6 +306,7 @@
   if (gw->peers != NULL)
     pe_set_vm_list (gw->peers, entries, count);
   g_free (entries);
+  _gw_store_listed (gw, vms, count);
   _gw_start_quotas (gw);
 }
 
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -158,6 +158,15 @@
   size_t row_count;
 } _gw_peer;
 
+typedef struct
+{
+  st_name name;
+  st_name region;
+  st_name data_center;
+  st_name callers_address;
+  uint32_t capacity;
+} _gw_listed_vm;
+
 /* The VM group of this VM and the recipients of its reports, rebuilt from the
    members at intervals; see pc.h.  The VMs of a group forward configurations
    to each other.  Where the active VMs are at most PC_ONE_GROUP_MAX, they
@@ -194,6 +203,7 @@
   GHashTable *seen_peers;      /* keys of VMs that started later */
   qa_ledger *quota_ledger;     /* what the other VMs admitted */
   bool quotas_started;         /* with their part of a bucket */
+  GArray *listed;              /* VM list of the registry, of _gw_listed_vm */
   _gw_group group;
   GPtrArray *services;       /* of _gw_service */
   GPtrArray *teams;          /* of _gw_team */
@@ -312,6 +322,8 @@
 void _gw_expire_peers (gw_task *gw);
 void _gw_reserve_unheard (gw_task *gw);
 void _gw_start_quotas (gw_task *gw);
+bool _gw_is_joining (const gw_task *gw);
+bool _gw_is_member (const gw_task *gw, st_str name);
 uint64_t _gw_reports_age_us (const gw_task *gw);
 void _gw_peer_waiting (const gw_task *gw, uint32_t waiting[GQ_RANKS]);
 
--- a/packages/gateway/gw_load.c
+++ b/packages/gateway/gw_load.c
@@ -66,6 +66,20 @@
         fleet->members[fleet->count++]
             = (pc_member){ record.name, record.data_center, record.capacity };
       }
+  /* VMs that this one has not heard of yet get their roles as well; else
+     every VM of a fleet that starts at once would accept callers.  */
+  for (guint i = 0; i < gw->listed->len && _gw_is_joining (gw)
+                    && fleet->count < PC_MEMBERS_MAX;
+       i++)
+    {
+      const _gw_listed_vm *vm = &g_array_index (gw->listed, _gw_listed_vm, i);
+      if (_gw_is_member (gw, st_name_str (&vm->name)))
+        continue;
+      fleet->records[fleet->count] = (mb_record){ 0 };
+      fleet->members[fleet->count++]
+          = (pc_member){ st_name_str (&vm->name),
+                         st_name_str (&vm->data_center), vm->capacity };
+    }
   pc_assign_roles (fleet->members, fleet->count,
                    pc_needed_capacity (ut_query_slots (gw->upstreams)),
                    fleet->roles);
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -98,6 +98,29 @@
                            load->rows[i].unread_tokens };
 }
 
+/* True for a while after the start, in which this VM knows other VMs from the
+   VM list only.  */
+bool
+_gw_is_joining (const gw_task *gw)
+{
+  return gw->peers != NULL
+         && ck_now_us (gw->desc.clock) - gw->started_us <= _GW_HEARD_BY_US;
+}
+
+/* True when NAME is this VM or a member, dead ones included.  */
+bool
+_gw_is_member (const gw_task *gw, st_str name)
+{
+  uint32_t cursor = 0;
+  mb_record record;
+  if (st_equal (name, gw->desc.vm_name))
+    return true;
+  while (mb_query_member (pe_query_members (gw->peers), &cursor, &record))
+    if (st_equal (record.name, name))
+      return true;
+  return false;
+}
+
 /* Number of VMs that may admit requests like this one, and how many of them
    this VM has HEARD of, itself included.  All VMs on standby may have callers
    for a while, and hear of the active ones in the sums.  */
@@ -511,6 +534,23 @@
         ready[ready_count++]
             = (pc_member){ record.name, record.data_center, record.capacity };
     }
+  for (guint i = 0; i < gw->listed->len && _gw_is_joining (gw) && count < max;
+       i++)
+    {
+      const _gw_listed_vm *vm = &g_array_index (gw->listed, _gw_listed_vm, i);
+      if (_gw_is_member (gw, st_name_str (&vm->name)))
+        continue;
+      vms[count++]
+          = (gw_vm){ .name = st_name_str (&vm->name),
+                     .region = st_name_str (&vm->region),
+                     .data_center = st_name_str (&vm->data_center),
+                     .callers_address = st_name_str (&vm->callers_address),
+                     .ready = gw->group.id != 0 };
+      if (vms[count - 1].ready)
+        ready[ready_count++]
+            = (pc_member){ vms[count - 1].name, vms[count - 1].data_center,
+                           vm->capacity };
+    }
   /* In a deployment of one group all ready VMs are active.  */
   if (gw->group.id == 0)
     memset (active, true, sizeof active);
--- a/packages/gateway/tests/fleet_test.cc
+++ b/packages/gateway/tests/fleet_test.cc
@@ -198,6 +198,20 @@
   })) << differs;
 }
 
+// Guards against VMs of a fleet that starts at once, each of which sends
+// callers to itself until it has heard of the others.
+TEST (GwFleet, TheVmListDecidesBeforeOthersAreHeard)
+{
+  Fleet f;
+  // Nothing has been received yet.
+  for (int i = 0; i < 2 * Each; i++)
+    {
+      EXPECT_EQ (gw_query_vm_count (f.vms[(size_t)i]), 2u * Each) << i;
+      EXPECT_EQ (f.active (i, "a"), large_a) << f.describe (i);
+      EXPECT_EQ (f.active (i, "b"), large_b) << f.describe (i);
+    }
+}
+
 // Guards against the address of a VM that is leaving being returned, and
 // against a data centre that then has one VM for all its callers.
 TEST (GwFleet, AnotherVmReplacesAnActiveOneThatLeaves)
