Use the current frame version in the test of malformed frames

Pe.ViolationsCloseOnlyTheirConnection sends an unknown type and a malformed body in frames of version 3, which is the version before since quota use is counted once; the connection was closed as unknown_version in place of the errors under test. The two frames now have version 4; the checks are the same.

--- a/packages/peers/tests/pe_test.cc
+++ b/packages/peers/tests/pe_test.cc
@@ -355,11 +355,11 @@
                    "\x90",
                    15),
       "unknown_version" },
-    { std::string ("\x00\x00\x00\x0b\x03\xee\x00\x00\x00\x00\x00\x00\x00\x00"
+    { std::string ("\x00\x00\x00\x0b\x04\xee\x00\x00\x00\x00\x00\x00\x00\x00"
                    "\x90",
                    15),
       "unknown_type" },
-    { std::string ("\x00\x00\x00\x0b\x03\x01\x00\x00\x00\x00\x00\x00\x00\x00"
+    { std::string ("\x00\x00\x00\x0b\x04\x01\x00\x00\x00\x00\x00\x00\x00\x00"
                    "\xc1",
                    15),
       "message_malformed" },
