Log the documents that VMs send each other

Neither a published document, a fetch, its reply nor its arrival was in the logs, and a configuration from a peer was logged as read from the store, so repeated transfers could not be told from large ones.

--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -271,12 +271,20 @@
       reply.u.settings_value.hash = ST_LIT ("document");
       reply.u.settings_value.bytes
           = gw->desc.query_document (gw->desc.user, m->u.settings_get.since);
+      LO_EVENT ("document_reply", ST_LIT (""), LO_STR ("peer", sender->name),
+                LO_INT ("since", m->u.settings_get.since),
+                LO_INT ("bytes", reply.u.settings_value.bytes.len));
       if (reply.u.settings_value.bytes.len > 0)
         pe_send (gw->peers, sender->incarnation, &reply);
     }
   else if (m->type == MS_SETTINGS_VALUE && gw->desc.on_document != NULL
            && m->u.settings_value.bytes.len > 0)
-    gw->desc.on_document (gw->desc.user, m->u.settings_value.bytes);
+    {
+      LO_EVENT ("document_received", ST_LIT (""),
+                LO_STR ("peer", sender->name),
+                LO_INT ("bytes", m->u.settings_value.bytes.len));
+      gw->desc.on_document (gw->desc.user, m->u.settings_value.bytes);
+    }
 }
 
 /* Sends DOCUMENT of the adapter to the VMs of the group.  */
@@ -288,6 +296,9 @@
   m.u.settings_value.bytes = document;
   if (gw->peers == NULL)
     return;
+  LO_EVENT ("document_published", ST_LIT (""), LO_INT ("bytes", document.len),
+            LO_INT ("vms", gw->group.active_members->len
+                               + gw->group.standby_members->len));
   _gw_send_to_all (gw, gw->group.active_members, &m);
   _gw_send_to_all (gw, gw->group.standby_members, &m);
 }
@@ -323,6 +334,12 @@
     own = gw->desc.query_follow_state (gw->desc.user);
   ms_message m = { .type = MS_SETTINGS_GET };
   m.u.settings_get.since = own.revision;
+  LO_EVENT ("document_fetch", ST_LIT (""),
+            LO_STR ("peer", st_name_str (&best->name)),
+            LO_INT ("since", own.revision),
+            LO_INT ("config", gw_query_config_version (gw)),
+            LO_INT ("peer_config", best->config_version),
+            LO_INT ("peer_revision", best->store_revision));
   pe_send (gw->peers, st_from_cstr (best->incarnation), &m);
 }
 
