Do not repeat a fetch whose reply is on its way

Callers got 404 on routes whose configuration had been acknowledged for more than 4 s, and requests reached upstreams more than 4 s after they had said that they leave. A VM that was behind fetched the document from a peer every 300 ms, also while it was being sent one, and each fetch was answered with the whole configuration. A large one takes a second on a link of 10 Mbit/s, so the repetitions filled the links of all VMs; reports and drains waited behind them, VMs were declared dead and more of them read the store.

One fetch is in progress at a time. It ends with its reply, with the death of its peer, or after 1 s, doubled up to 4 s, after which another peer is asked. Peers that have the same configuration are chosen at random, those of the own group first.

--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -122,6 +122,14 @@
   vr_rollout rollout;
 } _gw_service;
 
+/* The fetch of the document from another VM.  */
+typedef struct
+{
+  uint64_t peer; /* key of the VM that has yet to reply; 0: none */
+  uint64_t sent_us;
+  uint64_t timeout_us; /* of the reply; doubled after each loss */
+} _gw_fetch;
+
 /* Loads that a sum contains.  */
 typedef enum
 {
@@ -222,8 +230,8 @@
   uint64_t infrequent_sent_us;
   struct event *group_timer;
   bool load_dirty;
-  uint64_t document_fetch_us; /* last gw_fetch_document; 0: none */
-  struct event *queue_timer;  /* armed while requests wait */
+  _gw_fetch fetch;
+  struct event *queue_timer; /* armed while requests wait */
   uint32_t random;
   uint64_t now_us;
   uint64_t started_us;
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -9,6 +9,10 @@
 #define _GW_WAITING_VALID_US 600000
 /* Shortest interval between two fetches of the document.  */
 #define _GW_FETCH_INTERVAL_US 300000
+/* Time after which the reply to a fetch counts as lost, at first and at most.
+   A large document takes a second on the slowest links.  */
+#define _GW_FETCH_TIMEOUT_US 1000000
+#define _GW_FETCH_TIMEOUT_MAX_US 4000000
 /* A VM of the group that has not reported for this long, which is two missed
    reports, is not counted as a follower of the store.  */
 #define _GW_FOLLOWER_TIMEOUT_US 1000000
@@ -26,6 +30,10 @@
 #define _GW_OTHER_GROUPS_KEY 2
 #define _GW_OTHER_VMS_KEY 4
 
+/* Marks of documents: the reply to a fetch, and published changes.  */
+#define _GW_REPLY ST_LIT ("document")
+#define _GW_CHANGES ST_LIT ("changes")
+
 static _gw_peer *
 _gw_find_peer (gw_task *gw, uint64_t key)
 {
@@ -55,6 +63,8 @@
 static void
 _gw_remove_peer (gw_task *gw, _gw_peer *p)
 {
+  if (gw->fetch.peer == p->key)
+    gw->fetch.peer = 0;
   ut_set_peer (gw->upstreams, p->key, &(ut_report){ 0 }, gw->now_us);
   for (guint i = 0; i < gw->teams->len; i++)
     bu_remove_peer (&((_gw_team *)gw->teams->pdata[i])->quota, p->key);
@@ -268,7 +278,7 @@
   else if (m->type == MS_SETTINGS_GET && gw->desc.query_document != NULL)
     {
       ms_message reply = { .type = MS_SETTINGS_VALUE };
-      reply.u.settings_value.hash = ST_LIT ("document");
+      reply.u.settings_value.hash = _GW_REPLY;
       reply.u.settings_value.bytes
           = gw->desc.query_document (gw->desc.user, m->u.settings_get.since);
       LO_EVENT ("document_reply", ST_LIT (""), LO_STR ("peer", sender->name),
@@ -283,6 +293,8 @@
       LO_EVENT ("document_received", ST_LIT (""),
                 LO_STR ("peer", sender->name),
                 LO_INT ("bytes", m->u.settings_value.bytes.len));
+      if (st_equal (m->u.settings_value.hash, _GW_REPLY))
+        gw->fetch.peer = 0;
       gw->desc.on_document (gw->desc.user, m->u.settings_value.bytes);
     }
 }
@@ -292,7 +304,7 @@
 gw_publish_document (gw_task *gw, st_str document)
 {
   ms_message m = { .type = MS_SETTINGS_VALUE };
-  m.u.settings_value.hash = ST_LIT ("document");
+  m.u.settings_value.hash = _GW_CHANGES;
   m.u.settings_value.bytes = document;
   if (gw->peers == NULL)
     return;
@@ -303,44 +315,88 @@
   _gw_send_to_all (gw, gw->group.standby_members, &m);
 }
 
-/* Requests what changed in the platform's document since this VM's store
-   revision, from the VM whose recent report has the highest configuration
-   version and then store revision.  Does nothing within _GW_FETCH_INTERVAL_US
-   of the last fetch.  */
-void
-gw_fetch_document (gw_task *gw)
+/* True when A is a better source of the document than B, by what they
+   reported: the newer configuration, then a VM of this group, then one that
+   follows the store.  */
+static bool
+_gw_is_better_source (const gw_task *gw, const _gw_peer *a, const _gw_peer *b)
+{
+  bool group_a = a->vm_group == gw->group.id;
+  bool group_b = b->vm_group == gw->group.id;
+  if (a->config_version != b->config_version)
+    return a->config_version > b->config_version;
+  if (group_a != group_b)
+    return group_a;
+  return a->follows && !b->follows;
+}
+
+/* The VM to fetch the document from, other than the one with the key EXCEPT
+   where there is a choice; NULL when none has reported.  Equal ones are chosen
+   from at random, so that no VM replies to all.  */
+static const _gw_peer *
+_gw_choose_source (gw_task *gw, uint64_t except)
 {
   const _gw_peer *best = NULL;
-  gw_follow_state own = { 0 };
-  _gw_now (gw);
-  if (gw->peers == NULL
-      || (gw->document_fetch_us != 0
-          && gw->now_us - gw->document_fetch_us < _GW_FETCH_INTERVAL_US))
-    return;
+  uint32_t equal = 0;
   for (int i = 0; i < UT_PEERS_MAX; i++)
     {
       const _gw_peer *p = &gw->peer[i];
-      if (p->key != 0 && p->scope == MS_LOAD_VM && p->config_version > 0
-          && gw->now_us - p->report_received_us < _GW_REPORT_TIMEOUT_US
-          && (best == NULL || p->config_version > best->config_version
-              || (p->config_version == best->config_version
-                  && p->store_revision > best->store_revision)))
+      if (p->key == 0 || p->key == except || p->scope != MS_LOAD_VM
+          || p->config_version == 0
+          || gw->now_us - p->report_received_us >= _GW_REPORT_TIMEOUT_US)
+        continue;
+      if (best == NULL || _gw_is_better_source (gw, p, best))
+        equal = 0;
+      else if (_gw_is_better_source (gw, best, p))
+        continue;
+      if (_gw_random (gw) % ++equal == 0)
         best = p;
     }
-  if (best == NULL)
+  return best == NULL && except != 0 ? _gw_choose_source (gw, 0) : best;
+}
+
+/* True when a fetch may be sent now.  A repetition while the reply is on its
+   way would delay it on a link that is full.  */
+static bool
+_gw_may_fetch (const gw_task *gw)
+{
+  const _gw_fetch *fetch = &gw->fetch;
+  return fetch->sent_us == 0
+         || gw->now_us - fetch->sent_us >= (fetch->peer != 0
+                                                ? fetch->timeout_us
+                                                : _GW_FETCH_INTERVAL_US);
+}
+
+/* Requests the platform's document from another VM, unless a fetch is in
+   progress or ended a short time ago.  */
+void
+gw_fetch_document (gw_task *gw)
+{
+  _gw_fetch *fetch = &gw->fetch;
+  gw_follow_state own = { 0 };
+  _gw_now (gw);
+  if (gw->peers == NULL || !_gw_may_fetch (gw))
+    return;
+  const _gw_peer *source = _gw_choose_source (gw, fetch->peer);
+  if (source == NULL)
     return;
-  gw->document_fetch_us = gw->now_us;
+  if (fetch->peer == 0)
+    fetch->timeout_us = _GW_FETCH_TIMEOUT_US;
+  else if (fetch->timeout_us * 2 <= _GW_FETCH_TIMEOUT_MAX_US)
+    fetch->timeout_us *= 2;
+  fetch->peer = source->key;
+  fetch->sent_us = gw->now_us;
   if (gw->desc.query_follow_state != NULL)
     own = gw->desc.query_follow_state (gw->desc.user);
   ms_message m = { .type = MS_SETTINGS_GET };
   m.u.settings_get.since = own.revision;
   LO_EVENT ("document_fetch", ST_LIT (""),
-            LO_STR ("peer", st_name_str (&best->name)),
+            LO_STR ("peer", st_name_str (&source->name)),
             LO_INT ("since", own.revision),
             LO_INT ("config", gw_query_config_version (gw)),
-            LO_INT ("peer_config", best->config_version),
-            LO_INT ("peer_revision", best->store_revision));
-  pe_send (gw->peers, st_from_cstr (best->incarnation), &m);
+            LO_INT ("peer_config", source->config_version),
+            LO_INT ("peer_revision", source->store_revision));
+  pe_send (gw->peers, st_from_cstr (source->incarnation), &m);
 }
 
 /* Sets FIRST to the number of VMs of the group that follow the store and rank
