--- a/packages/gateway/gw.h
+++ b/packages/gateway/gw.h
@@ -44,6 +44,7 @@
   st_str signature;       /* a 2xx response must have it */
   st_str not_run;      /* its presence states that the request did not run */
   st_str token_usage;  /* "PROMPT,MAX_OUTPUT" */
+  st_str prompt_parts; /* "ID:TOKENS,...", in the order of the prompt */
   st_str resume_after; /* id of the last event that the caller received */
   st_str key_scheme;   /* word before the key in Authorization */
   /* Fields that are dropped from requests: only the gateway may set them.  */
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -176,7 +176,10 @@
             LO_STR ("upstream", st_name_str (&r->upstream_id)),
             LO_BOOL ("may_have_run", may_have_run),
             LO_CSTR ("denied", denied != NULL ? denied : ""),
-            LO_INT ("events", r->events));
+            LO_INT ("events", r->events),
+            LO_INT ("after_ms", (r->gw->now_us - r->sent_us) / CK_MS_US),
+            LO_STR ("parts",
+                    ((st_str){ r->prompt_parts->str, r->prompt_parts->len })));
 }
 
 static void
--- a/packages/gateway/gw_identify.c
+++ b/packages/gateway/gw_identify.c
@@ -221,6 +221,7 @@
   st_str host;
   st_str deadline;
   st_str usage;
+  st_str parts;
   st_str resume_after;
   _gw_now (gw);
   gw->request_count++;
@@ -228,6 +229,7 @@
       || !_gw_get_once (head, ST_LIT ("Host"), &host)
       || !_gw_get_once (head, names->deadline_ms, &deadline)
       || !_gw_get_once (head, names->token_usage, &usage)
+      || !_gw_get_once (head, names->prompt_parts, &parts)
       || !_gw_get_once (head, names->resume_after, &resume_after))
     {
       _gw_deny (conn, 400, ST_LIT (""), "doubled_field");
@@ -277,6 +279,7 @@
   conn->body = body;
   _gw_set_times (r, deadline);
   _gw_set_demand (r, usage, resume_after);
+  g_string_append_len (r->prompt_parts, parts.ptr, (gssize)parts.len);
   _gw_write_head (r, head);
   _gw_admit (r);
 }
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -51,7 +51,8 @@
   const rc_team *team; /* NULL on public routes */
   GString *head;       /* request line and fields common to all attempts */
   GString *body;
-  double quota; /* units of the team's quota that it takes */
+  GString *prompt_parts; /* as the caller sent them; "": none */
+  double quota;          /* units of the team's quota that it takes */
   gq_demand demand;
   uint64_t queue_timeout_us; /* time at which its wait in the queue ends */
   uint64_t end_us;           /* deadline, of the caller or the route */
--- a/packages/gateway/gw_request.c
+++ b/packages/gateway/gw_request.c
@@ -48,6 +48,7 @@
   };
   r->head = g_string_sized_new (512);
   r->body = g_string_new (NULL);
+  r->prompt_parts = g_string_new (NULL);
   r->response_body = g_string_new (NULL);
   r->response_head = g_string_new (NULL);
   r->timer = evtimer_new (gw->desc.base, _gw_on_deadline, r);
@@ -69,6 +70,7 @@
   event_free (r->timer);
   g_string_free (r->head, TRUE);
   g_string_free (r->body, TRUE);
+  g_string_free (r->prompt_parts, TRUE);
   g_string_free (r->response_body, TRUE);
   g_string_free (r->response_head, TRUE);
   rc_unref (r->config);
