Repeat a fetch that could not be sent

A fetch that is not sent is no longer in progress; the timing is a module of its own, ft_, tested on values of time. Ft.AFetchThatWasNotSentIsRepeatedSoon fails with the result ignored.

--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -7,6 +7,7 @@
 
 #include "bu.h"
 #include "dn.h"
+#include "ft.h"
 #include "gq.h"
 #include "gw.h"
 #include "hp.h"
@@ -123,14 +124,6 @@
   vr_rollout rollout;
 } _gw_service;
 
-/* The fetch of the document from another VM.  */
-typedef struct
-{
-  uint64_t peer; /* key of the VM that has yet to reply; 0: none */
-  uint64_t sent_us;
-  uint64_t timeout_us; /* of the reply; doubled after each loss */
-} _gw_fetch;
-
 /* Loads that a sum contains.  */
 typedef enum
 {
@@ -231,7 +224,7 @@
   uint64_t infrequent_sent_us;
   struct event *group_timer;
   bool load_dirty;
-  _gw_fetch fetch;
+  ft_fetch fetch; /* of the document */
   struct event *queue_timer; /* armed while requests wait */
   uint32_t random;
   uint64_t now_us;
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -7,12 +7,6 @@
 
 /* Time for which the queue lengths in a report are used.  */
 #define _GW_WAITING_VALID_US 600000
-/* Shortest interval between two fetches of the document.  */
-#define _GW_FETCH_INTERVAL_US 300000
-/* Time after which the reply to a fetch counts as lost, at first and at most.
-   A large document takes a second on the slowest links.  */
-#define _GW_FETCH_TIMEOUT_US 1000000
-#define _GW_FETCH_TIMEOUT_MAX_US 4000000
 /* A VM of the group that has not reported for this long, which is two missed
    reports, is not counted as a follower of the store.  */
 #define _GW_FOLLOWER_TIMEOUT_US 1000000
@@ -64,7 +58,7 @@
 _gw_remove_peer (gw_task *gw, _gw_peer *p)
 {
   if (gw->fetch.peer == p->key)
-    gw->fetch.peer = 0;
+    ft_on_end (&gw->fetch);
   ut_set_peer (gw->upstreams, p->key, &(ut_report){ 0 }, gw->now_us);
   for (guint i = 0; i < gw->teams->len; i++)
     bu_remove_peer (&((_gw_team *)gw->teams->pdata[i])->quota, p->key);
@@ -294,7 +288,7 @@
                 LO_STR ("peer", sender->name),
                 LO_INT ("bytes", m->u.settings_value.bytes.len));
       if (st_equal (m->u.settings_value.hash, _GW_REPLY))
-        gw->fetch.peer = 0;
+        ft_on_end (&gw->fetch);
       gw->desc.on_document (gw->desc.user, m->u.settings_value.bytes);
     }
 }
@@ -355,48 +349,31 @@
   return best == NULL && except != 0 ? _gw_choose_source (gw, 0) : best;
 }
 
-/* True when a fetch may be sent now.  A repetition while the reply is on its
-   way would delay it on a link that is full.  */
-static bool
-_gw_may_fetch (const gw_task *gw)
-{
-  const _gw_fetch *fetch = &gw->fetch;
-  return fetch->sent_us == 0
-         || gw->now_us - fetch->sent_us >= (fetch->peer != 0
-                                                ? fetch->timeout_us
-                                                : _GW_FETCH_INTERVAL_US);
-}
-
 /* Requests the platform's document from another VM, unless a fetch is in
    progress or ended a short time ago.  */
 void
 gw_fetch_document (gw_task *gw)
 {
-  _gw_fetch *fetch = &gw->fetch;
   gw_follow_state own = { 0 };
   _gw_now (gw);
-  if (gw->peers == NULL || !_gw_may_fetch (gw))
+  if (gw->peers == NULL || !ft_may_fetch (&gw->fetch, gw->now_us))
     return;
-  const _gw_peer *source = _gw_choose_source (gw, fetch->peer);
+  const _gw_peer *source = _gw_choose_source (gw, gw->fetch.peer);
   if (source == NULL)
     return;
-  if (fetch->peer == 0)
-    fetch->timeout_us = _GW_FETCH_TIMEOUT_US;
-  else if (fetch->timeout_us * 2 <= _GW_FETCH_TIMEOUT_MAX_US)
-    fetch->timeout_us *= 2;
-  fetch->peer = source->key;
-  fetch->sent_us = gw->now_us;
   if (gw->desc.query_follow_state != NULL)
     own = gw->desc.query_follow_state (gw->desc.user);
   ms_message m = { .type = MS_SETTINGS_GET };
   m.u.settings_get.since = own.config_revision;
-  LO_EVENT ("document_fetch", ST_LIT (""),
+  bool sent
+      = pe_send (gw->peers, st_from_cstr (source->incarnation), &m) == PE_SENT;
+  ft_on_sent (&gw->fetch, source->key, sent, gw->now_us);
+  LO_EVENT ("document_fetch", ST_LIT (""), LO_BOOL ("sent", sent),
             LO_STR ("peer", st_name_str (&source->name)),
             LO_INT ("since", own.config_revision),
             LO_INT ("config", gw_query_config_version (gw)),
             LO_INT ("peer_config", source->config_version),
             LO_INT ("peer_revision", source->store_revision));
-  pe_send (gw->peers, st_from_cstr (source->incarnation), &m);
 }
 
 /* Sets FIRST to the number of VMs of the group that follow the store and rank
