Refuse requests with a prompt part that crashes upstreams

Upstreams of one service crashed one after the other, 38 in a minute, and took the requests that ran or waited there with them. One part of a prompt crashes each upstream that begins to respond to it; the requests with it are unlike each other and come at all VMs. Each VM blamed the upstream, and sent the next request with the part to another one.

qn_ keeps the parts of requests that lost their upstream before they were responded to, all but the last one. VMs tell each other (MS_SUSPECTS). A part is blocked after four upstreams and three requests, when so many losses are not chance at the present share of lost requests and no request with it has been responded to. Such requests get 503 with a Retry-After of a minute, and attempts that failed are not repeated. The block is an item of the store with a lease, so that VMs which start know it; a response to any request with the part takes it back.

The class of fault: a failure that a request causes is put down to where it ran. The blame of an upstream (ut_) is unchanged, and its own crashes still count there.

GwQuarantine.APartThatCrashesUpstreamsIsRefused failed before (8 of 8 upstreams lost, the ninth request sent). Ruled out on the way, by QnFleet.CrashesAloneBlockNothing: blocks by count alone, and by the share of crashes that have the part; both block sound new parts while most upstreams are down.

--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -91,6 +91,7 @@
   _gw_reserve_unheard (gw);
   _gw_end_stalled (gw);
   _gw_tick_rollouts (gw);
+  _gw_publish_quarantine (gw);
   _gw_schedule_all (gw);
 }
 
@@ -144,6 +145,7 @@
   gw->seen_peers
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   gw->quota_ledger = qa_make (&(qa_desc){ 0 });
+  gw->quarantine = qn_make (&(qn_desc){ .seed = desc->seed });
   gw->requests = g_new0 (_gw_request, GW_REQUESTS_MAX);
   ut_desc table = { 0 };
   st_name_set (&table.vm, desc->vm_name);
@@ -153,10 +155,12 @@
   gw->pool = uc_make (
       &(uc_desc){ .base = desc->base, .id_field = desc->names->request_id });
   gw->started_us = _gw_now (gw);
-  if (gw->upstreams == NULL || gw->quota_ledger == NULL)
+  if (gw->upstreams == NULL || gw->quota_ledger == NULL
+      || gw->quarantine == NULL)
     er_set (err, ER_INTERNAL, "out of memory for the upstreams and quotas");
   if (gw->upstreams == NULL || gw->quota_ledger == NULL
-      || !_gw_listen (gw, err) || !_gw_start_peers (gw, err))
+      || gw->quarantine == NULL || !_gw_listen (gw, err)
+      || !_gw_start_peers (gw, err))
     {
       gw_destroy (gw);
       return NULL;
@@ -199,6 +203,7 @@
   g_hash_table_destroy (gw->seen_peers);
   g_array_free (gw->listed, TRUE);
   qa_destroy (gw->quota_ledger);
+  qn_destroy (gw->quarantine);
   for (int i = 0; i < UT_PEERS_MAX; i++)
     g_free (gw->peer[i].rows);
   g_free (gw->requests);
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -99,6 +99,7 @@
   r->sent_us = gw->now_us;
   r->last_event_us = 0;
   r->attempt_first_us = 0;
+  r->attempt_events = 0;
   r->attempt_count++;
   r->status = 0;
   r->is_stream = false;
@@ -137,6 +138,8 @@
 {
   gw_task *gw = r->gw;
   _gw_record_version (r, outcome);
+  if (outcome == UT_SERVED)
+    _gw_record_prompt_served (r);
   ut_on_end (gw->upstreams, r->upstream, r->prefill_tokens, outcome,
              gw->now_us);
   r->prefill_tokens = 0;
@@ -345,6 +348,8 @@
 _gw_on_exchange_failed (_gw_request *r, const uc_event *event)
 {
   bool connection_lost = event->sent && r->status == 0;
+  if (event->sent && event->connection_lost)
+    _gw_record_prompt_lost (r);
   if (event->over_limit)
     _gw_on_limit_exceeded (r, event->reason);
   /* The idle connections of an upstream that has ended are useless, and a
--- a/packages/gateway/gw_identify.c
+++ b/packages/gateway/gw_identify.c
@@ -280,6 +280,7 @@
   _gw_set_times (r, deadline);
   _gw_set_demand (r, usage, resume_after);
   g_string_append_len (r->prompt_parts, parts.ptr, (gssize)parts.len);
+  qn_read_prompt (&r->prompt, st_name_str (&r->service), parts);
   _gw_write_head (r, head);
   _gw_admit (r);
 }
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -15,6 +15,7 @@
 #include "pe.h"
 #include "pt.h"
 #include "qa.h"
+#include "qn.h"
 #include "uc.h"
 
 #include <event2/buffer.h>
@@ -53,6 +54,7 @@
   GString *head;       /* request line and fields common to all attempts */
   GString *body;
   GString *prompt_parts; /* as the caller sent them; "": none */
+  qn_prompt prompt;
   double quota;          /* units of the team's quota that it takes */
   gq_demand demand;
   uint64_t queue_timeout_us; /* time at which its wait in the queue ends */
@@ -67,6 +69,7 @@
   uint64_t last_event_us;    /* 0 until the first event of the attempt */
   uint64_t attempt_first_us; /* first event of the attempt */
   uint64_t events;           /* forwarded */
+  uint64_t attempt_events;   /* of the attempt */
   size_t stored_bytes;       /* of response_body, in the sum of all */
   struct event *timer;
   struct _gw_request *next; /* in the queue */
@@ -203,9 +206,10 @@
   char incarnation[MS_INCARNATION_MAX + 1];
   _gw_peer peer[UT_PEERS_MAX]; /* VMs, other groups, or their sum */
   GHashTable *seen_peers;      /* keys of VMs that started later */
-  qa_ledger *quota_ledger;     /* what the other VMs admitted */
-  bool quotas_started;         /* with their part of a bucket */
-  GArray *listed;              /* VM list of the registry, of _gw_listed_vm */
+  qn_table *quarantine;
+  qa_ledger *quota_ledger; /* what the other VMs admitted */
+  bool quotas_started;     /* with their part of a bucket */
+  GArray *listed;          /* VM list of the registry, of _gw_listed_vm */
   _gw_group group;
   GPtrArray *services;       /* of _gw_service */
   GPtrArray *teams;          /* of _gw_team */
@@ -224,7 +228,7 @@
   uint64_t infrequent_sent_us;
   struct event *group_timer;
   bool load_dirty;
-  ft_fetch fetch; /* of the document */
+  ft_fetch fetch;            /* of the document */
   struct event *queue_timer; /* armed while requests wait */
   uint32_t random;
   uint64_t now_us;
@@ -306,6 +310,14 @@
 void _gw_record_version (_gw_request *r, ut_outcome outcome);
 void _gw_tick_rollouts (gw_task *gw);
 
+/* Quarantine: gw_quarantine.c.  */
+bool _gw_refuse_quarantined (_gw_request *r);
+void _gw_record_prompt_served (_gw_request *r);
+void _gw_record_prompt_lost (_gw_request *r);
+void _gw_record_event (_gw_request *r);
+void _gw_on_suspects (gw_task *gw, const ms_suspects *suspects);
+void _gw_publish_quarantine (gw_task *gw);
+
 /* Stall: gw_stall.c.  */
 void _gw_end_stalled (gw_task *gw);
 
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -269,6 +269,8 @@
   _gw_now (gw);
   if (m->type == MS_LOAD)
     _gw_on_load (gw, sender, &m->u.load);
+  else if (m->type == MS_SUSPECTS)
+    _gw_on_suspects (gw, &m->u.suspects);
   else if (m->type == MS_SETTINGS_GET && gw->desc.query_document != NULL)
     {
       ms_message reply = { .type = MS_SETTINGS_VALUE };
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -339,7 +339,7 @@
   _gw_service *service = _gw_service_of (r);
   struct timeval left = ck_timeval (r->end_us - gw->now_us);
   event_add (r->timer, &left);
-  if (_gw_refuse_while_leaving (r))
+  if (_gw_refuse_while_leaving (r) || _gw_refuse_quarantined (r))
     return;
   if (r->team != NULL
       && !bu_hold_quota (&_gw_find_team (gw, r->team->name)->quota, r->quota,
@@ -368,6 +368,8 @@
 _gw_requeue (_gw_request *r)
 {
   ut_id to = { 0, 0 };
+  if (_gw_refuse_quarantined (r))
+    return;
   if (!r->retry_due)
     to = _gw_choose_upstream (r);
   if (to.generation != 0)
@@ -388,6 +390,8 @@
     while (service->queue.first[rank] != NULL)
       {
         _gw_request *r = service->queue.first[rank];
+        if (_gw_refuse_quarantined (r))
+          continue;
         ut_id to = _gw_choose_upstream (r);
         if (to.generation == 0)
           return;
--- a/packages/gateway/gw_relay.c
+++ b/packages/gateway/gw_relay.c
@@ -78,6 +78,7 @@
                       (double)(gw->now_us - r->last_event_us));
   r->last_event_us = gw->now_us;
   r->events++;
+  _gw_record_event (r);
   _gw_send_chunk (r->conn, event);
   return true;
 }
@@ -128,6 +129,8 @@
   r->exchange = NULL;
   if (r->response_body->len > 0 || r->events == 0)
     {
+      /* A response without a length that its upstream broke off.  */
+      _gw_record_prompt_lost (r);
       _gw_fail_exchange (r, "stream_incomplete");
       return;
     }
--- a/packages/gateway/uc.c
+++ b/packages/gateway/uc.c
@@ -292,7 +292,12 @@
            && hp_finish (conn->reader) == HP_END && conn->exchange->head_seen)
     _uc_finish (conn, &(uc_event){ .kind = UC_END }, false);
   else
-    _uc_fail (conn, what & BEV_EVENT_EOF ? "closed" : "reset");
+    _uc_finish (
+        conn,
+        &(uc_event){ .kind = UC_FAILED,
+                     .connection_lost = true,
+                     .reason = what & BEV_EVENT_EOF ? "closed" : "reset" },
+        false);
 }
 
 /* Makes a pool.  */
--- a/packages/gateway/uc.h
+++ b/packages/gateway/uc.h
@@ -41,9 +41,10 @@
   uc_event_kind kind;
   const hp_head *head;
   st_str bytes;
-  bool sent;          /* of UC_FAILED: bytes may have reached the upstream */
-  const char *reason; /* of UC_FAILED, for logs */
-  bool over_limit;    /* of UC_FAILED: the response exceeded a limit */
+  bool sent;            /* of UC_FAILED: bytes may have reached the upstream */
+  const char *reason;   /* of UC_FAILED, for logs */
+  bool over_limit;      /* of UC_FAILED: the response exceeded a limit */
+  bool connection_lost; /* of UC_FAILED: the upstream ended the connection */
 } uc_event;
 
 typedef void (*uc_on_event) (void *user, const uc_event *event);
--- a/packages/wire/ms.c
+++ b/packages/wire/ms.c
@@ -51,6 +51,7 @@
   [MS_ABANDON_REPLY] = "ABANDON_REPLY",
   [MS_DEMAND] = "DEMAND",
   [MS_LOAD] = "LOAD",
+  [MS_SUSPECTS] = "SUSPECTS",
 };
 
 /* True when TYPE is an ms_type.  */
@@ -698,6 +699,30 @@
   _ms_leave_array (io, &saved);
 }
 
+static void
+_ms_io_suspect (_ms_io *io, void *item)
+{
+  ms_suspect *m = item;
+  _ms_io saved;
+  if (!_ms_enter_array (io, "row", 4, &saved))
+    return;
+  _ms_nonempty_str (io, "part", &m->part, MS_NAME_MAX);
+  _ms_bool (io, "served", &m->served);
+  _ms_u64 (io, "upstream", &m->upstream, UINT64_MAX);
+  _ms_u64 (io, "request", &m->request, UINT64_MAX);
+  _ms_leave_array (io, &saved);
+}
+
+static void
+_ms_io_suspects (_ms_io *io, ms_suspects *m)
+{
+  _ms_io saved;
+  if (!_ms_enter_array (io, "body", 1, &saved))
+    return;
+  _MS_LIST (io, "rows", m->count, m->rows, MS_SUSPECTS_MAX, _ms_io_suspect);
+  _ms_leave_array (io, &saved);
+}
+
 static void
 _ms_io_abandon_reply (_ms_io *io, ms_abandon_reply *m)
 {
@@ -779,6 +804,9 @@
     case MS_LOAD:
       _ms_io_load (io, &m->u.load);
       return;
+    case MS_SUSPECTS:
+      _ms_io_suspects (io, &m->u.suspects);
+      return;
     case MS_TYPE_END:
       break;
     }
--- a/packages/wire/ms.h
+++ b/packages/wire/ms.h
@@ -48,6 +48,7 @@
   MS_ABANDON_REPLY,
   MS_DEMAND,
   MS_LOAD,
+  MS_SUSPECTS,
   MS_TYPE_END /* one past the last type */
 } ms_type;
 
@@ -71,6 +72,7 @@
 #define MS_COUNTS_MAX 128
 #define MS_LOAD_ROWS_MAX 1024
 #define MS_LOAD_RANKS 16
+#define MS_SUSPECTS_MAX 64
 #define MS_TIERS 5
 #define MS_TOKENS_MAX (1u << 26)
 
@@ -382,6 +384,21 @@
   const ms_load_team *teams;
 } ms_load;
 
+/* A prompt part whose requests lost an upstream, or were served.  */
+typedef struct
+{
+  st_str part;
+  bool served;
+  uint64_t upstream; /* hashes */
+  uint64_t request;
+} ms_suspect;
+
+typedef struct
+{
+  size_t count;
+  const ms_suspect *rows;
+} ms_suspects;
+
 typedef struct
 {
   ms_type type;
@@ -409,6 +426,7 @@
     ms_abandon_reply abandon_reply;
     ms_demand_report demand_report;
     ms_load load;
+    ms_suspects suspects;
   } u;
 } ms_message;
 
--- a/packages/wire/tests/ms_test.cc
+++ b/packages/wire/tests/ms_test.cc
@@ -170,6 +170,14 @@
                          { 0, 2, 5 },   2, rows, 1,    teams };
             break;
           }
+        case MS_SUSPECTS:
+          {
+            static const ms_suspect rows[2]
+                = { { ST_LIT ("llm/5c1e07a2"), false, 7, 9 },
+                    { ST_LIT ("llm/91bd3f06"), true, 0, 0 } };
+            m.u.suspects = { 2, rows };
+            break;
+          }
         case MS_TYPE_END:
           break;
         }
