Keep the port of a restarted peer free in its tests

Pe.DeathAndRestart failed once beside other tests: "cannot listen on peers' address 127.0.0.1:38913: Address already in use". The port that the stopped task released was taken by another test before the restart. The two tests that restart at the same address use a loopback address of their own process; what they check is unchanged.

--- a/packages/peers/tests/pe_test.cc
+++ b/packages/peers/tests/pe_test.cc
@@ -31,6 +31,16 @@
   return std::string (s.ptr != nullptr ? s.ptr : "", s.len);
 }
 
+// IP:PORT with a loopback address that only this process uses and any port.  A
+// port that is released stays free: no other test can take it.
+std::string
+own_address ()
+{
+  uint32_t host = 0x7f020001u + ((uint32_t)getpid () % 0x7e0000 << 1);
+  struct in_addr in = { htonl (host) };
+  return std::string (inet_ntoa (in)) + ":0";
+}
+
 struct Received
 {
   std::string name, incarnation;
@@ -427,7 +437,7 @@
 {
   Vm *a = start ("north-1");
   Vm *b = start ("north-2");
-  Vm *c = start ("north-3");
+  Vm *c = start ("north-3", own_address ());
   set_vm_lists ();
   ASSERT_TRUE (run ([&] { return all_see (3); }));
   std::string address = text (pe_query_address (c->pe));
@@ -450,7 +460,7 @@
 TEST_F (Pe, FastRestartKeepsIncarnationsApart)
 {
   Vm *a = start ("north-1");
-  Vm *b = start ("north-2");
+  Vm *b = start ("north-2", own_address ());
   set_vm_lists ();
   ASSERT_TRUE (run ([&] { return all_see (2); }));
   std::string address = text (pe_query_address (b->pe));
