Add failing tests of rollouts of a slow version

A version that fails for three requests at each of three VMs is not reverted, and one that takes three times as long is not found bad.

--- a/packages/decide/tests/vr_test.cc
+++ b/packages/decide/tests/vr_test.cc
@@ -59,6 +59,19 @@
     }
 }
 
+// Guards against keeping a version that is several times slower: on upstreams
+// with little load it stayed below a limit with a large margin.
+TEST (Vr, AVersionThreeTimesSlowerIsReverted)
+{
+  vr_rollout r = ordered ();
+  std::mt19937 rng (5);
+  for (int i = 0; i < 300; i++)
+    vr_record (&r, false, false, (uint64_t)(60 + rng () % 60) * ms);
+  for (int i = 0; i < 20 && !r.found_bad; i++)
+    vr_record (&r, true, false, (uint64_t)(180 + rng () % 180) * ms);
+  EXPECT_TRUE (r.found_bad);
+}
+
 // Guards against reverting a version that fails as often as the old one, as in
 // an outage of something else.
 TEST (Vr, FailuresOfBothVersionsAreNoReason)
--- /dev/null
+++ b/packages/gateway/tests/rollout_test.cc
@@ -0,0 +1,153 @@
+// Rollouts of a bad version before several VMs.
+#include "support.hh"
+
+using namespace support;
+
+namespace
+{
+class Vms
+{
+public:
+  static const int Count = 3;
+  struct event_base *base = event_base_new ();
+  gw_task *vms[Count] = {};
+  std::unique_ptr<Upstream> before = std::make_unique<Upstream> (base);
+  std::unique_ptr<Upstream> target = std::make_unique<Upstream> (base);
+  std::vector<vr_state> written;
+
+  Vms ()
+  {
+    std::string addresses[Count];
+    for (auto &a : addresses)
+      a = own_address (free_port ());
+    for (int i = 0; i < Count; i++)
+      start (i, addresses[i]);
+    for (gw_task *gw : vms)
+      {
+        gw_vm_entry listed[Count];
+        for (int i = 0; i < Count; i++)
+          listed[i]
+              = { str (names_[i]),    ST_LIT ("west"),        ST_LIT ("a"),
+                  str (addresses[i]), ST_LIT ("127.0.0.1:1"), 0 };
+        gw_set_vms (gw, listed, Count);
+      }
+  }
+  ~Vms ()
+  {
+    for (gw_task *gw : vms)
+      gw_destroy (gw);
+    before.reset ();
+    target.reset ();
+    event_base_free (base);
+  }
+  bool
+  run (const std::function<bool ()> &done, int limit_ms)
+  {
+    return run_loop (base, done, limit_ms);
+  }
+  bool
+  all_joined ()
+  {
+    for (gw_task *gw : vms)
+      if (gw_query_vm_count (gw) != Count)
+        return false;
+    return true;
+  }
+  void
+  order (uint64_t duration_us)
+  {
+    for (gw_task *gw : vms)
+      gw_set_rollout (gw, ST_LIT ("llm"), ST_LIT ("v2"), duration_us, 9);
+  }
+  // Sends a request through VM, and returns its status.
+  int
+  ask (int vm)
+  {
+    Caller c (base, gw_query_port (vms[vm]));
+    c.request ("r" + std::to_string (++sent_), "/again/x");
+    run ([&] { return c.complete () || c.closed; }, 3000);
+    return c.status ();
+  }
+  bool
+  wrote (vr_state state)
+  {
+    for (vr_state s : written)
+      if (s == state)
+        return true;
+    return false;
+  }
+
+private:
+  gw_names fields_ = field_names ();
+  std::string names_[Count] = { "a-1", "a-2", "a-3" };
+  int sent_ = 0;
+
+  void
+  start (int i, const std::string &address)
+  {
+    gw_desc desc = {};
+    er_error err = {};
+    desc.base = base;
+    desc.vm_name = str (names_[i]);
+    desc.region = ST_LIT ("west");
+    desc.data_center = ST_LIT ("a");
+    desc.listen = ST_LIT ("127.0.0.1:0");
+    desc.peer_listen = str (address);
+    desc.names = &fields_;
+    desc.bounds.retry_fixed = 1000;
+    desc.bounds.retry_window_ms = 10000;
+    desc.seed = (uint64_t)i + 1;
+    desc.write_rollout
+        = [] (void *user, st_str, st_str, vr_state state, uint64_t) {
+            static_cast<Vms *> (user)->written.push_back (state);
+          };
+    desc.user = this;
+    vms[i] = gw_make (&desc, &err);
+    ASSERT_NE (vms[i], nullptr) << err.message;
+    rc_config *c = rc_make (1);
+    rc_route *r = rc_add_route (c, ST_LIT ("api.example"), ST_LIT ("/again/"));
+    r->name = ST_LIT ("again");
+    r->kind = RC_IDEMPOTENT;
+    r->attempts = 2;
+    r->timeout_ms = 2000;
+    r->target_ms = 500;
+    rc_add_weighted_service (c, r, ST_LIT ("llm"), 1);
+    rc_add_service (c, ST_LIT ("llm"))->engine = true;
+    rc_team *team = rc_add_team (c, ST_LIT ("team-1"));
+    rc_add_key (c, team, ST_LIT ("key-1"));
+    rc_seal (c);
+    gw_set_config (vms[i], c);
+    rc_unref (c);
+    put (vms[i], "up-1", "v1", *before);
+    put (vms[i], "up-2", "v2", *target);
+  }
+  void
+  put (gw_task *gw, const char *id, const char *version, const Upstream &u)
+  {
+    ut_entry e = {};
+    st_name_set (&e.id, st_from_cstr (id));
+    st_name_set (&e.service, ST_LIT ("llm"));
+    st_name_set (&e.version, st_from_cstr (version));
+    st_name_set (&e.address, str (u.address ()));
+    st_name_set (&e.data_center, ST_LIT ("a"));
+    st_name_set (&e.region, ST_LIT ("west"));
+    e.slots = 9;
+    gw_put_upstream (gw, &e);
+  }
+};
+
+// Guards against completing a bad version of which each VM has seen a few
+// failures only, as one with many VMs and a small share.
+TEST (GwRollout, TheEvidenceOfAllVmsDecides)
+{
+  Vms f;
+  f.target->default_behaviour = Error;
+  ASSERT_TRUE (f.run ([&] { return f.all_joined (); }, 8000));
+  f.order (60000000);
+  for (int vm = 0; vm < Vms::Count; vm++)
+    for (int i = 0; i < 2000 && f.target->runs < 3u * (uint32_t)(vm + 1); i++)
+      EXPECT_EQ (f.ask (vm), 200);
+  ASSERT_EQ (f.target->runs, 9u);
+  EXPECT_TRUE (f.run ([&] { return f.wrote (VR_REVERTED); }, 3000));
+}
+}
