Decide rollouts by the evidence of all VMs

Each VM judged by its own requests to the new version, 1 to 9 of some 70, and the VM that decides completed it with 8 or more of its own, none of which counted as failed.

The load reports have the counts of each rollout in progress. A VM finds a version bad by the sum of all, and the version is completed only when the sum shows few failures (a quarter beyond the old version's).

--- a/packages/decide/tests/vr_test.cc
+++ b/packages/decide/tests/vr_test.cc
@@ -103,6 +103,28 @@
   EXPECT_EQ (tick (&r, 113 * second), VR_NONE);
 }
 
+// Guards against judging by a handful of requests where several VMs have seen
+// enough together, and against completing what they do not find good.
+TEST (Vr, TheCountsOfOtherVmsAreAdded)
+{
+  vr_rollout good = ordered ();
+  vr_counts some = { 20, 0, 0 };
+  vr_counts many = { 900, 9, 0 };
+  vr_set_peer_counts (&good, &some, &many);
+  EXPECT_EQ (tick (&good, 112 * second - 500 * ms), VR_COMPLETED);
+  vr_rollout bad = ordered ();
+  vr_counts failing = { 9, 3, 0 };
+  vr_record (&bad, true, true, 80 * ms);
+  EXPECT_FALSE (bad.found_bad);
+  vr_set_peer_counts (&bad, &failing, &many);
+  EXPECT_TRUE (bad.found_bad);
+  vr_rollout doubtful = ordered ();
+  vr_counts few = { 8, 3, 0 };
+  vr_set_peer_counts (&doubtful, &few, &many);
+  EXPECT_FALSE (doubtful.found_bad);
+  EXPECT_EQ (tick (&doubtful, 112 * second - 500 * ms), VR_REVERTED);
+}
+
 // Guards against completing a version that was hardly used, or whose upstreams
 // cannot carry the traffic.
 TEST (Vr, AnUndecidedVersionIsReverted)
--- a/packages/decide/vr.c
+++ b/packages/decide/vr.c
@@ -19,8 +19,11 @@
    version's mean latency plus the margin.  */
 #define _VR_SLOW_FACTOR 4.0
 #define _VR_SLOW_MARGIN_US 100000.0
-/* Fewest requests of the controller to the new version for completion.  */
+/* Fewest requests of all VMs to the new version for completion, and the
+   greatest share of failures among them, beyond the old version's, which is
+   too few to find it bad.  */
 #define _VR_GOOD_MIN 8
+#define _VR_GOOD_FAILED_MAX 0.25
 /* Fraction of the old version's slots that the new one must have.  */
 #define _VR_SLOTS_FRACTION 0.7
 #define _VR_LATENCY_WEIGHT 0.1
@@ -103,17 +106,36 @@
   return true;
 }
 
-/* True when the failures of the new version exceed what the old version's rate
-   explains.  */
+/* Share of failures of the old version at all VMs; above 0, so that a few
+   failures of the new version are no surprise where nothing is known.  */
+static double
+_vr_old_rate (const vr_rollout *r)
+{
+  return (r->other_counts.failed + r->peer_other_counts.failed + 1.0)
+         / (double)(r->other_counts.seen + r->peer_other_counts.seen + 20);
+}
+
+/* Adopts that the failures of the new version exceed what the old version's
+   rate explains, if they do.  */
+static void
+_vr_judge (vr_rollout *r)
+{
+  uint32_t seen = r->target_counts.seen + r->peer_target_counts.seen;
+  uint32_t failed = r->target_counts.failed + r->peer_target_counts.failed;
+  double expected = _vr_old_rate (r) * seen;
+  if (failed >= _VR_BAD_MIN
+      && failed > expected + _VR_BAD_DEVIATIONS * sqrt (expected))
+    r->found_bad = true;
+}
+
+/* True when the requests of all VMs show that the new version is good.  */
 static bool
-_vr_is_bad (const vr_rollout *r)
+_vr_is_good (const vr_rollout *r)
 {
-  const vr_counts *t = &r->target_counts;
-  double rate
-      = (r->other_counts.failed + 1.0) / (double)(r->other_counts.seen + 20);
-  double expected = rate * t->seen;
-  return t->failed >= _VR_BAD_MIN
-         && t->failed > expected + _VR_BAD_DEVIATIONS * sqrt (expected);
+  uint32_t seen = r->target_counts.seen + r->peer_target_counts.seen;
+  uint32_t failed = r->target_counts.failed + r->peer_target_counts.failed;
+  return seen >= _VR_GOOD_MIN
+         && failed <= (_VR_GOOD_FAILED_MAX + _vr_old_rate (r)) * seen;
 }
 
 /* Records the end of a request to the new version (TARGET) or another one,
@@ -133,8 +155,18 @@
   if (!failed)
     counts->latency_us += (counts->latency_us > 0 ? _VR_LATENCY_WEIGHT : 1)
                           * ((double)latency_us - counts->latency_us);
-  if (target && _vr_is_bad (r))
-    r->found_bad = true;
+  _vr_judge (r);
+}
+
+/* Replaces what the other VMs have seen since the order.  */
+void
+vr_set_peer_counts (vr_rollout *r, const vr_counts *target,
+                    const vr_counts *other)
+{
+  r->peer_target_counts = *target;
+  r->peer_other_counts = *other;
+  if (r->state == VR_RUNNING)
+    _vr_judge (r);
 }
 
 /* The state that this VM has to write now, conditional on the revision of the
@@ -149,7 +181,7 @@
   if (r->found_bad)
     state = VR_REVERTED;
   else if (in->controller && last_phase)
-    state = r->target_counts.seen >= _VR_GOOD_MIN
+    state = _vr_is_good (r)
                     && in->target_slots
                            >= _VR_SLOTS_FRACTION * (double)in->other_slots
                 ? VR_COMPLETED
--- a/packages/decide/vr.h
+++ b/packages/decide/vr.h
@@ -5,10 +5,11 @@
    in ro.h.
 
    Until shortly before the deadline the new version gets a small share of the
-   requests.  Each VM compares the failures and the latency of its own requests
-   to both versions.  A VM that finds the new version bad stops using it at
-   once and writes the state "reverted".  Near the deadline the controller, the
-   first active VM, writes "completed" when the evidence suffices and the new
+   requests.  Each VM counts the failures of its own requests to both versions
+   and reports the counts to the others; one VM alone sees a handful.  A VM
+   that finds the new version bad by the sum of all stops using it at once and
+   writes the state "reverted".  Near the deadline the controller, the first
+   active VM, writes "completed" when the evidence suffices and the new
    upstreams can carry the traffic, else "reverted".  Writes are conditional on
    the revision of the last state, so a VM that was paused overwrites nothing,
    and a state that is final is not changed.
@@ -20,6 +21,7 @@
      vr_set_status (&rollout, target, VR_RUNNING, revision);
      if (vr_choose (&rollout, random) == VR_TARGET) use the new version
      vr_record (&rollout, true, failed, latency_us);
+     vr_set_peer_counts (&rollout, &target, &other);  // sums of the others
      vr_state state = vr_tick (&rollout, &inputs);
      if (state != VR_NONE) write it  */
 #ifndef VR_H
@@ -59,10 +61,12 @@
   vr_state state;
   uint64_t status_revision; /* 0: none is stored */
   st_name status_target;
-  vr_state status; /* as it is stored */
-  bool found_bad;  /* by this VM */
-  vr_counts target_counts;
+  vr_state status;         /* as it is stored */
+  bool found_bad;          /* by this VM */
+  vr_counts target_counts; /* of this VM */
   vr_counts other_counts;
+  vr_counts peer_target_counts; /* of the other VMs */
+  vr_counts peer_other_counts;
   uint64_t written_us; /* last write; 0: none */
 } vr_rollout;
 
@@ -87,6 +91,8 @@
   bool vr_allows (const vr_rollout *r, vr_choice choice, st_str version);
   void vr_record (vr_rollout *r, bool target, bool failed,
                   uint64_t latency_us);
+  void vr_set_peer_counts (vr_rollout *r, const vr_counts *target,
+                           const vr_counts *other);
   vr_state vr_tick (vr_rollout *r, const vr_inputs *in);
 
 #ifdef __cplusplus
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -161,6 +161,8 @@
   uint32_t waiting[MS_LOAD_RANKS];
   ut_row *rows; /* upstream loads, for the sum of the group */
   size_t row_count;
+  ms_load_rollout rollouts[MS_LOAD_ROLLOUTS_MAX];
+  size_t rollout_count;
 } _gw_peer;
 
 typedef struct
@@ -309,6 +311,9 @@
 void _gw_choose_versions (_gw_request *r);
 void _gw_record_version (_gw_request *r, ut_outcome outcome);
 void _gw_tick_rollouts (gw_task *gw);
+size_t _gw_own_rollouts (const gw_task *gw,
+                         ms_load_rollout rows[MS_LOAD_ROLLOUTS_MAX]);
+void _gw_count_rollouts (gw_task *gw);
 
 /* Quarantine: gw_quarantine.c.  */
 bool _gw_refuse_quarantined (_gw_request *r);
--- a/packages/gateway/gw_load.c
+++ b/packages/gateway/gw_load.c
@@ -238,9 +238,12 @@
   static ut_row rows[MS_LOAD_ROWS_MAX];
   static ms_load_row wire_rows[MS_LOAD_ROWS_MAX];
   ms_load_team teams[_GW_TEAMS_MAX];
+  ms_load_rollout rollouts[MS_LOAD_ROLLOUTS_MAX];
   if (to->len == 0)
     return;
   ms_message m = _gw_load_message (gw, MS_LOAD_VM);
+  m.u.load.rollout_count = _gw_own_rollouts (gw, rollouts);
+  m.u.load.rollouts = rollouts;
   size_t count = ut_query_rows (gw->upstreams, rows, MS_LOAD_ROWS_MAX);
   for (size_t i = 0; i < count; i++)
     wire_rows[i] = (ms_load_row){ rows[i].upstream, rows[i].running,
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -94,6 +94,10 @@
   p->follows = load->follows;
   p->store_revision = load->store_revision;
   memcpy (p->waiting, load->waiting, sizeof p->waiting);
+  p->rollout_count = load->rollout_count;
+  if (load->rollout_count > 0)
+    memcpy (p->rollouts, load->rollouts,
+            load->rollout_count * sizeof *p->rollouts);
   g_free (p->rows);
   p->row_count = load->row_count;
   p->rows = g_new (ut_row, load->row_count + 1);
@@ -256,6 +260,8 @@
     report.waiting_ranks |= p->waiting[rank] > 0 ? 1u << rank : 0;
   ut_set_peer (gw->upstreams, p->key, &report, gw->now_us);
   _gw_count_quotas (gw, p, sender, load, first);
+  if (p->rollout_count > 0)
+    _gw_count_rollouts (gw);
   if (load->scope == MS_LOAD_VM
       && load->config_version > gw_query_config_version (gw))
     gw_fetch_document (gw);
--- a/packages/gateway/gw_rollout.c
+++ b/packages/gateway/gw_rollout.c
@@ -45,6 +45,85 @@
   r->demand.versions = vr_choose (rollout, _gw_random (r->gw));
 }
 
+/* Fills ROWS with what this VM has seen of the rollouts in progress; returns
+   their number.  */
+size_t
+_gw_own_rollouts (const gw_task *gw,
+                  ms_load_rollout rows[MS_LOAD_ROLLOUTS_MAX])
+{
+  size_t count = 0;
+  for (guint i = 0; i < gw->services->len && count < MS_LOAD_ROLLOUTS_MAX; i++)
+    {
+      const _gw_service *service = gw->services->pdata[i];
+      const vr_rollout *r = &service->rollout;
+      if (r->target.len > 0 && r->state == VR_RUNNING)
+        rows[count++]
+            = (ms_load_rollout){ .service
+                                 = ut_hash (st_name_str (&service->name)),
+                                 .order = r->order_revision,
+                                 .target_seen = r->target_counts.seen,
+                                 .target_failed = r->target_counts.failed,
+                                 .other_seen = r->other_counts.seen,
+                                 .other_failed = r->other_counts.failed };
+    }
+  return count;
+}
+
+static void
+_gw_log_bad_version (const _gw_service *service, st_str id)
+{
+  const vr_rollout *r = &service->rollout;
+  LO_EVENT ("rollout_bad", id,
+            LO_STR ("service", st_name_str (&service->name)),
+            LO_STR ("target", st_name_str (&r->target)),
+            LO_INT ("seen", r->target_counts.seen),
+            LO_INT ("failed", r->target_counts.failed),
+            LO_INT ("old_seen", r->other_counts.seen),
+            LO_INT ("old_failed", r->other_counts.failed),
+            LO_INT ("peers_seen", r->peer_target_counts.seen),
+            LO_INT ("peers_failed", r->peer_target_counts.failed),
+            LO_INT ("peers_old_seen", r->peer_other_counts.seen),
+            LO_INT ("peers_old_failed", r->peer_other_counts.failed));
+}
+
+static void
+_gw_add_peer_counts (const _gw_peer *p, uint64_t service, uint64_t order,
+                     vr_counts *target, vr_counts *other)
+{
+  for (size_t i = 0; i < p->rollout_count; i++)
+    if (p->key != 0 && p->rollouts[i].service == service
+        && p->rollouts[i].order == order)
+      {
+        target->seen += p->rollouts[i].target_seen;
+        target->failed += p->rollouts[i].target_failed;
+        other->seen += p->rollouts[i].other_seen;
+        other->failed += p->rollouts[i].other_failed;
+      }
+}
+
+/* Sums what the other VMs have seen of the rollouts in progress.  */
+void
+_gw_count_rollouts (gw_task *gw)
+{
+  for (guint i = 0; i < gw->services->len; i++)
+    {
+      _gw_service *service = gw->services->pdata[i];
+      vr_rollout *r = &service->rollout;
+      vr_counts target = { 0 };
+      vr_counts other = { 0 };
+      bool was_bad = r->found_bad;
+      if (r->target.len == 0 || r->state != VR_RUNNING)
+        continue;
+      for (int k = 0; k < UT_PEERS_MAX; k++)
+        _gw_add_peer_counts (&gw->peer[k],
+                             ut_hash (st_name_str (&service->name)),
+                             r->order_revision, &target, &other);
+      vr_set_peer_counts (r, &target, &other);
+      if (r->found_bad && !was_bad)
+        _gw_log_bad_version (service, ST_LIT (""));
+    }
+}
+
 /* Records the OUTCOME of R's attempt for the version that it was sent to.  */
 void
 _gw_record_version (_gw_request *r, ut_outcome outcome)
@@ -62,15 +141,7 @@
   bool was_bad = rollout->found_bad;
   vr_record (rollout, target, failed, first_us - r->sent_us);
   if (rollout->found_bad && !was_bad)
-    LO_EVENT ("rollout_bad", st_name_str (&r->id),
-              LO_STR ("service", st_name_str (&r->service)),
-              LO_STR ("target", st_name_str (&rollout->target)),
-              LO_INT ("seen", rollout->target_counts.seen),
-              LO_INT ("failed", rollout->target_counts.failed),
-              LO_INT ("old_seen", rollout->other_counts.seen),
-              LO_INT ("old_failed", rollout->other_counts.failed),
-              LO_INT ("old_latency_ms",
-                      rollout->other_counts.latency_us / CK_MS_US));
+    _gw_log_bad_version (_gw_service_of (r), st_name_str (&r->id));
 }
 
 /* True when this VM is the first by name of the active ones that report.  */
@@ -133,6 +204,8 @@
                 LO_BOOL ("found_bad", rollout->found_bad),
                 LO_INT ("seen", rollout->target_counts.seen),
                 LO_INT ("failed", rollout->target_counts.failed),
+                LO_INT ("peers_seen", rollout->peer_target_counts.seen),
+                LO_INT ("peers_failed", rollout->peer_target_counts.failed),
                 LO_INT ("target_slots", in.target_slots),
                 LO_INT ("other_slots", in.other_slots),
                 LO_INT ("revision", rollout->status_revision));
--- a/packages/wire/ms.c
+++ b/packages/wire/ms.c
@@ -676,11 +676,27 @@
   _ms_leave_array (io, &saved);
 }
 
+static void
+_ms_io_load_rollout (_ms_io *io, void *item)
+{
+  ms_load_rollout *m = item;
+  _ms_io saved;
+  if (!_ms_enter_array (io, "rollout", 6, &saved))
+    return;
+  _ms_u64 (io, "service", &m->service, UINT64_MAX);
+  _ms_u64 (io, "order", &m->order, UINT64_MAX);
+  _ms_u32 (io, "target_seen", &m->target_seen, UINT32_MAX);
+  _ms_u32 (io, "target_failed", &m->target_failed, UINT32_MAX);
+  _ms_u32 (io, "other_seen", &m->other_seen, UINT32_MAX);
+  _ms_u32 (io, "other_failed", &m->other_failed, UINT32_MAX);
+  _ms_leave_array (io, &saved);
+}
+
 static void
 _ms_io_load (_ms_io *io, ms_load *m)
 {
   _ms_io saved;
-  if (!_ms_enter_array (io, "body", 10 + MS_LOAD_RANKS, &saved))
+  if (!_ms_enter_array (io, "body", 11 + MS_LOAD_RANKS, &saved))
     return;
   _MS_ENUM (io, "scope", m->scope, MS_LOAD_SCOPES);
   _ms_u64 (io, "cell", &m->cell, UINT64_MAX);
@@ -696,6 +712,8 @@
             _ms_io_load_row);
   _MS_LIST (io, "teams", m->team_count, m->teams, MS_LOAD_ROWS_MAX,
             _ms_io_load_team);
+  _MS_LIST (io, "rollouts", m->rollout_count, m->rollouts,
+            MS_LOAD_ROLLOUTS_MAX, _ms_io_load_rollout);
   _ms_leave_array (io, &saved);
 }
 
--- a/packages/wire/ms.h
+++ b/packages/wire/ms.h
@@ -72,6 +72,7 @@
 #define MS_COUNTS_MAX 128
 #define MS_LOAD_ROWS_MAX 1024
 #define MS_LOAD_RANKS 16
+#define MS_LOAD_ROLLOUTS_MAX 8
 #define MS_SUSPECTS_MAX 64
 #define MS_TIERS 5
 #define MS_TOKENS_MAX (1u << 26)
@@ -355,6 +356,17 @@
   uint64_t admitted;
 } ms_load_team;
 
+/* What the sender has seen of a rollout's versions, since the order.  */
+typedef struct
+{
+  uint64_t service; /* hash of its name */
+  uint64_t order;   /* revision of the order */
+  uint32_t target_seen;
+  uint32_t target_failed;
+  uint32_t other_seen;
+  uint32_t other_failed;
+} ms_load_rollout;
+
 typedef enum
 {
   MS_LOAD_VM = 0,       /* of the sender */
@@ -382,6 +394,8 @@
   const ms_load_row *rows;
   size_t team_count;
   const ms_load_team *teams;
+  size_t rollout_count;
+  const ms_load_rollout *rollouts;
 } ms_load;
 
 /* A prompt part whose requests lost an upstream, or were served.  */
