Judge a version by the times of each route, and by its pace

A response counted as slow beyond four times the old mean of all routes plus 100 ms until its first event, some 790 ms, so that 0 of 9 requests did.

Times are kept for each route of the old version. A response is slow beyond 2.5 times these, until its first event or between its events, at both versions, so that load which slows both is no reason. An attempt that its caller or its deadline ends counts when it was slow by then.

Vr.AVersionThreeTimesSlowerIsReverted failed before.

--- a/packages/decide/tests/vr_test.cc
+++ b/packages/decide/tests/vr_test.cc
@@ -16,6 +16,17 @@
   return r;
 }
 
+void
+record (vr_rollout *r, bool target, bool failed, uint64_t first_us,
+        uint64_t pace_us = 0)
+{
+  vr_sample sample = {};
+  sample.failed = failed;
+  sample.first_us = first_us;
+  sample.pace_us = pace_us;
+  vr_record (r, target, &sample);
+}
+
 vr_state
 tick (vr_rollout *r, uint64_t now, bool controller = true,
       uint32_t target_slots = 90)
@@ -50,9 +61,9 @@
     {
       vr_rollout r = ordered ();
       for (int i = 0; i < 200; i++)
-        vr_record (&r, false, i % 50 == 0, 80 * ms);
+        record (&r, false, i % 50 == 0, 80 * ms);
       for (int i = 0; i < 10 && !r.found_bad; i++)
-        vr_record (&r, true, !slow && i % 2 == 0, slow ? 640 * ms : 80 * ms);
+        record (&r, true, !slow && i % 2 == 0, slow ? 640 * ms : 80 * ms);
       EXPECT_TRUE (r.found_bad) << slow;
       EXPECT_EQ (vr_choose (&r, 0), VR_OTHERS);
       EXPECT_EQ (tick (&r, 104 * second, false), VR_REVERTED);
@@ -66,12 +77,90 @@
   vr_rollout r = ordered ();
   std::mt19937 rng (5);
   for (int i = 0; i < 300; i++)
-    vr_record (&r, false, false, (uint64_t)(60 + rng () % 60) * ms);
+    record (&r, false, false, (uint64_t)(60 + rng () % 60) * ms);
   for (int i = 0; i < 20 && !r.found_bad; i++)
-    vr_record (&r, true, false, (uint64_t)(180 + rng () % 180) * ms);
+    record (&r, true, false, (uint64_t)(180 + rng () % 180) * ms);
+  EXPECT_TRUE (r.found_bad);
+}
+
+// Guards against keeping a version whose streams begin in time and then go on
+// several times slower.
+TEST (Vr, ASlowPaceIsFound)
+{
+  vr_rollout r = ordered ();
+  vr_rollout same = ordered ();
+  std::mt19937 rng (5);
+  for (int i = 0; i < 300; i++)
+    for (vr_rollout *each : { &r, &same })
+      record (each, false, false, 90 * ms, (uint64_t)(14 + rng () % 20) * ms);
+  for (int i = 0; i < 20; i++)
+    {
+      record (&r, true, false, 90 * ms, (uint64_t)(50 + rng () % 70) * ms);
+      record (&same, true, false, 90 * ms, (uint64_t)(14 + rng () % 20) * ms);
+    }
+  EXPECT_TRUE (r.found_bad);
+  EXPECT_FALSE (same.found_bad);
+}
+
+// Guards against reverting a good version because its upstreams are of unlike
+// speed, as those of the old one.
+TEST (Vr, UpstreamsOfUnlikeSpeedAreNoReason)
+{
+  int reverted = 0;
+  std::mt19937 rng (3);
+  std::lognormal_distribution<> spread (0, 0.4);
+  for (int round = 0; round < 400; round++)
+    {
+      vr_rollout r = ordered ();
+      for (int i = 0; i < 2400; i++)
+        {
+          double speed = rng () % 3 == 0 ? 0.6 : 1.7;
+          record (
+              &r, i % 33 == 0, rng () % 50 == 0,
+              (uint64_t)(60e3 * speed * spread (rng)),
+              (uint64_t)(15e3 * speed * (0.8 + (double)(rng () % 40) / 100)));
+        }
+      reverted += r.found_bad;
+    }
+  EXPECT_LT (reverted, 20);
+}
+
+// Guards against a slow version of which callers and deadlines end the
+// requests first, and against counting other callers that leave.
+TEST (Vr, AnAbandonedRequestCountsWhenItWasSlow)
+{
+  vr_rollout r = ordered ();
+  vr_sample sample = {};
+  for (int i = 0; i < 100; i++)
+    record (&r, false, false, 90 * ms);
+  sample.abandoned = true;
+  sample.first_us = 50 * ms;
+  for (int i = 0; i < 20; i++)
+    vr_record (&r, true, &sample);
+  EXPECT_EQ (r.target_counts.seen, 0u);
+  sample.first_us = 2 * second;
+  for (int i = 0; i < 20; i++)
+    vr_record (&r, true, &sample);
   EXPECT_TRUE (r.found_bad);
 }
 
+// Guards against taking a version for slow on a route that is slow with any
+// version.
+TEST (Vr, EachRouteHasItsOwnTimes)
+{
+  vr_rollout r = ordered ();
+  vr_sample sample = {};
+  for (int i = 0; i < 400; i++)
+    for (uint64_t route : { 1, 2 })
+      {
+        sample.route = route;
+        sample.first_us = (route == 1 ? 15 : 900) * ms;
+        vr_record (&r, i % 10 == 9, &sample);
+      }
+  EXPECT_FALSE (r.found_bad);
+  EXPECT_EQ (r.target_counts.failed, 0u);
+}
+
 // Guards against reverting a version that fails as often as the old one, as in
 // an outage of something else.
 TEST (Vr, FailuresOfBothVersionsAreNoReason)
@@ -82,7 +171,7 @@
     {
       vr_rollout r = ordered ();
       for (int i = 0; i < 600; i++)
-        vr_record (&r, i % 30 == 0, rng () % 7 == 0, 80 * ms);
+        record (&r, i % 30 == 0, rng () % 7 == 0, 80 * ms);
       reverted += r.found_bad;
     }
   EXPECT_LT (reverted, 10);
@@ -95,7 +184,7 @@
   EXPECT_EQ (tick (&r, 100 * second + 2 * ms), VR_NONE) << "written";
   vr_set_status (&r, ST_LIT ("v2"), VR_RUNNING, 6);
   for (int i = 0; i < 20; i++)
-    vr_record (&r, true, false, 80 * ms);
+    record (&r, true, false, 80 * ms);
   EXPECT_EQ (tick (&r, 110 * second), VR_NONE);
   EXPECT_EQ (tick (&r, 112 * second - 500 * ms), VR_COMPLETED);
   vr_set_status (&r, ST_LIT ("v2"), VR_COMPLETED, 9);
@@ -108,18 +197,18 @@
 TEST (Vr, TheCountsOfOtherVmsAreAdded)
 {
   vr_rollout good = ordered ();
-  vr_counts some = { 20, 0, 0 };
-  vr_counts many = { 900, 9, 0 };
+  vr_counts some = { 20, 0 };
+  vr_counts many = { 900, 9 };
   vr_set_peer_counts (&good, &some, &many);
   EXPECT_EQ (tick (&good, 112 * second - 500 * ms), VR_COMPLETED);
   vr_rollout bad = ordered ();
-  vr_counts failing = { 9, 3, 0 };
-  vr_record (&bad, true, true, 80 * ms);
+  vr_counts failing = { 9, 3 };
+  record (&bad, true, true, 80 * ms);
   EXPECT_FALSE (bad.found_bad);
   vr_set_peer_counts (&bad, &failing, &many);
   EXPECT_TRUE (bad.found_bad);
   vr_rollout doubtful = ordered ();
-  vr_counts few = { 8, 3, 0 };
+  vr_counts few = { 8, 3 };
   vr_set_peer_counts (&doubtful, &few, &many);
   EXPECT_FALSE (doubtful.found_bad);
   EXPECT_EQ (tick (&doubtful, 112 * second - 500 * ms), VR_REVERTED);
@@ -130,11 +219,11 @@
 TEST (Vr, AnUndecidedVersionIsReverted)
 {
   vr_rollout few = ordered ();
-  vr_record (&few, true, false, 80 * ms);
+  record (&few, true, false, 80 * ms);
   EXPECT_EQ (tick (&few, 112 * second), VR_REVERTED);
   vr_rollout small = ordered ();
   for (int i = 0; i < 20; i++)
-    vr_record (&small, true, false, 80 * ms);
+    record (&small, true, false, 80 * ms);
   EXPECT_EQ (tick (&small, 112 * second, true, 50), VR_REVERTED);
 }
 
--- a/packages/decide/vr.c
+++ b/packages/decide/vr.c
@@ -15,10 +15,13 @@
    rate, at which the new version is bad.  */
 #define _VR_BAD_MIN 4
 #define _VR_BAD_DEVIATIONS 3.0
-/* A response is slow, and counts as failed, beyond this multiple of the old
-   version's mean latency plus the margin.  */
-#define _VR_SLOW_FACTOR 4.0
-#define _VR_SLOW_MARGIN_US 100000.0
+/* A response is slow beyond this multiple of the old version's mean on its
+   route, of the time until its first event plus the margin or of the time
+   between events.  Upstreams of one version differ by less.  */
+#define _VR_SLOW_FACTOR 2.5
+#define _VR_SLOW_MARGIN_US 20000.0
+/* Requests to the old version on a route before any counts as slow.  */
+#define _VR_ROUTE_SEEN_MIN 10
 /* Fewest requests of all VMs to the new version for completion, and the
    greatest share of failures among them, beyond the old version's, which is
    too few to find it bad.  */
@@ -26,7 +29,7 @@
 #define _VR_GOOD_FAILED_MAX 0.25
 /* Fraction of the old version's slots that the new one must have.  */
 #define _VR_SLOTS_FRACTION 0.7
-#define _VR_LATENCY_WEIGHT 0.1
+#define _VR_TIME_WEIGHT 0.05
 
 /* Adopts the stored state, if it was written after the order.  */
 static void
@@ -138,23 +141,48 @@
          && failed <= (_VR_GOOD_FAILED_MAX + _vr_old_rate (r)) * seen;
 }
 
-/* Records the end of a request to the new version (TARGET) or another one,
-   with the time to its first event or whole response.  */
+static bool
+_vr_is_slow (const vr_route *route, const vr_sample *sample)
+{
+  if (route->seen < _VR_ROUTE_SEEN_MIN)
+    return false;
+  return (double)sample->first_us
+             > _VR_SLOW_FACTOR * route->first_us + _VR_SLOW_MARGIN_US
+         || (route->pace_us > 0
+             && (double)sample->pace_us > _VR_SLOW_FACTOR * route->pace_us);
+}
+
+static void
+_vr_average (double *mean_us, uint64_t sample_us)
+{
+  *mean_us
+      += (*mean_us > 0 ? _VR_TIME_WEIGHT : 1) * ((double)sample_us - *mean_us);
+}
+
+static void
+_vr_add_old_time (vr_route *route, const vr_sample *sample)
+{
+  if (sample->failed || sample->abandoned)
+    return;
+  route->seen++;
+  _vr_average (&route->first_us, sample->first_us);
+  if (sample->pace_us > 0)
+    _vr_average (&route->pace_us, sample->pace_us);
+}
+
+/* Records the end of a request to the new version (TARGET) or another one.  */
 void
-vr_record (vr_rollout *r, bool target, bool failed, uint64_t latency_us)
+vr_record (vr_rollout *r, bool target, const vr_sample *sample)
 {
   vr_counts *counts = target ? &r->target_counts : &r->other_counts;
-  double old_us = r->other_counts.latency_us;
-  if (r->state != VR_RUNNING)
+  vr_route *route = &r->routes[sample->route % VR_ROUTES_MAX];
+  bool slow = _vr_is_slow (route, sample);
+  if (r->state != VR_RUNNING || (sample->abandoned && !slow))
     return;
-  if (target && old_us > 0
-      && (double)latency_us > _VR_SLOW_FACTOR * old_us + _VR_SLOW_MARGIN_US)
-    failed = true;
   counts->seen++;
-  counts->failed += failed;
-  if (!failed)
-    counts->latency_us += (counts->latency_us > 0 ? _VR_LATENCY_WEIGHT : 1)
-                          * ((double)latency_us - counts->latency_us);
+  counts->failed += sample->failed || slow;
+  if (!target)
+    _vr_add_old_time (route, sample);
   _vr_judge (r);
 }
 
--- a/packages/decide/vr.h
+++ b/packages/decide/vr.h
@@ -6,7 +6,9 @@
 
    Until shortly before the deadline the new version gets a small share of the
    requests.  Each VM counts the failures of its own requests to both versions
-   and reports the counts to the others; one VM alone sees a handful.  A VM
+   and reports the counts to the others; one VM alone sees a handful.  A
+   response that takes much longer than the old version's usually do on its
+   route, until its first event or between events, counts as failed.  A VM
    that finds the new version bad by the sum of all stops using it at once and
    writes the state "reverted".  Near the deadline the controller, the first
    active VM, writes "completed" when the evidence suffices and the new
@@ -20,7 +22,7 @@
      vr_set_order (&rollout, target, duration_us, revision, now_us);
      vr_set_status (&rollout, target, VR_RUNNING, revision);
      if (vr_choose (&rollout, random) == VR_TARGET) use the new version
-     vr_record (&rollout, true, failed, latency_us);
+     vr_record (&rollout, true, &sample);
      vr_set_peer_counts (&rollout, &target, &other);  // sums of the others
      vr_state state = vr_tick (&rollout, &inputs);
      if (state != VR_NONE) write it  */
@@ -48,10 +50,31 @@
 typedef struct
 {
   uint32_t seen;
-  uint32_t failed;   /* or much slower than the old version */
-  double latency_us; /* mean of the requests that did not fail */
+  uint32_t failed; /* or much slower than the old version usually is */
 } vr_counts;
 
+/* An attempt of a request that has ended.  */
+typedef struct
+{
+  uint64_t route; /* hash of its name */
+  bool failed;
+  bool abandoned;    /* by this side; says something only when it was slow */
+  uint64_t first_us; /* until its first event, or the whole response, or the
+                        end without either */
+  uint64_t pace_us;  /* mean time between its events; 0: not known */
+} vr_sample;
+
+/* Routes whose usual times are kept; those with the same index share them.  */
+#define VR_ROUTES_MAX 32
+
+/* Mean times of the old version on a route.  */
+typedef struct
+{
+  uint32_t seen;
+  double first_us;
+  double pace_us; /* 0: not known */
+} vr_route;
+
 typedef struct
 {
   st_name target; /* the new version; empty: no rollout */
@@ -67,6 +90,7 @@
   vr_counts other_counts;
   vr_counts peer_target_counts; /* of the other VMs */
   vr_counts peer_other_counts;
+  vr_route routes[VR_ROUTES_MAX];
   uint64_t written_us; /* last write; 0: none */
 } vr_rollout;
 
@@ -89,8 +113,7 @@
                       uint64_t revision);
   vr_choice vr_choose (const vr_rollout *r, uint32_t random);
   bool vr_allows (const vr_rollout *r, vr_choice choice, st_str version);
-  void vr_record (vr_rollout *r, bool target, bool failed,
-                  uint64_t latency_us);
+  void vr_record (vr_rollout *r, bool target, const vr_sample *sample);
   void vr_set_peer_counts (vr_rollout *r, const vr_counts *target,
                            const vr_counts *other);
   vr_state vr_tick (vr_rollout *r, const vr_inputs *in);
--- a/packages/gateway/gw_rollout.c
+++ b/packages/gateway/gw_rollout.c
@@ -3,6 +3,9 @@
 #include "gw_internal.h"
 #include "pc.h"
 
+/* Fewest events of an attempt whose mean time between events is judged.  */
+#define _GW_PACE_EVENTS_MIN 3
+
 /* Starts the rollout of SERVICE to the version TARGET, as the order of
    REVISION requests; an order that is known is ignored.  */
 void
@@ -124,22 +127,37 @@
     }
 }
 
+/* Times of R's attempt, which ends with OUTCOME.  */
+static vr_sample
+_gw_version_sample (const _gw_request *r, ut_outcome outcome)
+{
+  uint64_t first_us
+      = r->attempt_first_us > 0 ? r->attempt_first_us : r->gw->now_us;
+  vr_sample sample
+      = { .route = ut_hash (r->route->name),
+          .failed = outcome == UT_FAILED || outcome == UT_CONNECTION_LOST,
+          .abandoned = outcome == UT_ABANDONED,
+          .first_us = first_us - r->sent_us };
+  if (r->attempt_events >= _GW_PACE_EVENTS_MIN)
+    sample.pace_us
+        = (r->last_event_us - r->attempt_first_us) / (r->attempt_events - 1);
+  return sample;
+}
+
 /* Records the OUTCOME of R's attempt for the version that it was sent to.  */
 void
 _gw_record_version (_gw_request *r, ut_outcome outcome)
 {
   vr_rollout *rollout = &_gw_service_of (r)->rollout;
   const ut_upstream *up = ut_query (r->gw->upstreams, r->upstream);
-  bool failed = outcome == UT_FAILED || outcome == UT_CONNECTION_LOST;
-  if (rollout->target.len == 0 || up == NULL
-      || (!failed && outcome != UT_SERVED))
+  if (rollout->target.len == 0 || up == NULL || outcome == UT_UNREACHABLE
+      || outcome == UT_REFUSED)
     return;
   bool target = st_equal (st_name_str (&rollout->target),
                           st_name_str (&up->entry.version));
-  uint64_t first_us
-      = r->attempt_first_us > 0 ? r->attempt_first_us : r->gw->now_us;
+  vr_sample sample = _gw_version_sample (r, outcome);
   bool was_bad = rollout->found_bad;
-  vr_record (rollout, target, failed, first_us - r->sent_us);
+  vr_record (rollout, target, &sample);
   if (rollout->found_bad && !was_bad)
     _gw_log_bad_version (_gw_service_of (r), st_name_str (&r->id));
 }
