Give a new version more requests where few are seen

After 0.4 of the time the new version gets 8% of the requests until 30 have been seen. It is completed with at most a tenth of failures beyond the old version's share. The means of the old version's times give their first samples the same weight, and 256 routes have means of their own. Vr.AServiceWithFewRequestsGivesALargerShare failed before; Vr.SlowResponsesOfSomeRequestsAreFound did not, its one VM sees more than each of nine does.

--- a/packages/decide/tests/vr_test.cc
+++ b/packages/decide/tests/vr_test.cc
@@ -102,6 +102,48 @@
   EXPECT_FALSE (same.found_bad);
 }
 
+// Guards against completing a version that is slow for some of the requests
+// of a service with few: seen as usual times, since the first request that
+// was measured had been a fast one.
+TEST (Vr, SlowResponsesOfSomeRequestsAreFound)
+{
+  int completed = 0;
+  for (unsigned seed = 1; seed <= 200; seed++)
+    {
+      std::mt19937 rng (seed);
+      vr_rollout r = ordered ();
+      std::lognormal_distribution<> usual (2.5, 0.5);
+      record (&r, false, false, 4 * ms);
+      for (int i = 0; i < 40; i++)
+        record (&r, false, false, (uint64_t)(usual (rng) * 1000));
+      for (int i = 0; i < 25; i++)
+        record (&r, true, false,
+                (uint64_t)(usual (rng) * 1000) * (rng () % 100 < 45 ? 8 : 1));
+      completed += !r.found_bad
+                   && tick (&r, 112 * second - 500 * ms) == VR_COMPLETED;
+    }
+  EXPECT_LE (completed, 2);
+}
+
+// Guards against deciding by a handful of requests to a service that has few.
+TEST (Vr, AServiceWithFewRequestsGivesALargerShare)
+{
+  for (bool many : { false, true })
+    {
+      vr_rollout r = ordered ();
+      vr_counts seen = { many ? 40u : 3u, 0 };
+      vr_counts old = { 900, 9 };
+      std::mt19937 rng (7);
+      vr_set_peer_counts (&r, &seen, &old);
+      tick (&r, 106 * second, false);
+      int target = 0;
+      for (int i = 0; i < 100000; i++)
+        target += vr_choose (&r, (uint32_t)rng ()) == VR_TARGET;
+      EXPECT_GT (target, many ? 2000 : 7000);
+      EXPECT_LT (target, many ? 4000 : 9000);
+    }
+}
+
 // Guards against reverting a good version because its upstreams are of unlike
 // speed, as those of the old one.
 TEST (Vr, UpstreamsOfUnlikeSpeedAreNoReason)
--- a/packages/decide/vr.c
+++ b/packages/decide/vr.c
@@ -5,6 +5,12 @@
 /* Share of the new version until the last phase, of 65536: 3%, less than a
    third of the share that a bad version may get.  */
 #define _VR_SHARE 1966
+/* The share, 8%, for a service with so few requests that all VMs together have
+   seen less than _VR_SEEN_ENOUGH to the new version after this fraction of the
+   time.  It is in force for few requests.  */
+#define _VR_SHARE_FEW 5243
+#define _VR_SEEN_ENOUGH 30
+#define _VR_FEW_FRACTION 0.4
 /* Length of the last phase, in which the controller decides: time for a write
    and for its way to all VMs.  With the share before, the whole traffic in it
    is under 10% of a rollout of 10 s.  */
@@ -26,7 +32,7 @@
    greatest share of failures among them, beyond the old version's, which is
    too few to find it bad.  */
 #define _VR_GOOD_MIN 8
-#define _VR_GOOD_FAILED_MAX 0.25
+#define _VR_GOOD_FAILED_MAX 0.1
 /* Fraction of the old version's slots that the new one must have.  */
 #define _VR_SLOTS_FRACTION 0.7
 #define _VR_TIME_WEIGHT 0.05
@@ -89,7 +95,8 @@
   /* The old upstreams stop on completion.  */
   if (r->state == VR_COMPLETED)
     return VR_TARGET;
-  return (random >> 8 & 0xffff) < _VR_SHARE ? VR_TARGET : VR_OTHERS;
+  uint32_t share = r->few_seen ? _VR_SHARE_FEW : _VR_SHARE;
+  return (random >> 8 & 0xffff) < share ? VR_TARGET : VR_OTHERS;
 }
 
 /* True when a request with CHOICE may be sent to an upstream of VERSION.  */
@@ -152,11 +159,13 @@
              && (double)sample->pace_us > _VR_SLOW_FACTOR * route->pace_us);
 }
 
+/* Adds the SEEN-th SAMPLE_US to a mean that forgets.  The first ones weigh the
+   same.  */
 static void
-_vr_average (double *mean_us, uint64_t sample_us)
+_vr_average (double *mean_us, uint64_t sample_us, uint32_t seen)
 {
-  *mean_us
-      += (*mean_us > 0 ? _VR_TIME_WEIGHT : 1) * ((double)sample_us - *mean_us);
+  double weight = 1.0 / seen > _VR_TIME_WEIGHT ? 1.0 / seen : _VR_TIME_WEIGHT;
+  *mean_us += weight * ((double)sample_us - *mean_us);
 }
 
 static void
@@ -165,9 +174,9 @@
   if (sample->failed || sample->abandoned)
     return;
   route->seen++;
-  _vr_average (&route->first_us, sample->first_us);
+  _vr_average (&route->first_us, sample->first_us, route->seen);
   if (sample->pace_us > 0)
-    _vr_average (&route->pace_us, sample->pace_us);
+    _vr_average (&route->pace_us, sample->pace_us, ++route->paces_seen);
 }
 
 /* Records the end of a request to the new version (TARGET) or another one.  */
@@ -205,6 +214,10 @@
   vr_state state = VR_NONE;
   if (r->target.len == 0 || r->state != VR_RUNNING)
     return VR_NONE;
+  r->few_seen
+      = r->target_counts.seen + r->peer_target_counts.seen < _VR_SEEN_ENOUGH
+        && (double)(in->now_us - r->start_us)
+               > _VR_FEW_FRACTION * (double)(r->end_us - r->start_us);
   bool last_phase = in->now_us + _VR_LAST_PHASE_US >= r->end_us;
   if (r->found_bad)
     state = VR_REVERTED;
--- a/packages/decide/vr.h
+++ b/packages/decide/vr.h
@@ -5,16 +5,17 @@
    in ro.h.
 
    Until shortly before the deadline the new version gets a small share of the
-   requests.  Each VM counts the failures of its own requests to both versions
-   and reports the counts to the others; one VM alone sees a handful.  A
-   response that takes much longer than the old version's usually do on its
-   route, until its first event or between events, counts as failed.  A VM
-   that finds the new version bad by the sum of all stops using it at once and
-   writes the state "reverted".  Near the deadline the controller, the first
-   active VM, writes "completed" when the evidence suffices and the new
-   upstreams can carry the traffic, else "reverted".  Writes are conditional on
-   the revision of the last state, so a VM that was paused overwrites nothing,
-   and a state that is final is not changed.
+   requests, a larger one where the evidence is late in coming.  Each VM counts
+   the failures of its own requests to both versions and reports the counts to
+   the others; one VM alone sees a handful.  A response that takes much longer
+   than the old version's usually do on its route, until its first event or
+   between events, counts as failed.  A VM that finds the new version bad by
+   the sum of all stops using it at once and writes the state "reverted".  Near
+   the deadline the controller, the first active VM, writes "completed" when
+   the evidence suffices and the new upstreams can carry the traffic, else
+   "reverted".  Writes are conditional on the revision of the last state, so a
+   VM that was paused overwrites nothing, and a state that is final is not
+   changed.
 
    The full share comes last, so that a version whose fault shows only then has
    run few requests before the deadline.
@@ -65,12 +66,13 @@
 } vr_sample;
 
 /* Routes whose usual times are kept; those with the same index share them.  */
-#define VR_ROUTES_MAX 32
+#define VR_ROUTES_MAX 256
 
 /* Mean times of the old version on a route.  */
 typedef struct
 {
   uint32_t seen;
+  uint32_t paces_seen;
   double first_us;
   double pace_us; /* 0: not known */
 } vr_route;
@@ -86,6 +88,7 @@
   st_name status_target;
   vr_state status;         /* as it is stored */
   bool found_bad;          /* by this VM */
+  bool few_seen;           /* too few requests to the new version so far */
   vr_counts target_counts; /* of this VM */
   vr_counts other_counts;
   vr_counts peer_target_counts; /* of the other VMs */
