--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -55,7 +55,7 @@
   GString *body;
   GString *prompt_parts; /* as the caller sent them; "": none */
   qn_prompt prompt;
-  double quota;          /* units of the team's quota that it takes */
+  double quota; /* units of the team's quota that it takes */
   gq_demand demand;
   uint64_t queue_timeout_us; /* time at which its wait in the queue ends */
   uint64_t end_us;           /* deadline, of the caller or the route */
