--- a/packages/gateway/tests/fleet_test.cc
+++ b/packages/gateway/tests/fleet_test.cc
@@ -45,10 +45,7 @@
       {
         names_.push_back ((i < Each ? "a-" : "b-")
                           + std::to_string (i % Each + 1));
-        std::string address = own_address (free_port ());
-        while (std::count (addresses_.begin (), addresses_.end (), address))
-          address = own_address (free_port ());
-        addresses_.push_back (address);
+        addresses_.push_back (own_address (free_port ()));
       }
     for (int i = 0; i < 2 * Each; i++)
       start (i);
--- a/packages/gateway/tests/support.hh
+++ b/packages/gateway/tests/support.hh
@@ -58,16 +58,21 @@
   return ntohs (sin.sin_port);
 }
 
-// A port that is free at own_host.
+// A port that is free at own_host and has not been returned before.
 inline uint16_t
 free_port ()
 {
-  struct sockaddr_in sin = ipv4 (own_host (), 0);
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  EXPECT_EQ (bind (fd, (struct sockaddr *)&sin, sizeof sin), 0);
-  uint16_t port = port_of (fd);
-  close (fd);
-  return port;
+  static std::set<uint16_t> returned;
+  for (;;)
+    {
+      struct sockaddr_in sin = ipv4 (own_host (), 0);
+      int fd = socket (AF_INET, SOCK_STREAM, 0);
+      EXPECT_EQ (bind (fd, (struct sockaddr *)&sin, sizeof sin), 0);
+      uint16_t port = port_of (fd);
+      close (fd);
+      if (returned.insert (port).second)
+        return port;
+    }
 }
 
 // PORT of own_host as text.
