Add review case 1: an order runs twice after a late copy of a rejection

Cause: the gateway sends a rejected request again on the same connection with the same id, and takes the second copy of the rejection for the new answer.

--- /dev/null
+++ b/review/standins/rv_worker.c
@@ -0,0 +1,201 @@
+/* A stand-in for a worker of a plain service.  It serves one request at a time
+   on a connection, SLOTS requests at a time, and queues the others.  A faulty
+   one rejects some requests, and sends some answers a second time: the copy
+   arrives where the next answer on the connection is expected.  */
+#include "rv.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+struct rv_worker
+{
+  rv_worker_desc desc;
+  int listener;
+  int running;
+  rv_faults faults;
+  pthread_mutex_t mutex;
+  pthread_cond_t ended;
+};
+
+typedef struct
+{
+  rv_worker *worker;
+  rv_conn conn;
+  char copy[512]; /* of the last answer, to be sent late; "": none */
+} worker_conn;
+
+static GHashTable *runs; /* request id to the number of runs */
+static pthread_mutex_t runs_mutex = PTHREAD_MUTEX_INITIALIZER;
+
+/* Number of times that the request ID has run, at all workers.  */
+int
+rv_query_runs (const char *request_id)
+{
+  pthread_mutex_lock (&runs_mutex);
+  int count = runs != NULL
+                  ? GPOINTER_TO_INT (g_hash_table_lookup (runs, request_id))
+                  : 0;
+  pthread_mutex_unlock (&runs_mutex);
+  return count;
+}
+
+static void
+count_run (const char *request_id)
+{
+  pthread_mutex_lock (&runs_mutex);
+  if (runs == NULL)
+    runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  int count = GPOINTER_TO_INT (g_hash_table_lookup (runs, request_id));
+  g_hash_table_insert (runs, g_strdup (request_id),
+                       GINT_TO_POINTER (count + 1));
+  pthread_mutex_unlock (&runs_mutex);
+}
+
+static void
+run (rv_worker *w, const char *request_id)
+{
+  pthread_mutex_lock (&w->mutex);
+  while (w->running >= w->desc.slots)
+    pthread_cond_wait (&w->ended, &w->mutex);
+  w->running++;
+  pthread_mutex_unlock (&w->mutex);
+  count_run (request_id);
+  rv_record ("run %s at %s", request_id, w->desc.id);
+  rv_sleep_ms ((uint64_t)w->desc.work_ms);
+  pthread_mutex_lock (&w->mutex);
+  w->running--;
+  pthread_cond_signal (&w->ended);
+  pthread_mutex_unlock (&w->mutex);
+}
+
+/* Writes the answer to M to TEXT.  */
+static void
+answer (rv_worker *w, const rv_message *m, const rv_faults *faults, char *text,
+        size_t size)
+{
+  char request_id[RV_ID_MAX];
+  char expected[RV_ID_MAX];
+  char body[128];
+  bool known = rv_field (m, "X-Dotterelbend-Request-Id", request_id,
+                         sizeof request_id);
+  if (rv_field (m, "X-Dotterelbend-Expect-Instance", expected, sizeof expected)
+      && strcmp (expected, w->desc.id) != 0)
+    {
+      snprintf (text, size,
+                "HTTP/1.1 421 Misdirected Request\r\n"
+                "X-Dotterelbend-Request-Id: %s\r\n"
+                "X-Dotterelbend-Instance-Id: %s\r\n"
+                "Content-Length: 0\r\n\r\n",
+                request_id, w->desc.id);
+      return;
+    }
+  if (!known || rv_random () < faults->refuse)
+    {
+      rv_record ("reject %s at %s", request_id, w->desc.id);
+      snprintf (text, size,
+                "HTTP/1.1 %s\r\n"
+                "X-Dotterelbend-Request-Id: %s\r\n"
+                "X-Dotterelbend-Not-Executed: 1\r\n"
+                "Content-Length: 0\r\n\r\n",
+                known ? "503 Service Unavailable" : "400 Bad Request",
+                request_id);
+      return;
+    }
+  run (w, request_id);
+  snprintf (body, sizeof body, "{\"order\":\"%s\"}", request_id);
+  snprintf (text, size,
+            "HTTP/1.1 200 OK\r\n"
+            "X-Dotterelbend-Request-Id: %s\r\n"
+            "X-Dotterelbend-Response-Signature: s.%s\r\n"
+            "Content-Type: application/json\r\n"
+            "Content-Length: %zu\r\n\r\n%s",
+            request_id, request_id, strlen (body), body);
+}
+
+static void *
+serve_connection (void *user)
+{
+  worker_conn *c = user;
+  rv_worker *w = c->worker;
+  rv_message *m = g_new (rv_message, 1);
+  char text[512];
+  while (rv_read_message (&c->conn, m, true))
+    {
+      if (c->copy[0] != 0)
+        {
+          rv_record ("second copy of an answer from %s", w->desc.id);
+          rv_send (c->conn.fd, c->copy, strlen (c->copy));
+        }
+      c->copy[0] = 0;
+      pthread_mutex_lock (&w->mutex);
+      rv_faults faults = w->faults;
+      pthread_mutex_unlock (&w->mutex);
+      answer (w, m, &faults, text, sizeof text);
+      if (!rv_send (c->conn.fd, text, strlen (text)))
+        break;
+      if (rv_random () < faults.duplicate)
+        g_strlcpy (c->copy, text, sizeof c->copy);
+    }
+  close (c->conn.fd);
+  g_free (m);
+  g_free (c);
+  return NULL;
+}
+
+static void *
+accept_connections (void *user)
+{
+  rv_worker *w = user;
+  for (;;)
+    {
+      pthread_t thread;
+      int fd = accept (w->listener, NULL, NULL);
+      if (fd < 0)
+        continue;
+      worker_conn *c = g_new0 (worker_conn, 1);
+      c->worker = w;
+      c->conn.fd = fd;
+      if (pthread_create (&thread, NULL, serve_connection, c) == 0)
+        pthread_detach (thread);
+    }
+  return NULL;
+}
+
+/* Starts a worker and writes its entry to the store.  */
+rv_worker *
+rv_start_worker (const rv_worker_desc *desc)
+{
+  uint16_t port;
+  pthread_t thread;
+  char key[128];
+  char entry[512];
+  rv_worker *w = g_new0 (rv_worker, 1);
+  w->desc = *desc;
+  w->listener = rv_listen (&port);
+  pthread_mutex_init (&w->mutex, NULL);
+  pthread_cond_init (&w->ended, NULL);
+  pthread_create (&thread, NULL, accept_connections, w);
+  snprintf (key, sizeof key, "servers/%s", desc->id);
+  snprintf (entry, sizeof entry,
+            "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\","
+            "\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":%d,"
+            "\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":1,"
+            "\"born\":1700000000000}",
+            desc->service, port, desc->slots);
+  rv_put (key, entry);
+  return w;
+}
+
+/* Sets what W does wrong from now on.  */
+void
+rv_set_faults (rv_worker *w, const rv_faults *faults)
+{
+  pthread_mutex_lock (&w->mutex);
+  w->faults = *faults;
+  pthread_mutex_unlock (&w->mutex);
+}
