Add review case 2: requests reach a worker long after it left

Cause: a watch that the store cuts counts as an outage, in which an entry that is removed is kept for 2 s and longer.

--- a/review/3/run.sh
+++ b/review/5/run.sh
@@ -1,14 +1,15 @@
 #!/usr/bin/env bash
-# run.sh: exits with 1 if more than three orders were lost, with 0 if not, with
-# 2 if the case could not run.  TROUBLE=0: the clients do not come at once.
+# run.sh: exits with 1 if the bad version got requests too late, with 0 if not,
+# with 2 if the case could not run.  TROUBLE=0: the version is good.
 set -uo pipefail
 cd "$(dirname "$0")"
 gateway=$PWD/../../target/packages/server/dotterelbend
-program=$PWD/../target/case-3
+program=$PWD/../target/case-5
 [ -x "$gateway" ] && [ -x "$program" ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout -k 5 115 "$program" "$gateway" "$folder" "$PWD/record.txt" 1
+timeout -k 5 115 "$program" "$gateway" "$folder" "$PWD/record.txt" \
+  "${SEED:-$RANDOM}"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/standins/rv.h
+++ b/review/standins/rv.h
@@ -51,6 +51,7 @@
 uint16_t rv_start_store (void);
 void rv_put (const char *key, const char *value);
 void rv_remove (const char *key);
+void rv_cut_watches (uint64_t after_ms);
 bool rv_get (const char *key, char *value, size_t size);
 
 /* What a faulty worker does.  */
@@ -75,6 +76,8 @@
 typedef struct rv_worker rv_worker;
 rv_worker *rv_start_worker (const rv_worker_desc *desc);
 void rv_set_faults (rv_worker *w, const rv_faults *faults);
+void rv_leave (rv_worker *w);
+int rv_query_late_arrivals (const rv_worker *w, uint64_t after_ms);
 void rv_stop_worker (rv_worker *w);
 int rv_query_runs (const char *request_id);
 uint64_t rv_query_failure_ms (unsigned number);
--- a/review/standins/rv_store.c
+++ b/review/standins/rv_store.c
@@ -34,6 +34,8 @@
 static GArray *leases;
 static uint64_t revision = 1;
 static uint64_t last_lease = 1000;
+/* Mean time after which a waiting watch is cut; 0: never.  */
+static uint64_t cut_after_ms;
 static pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
 
@@ -156,6 +158,9 @@
                     "storeRevision", (json_int_t)revision);
 }
 
+#define WATCH_STEP_MS 20
+
+/* The reply to a watch; NULL when it is cut.  */
 static json_t *
 serve_watch (const rv_message *m)
 {
@@ -170,9 +175,15 @@
       if (json_array_size (events) > 0 || rv_now_ms () >= end_ms)
         return json_pack ("{s:o, s:I}", "events", events, "storeRevision",
                           (json_int_t)revision);
+      if (cut_after_ms > 0
+          && rv_random () < (double)WATCH_STEP_MS / (double)cut_after_ms)
+        {
+          json_decref (events);
+          return NULL;
+        }
       struct timespec until;
       clock_gettime (CLOCK_REALTIME, &until);
-      until.tv_nsec += 20 * 1000 * 1000;
+      until.tv_nsec += WATCH_STEP_MS * 1000 * 1000;
       until.tv_sec += until.tv_nsec / 1000000000;
       until.tv_nsec %= 1000000000;
       pthread_cond_timedwait (&changed, &mutex, &until);
@@ -279,6 +290,8 @@
       pthread_mutex_lock (&mutex);
       json_t *reply = serve (m, &status);
       pthread_mutex_unlock (&mutex);
+      if (reply == NULL)
+        break;
       char *body = json_dumps (reply, JSON_COMPACT);
       char *text = g_strdup_printf (
           "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
@@ -368,3 +381,13 @@
   g_free (bytes);
   return len > 0;
 }
+
+/* Cuts waiting watches from now on, each after AFTER_MS on average: their
+   connections are closed without a reply.  0: no longer.  */
+void
+rv_cut_watches (uint64_t after_ms)
+{
+  pthread_mutex_lock (&mutex);
+  cut_after_ms = after_ms;
+  pthread_mutex_unlock (&mutex);
+}
--- a/review/standins/rv_worker.c
+++ b/review/standins/rv_worker.c
@@ -22,6 +22,8 @@
   pthread_cond_t ended;
   GArray *fds; /* of open connections */
   bool stopped;
+  uint64_t left_ms; /* time at which its entry was removed; 0: present */
+  GArray *arrivals; /* times since then of requests that are not rejected */
 };
 
 typedef struct
@@ -90,7 +92,15 @@
 run (rv_worker *w, const char *request_id, const rv_faults *faults)
 {
   char of_version[2 * RV_ID_MAX];
+  uint64_t now_ms = rv_now_ms ();
   pthread_mutex_lock (&w->mutex);
+  if (w->left_ms != 0)
+    {
+      uint64_t since_ms = now_ms - w->left_ms;
+      g_array_append_val (w->arrivals, since_ms);
+      rv_record ("%s arrives at %s %llu ms after it left", request_id,
+                 w->desc.id, (unsigned long long)since_ms);
+    }
   while (w->running >= w->desc.slots)
     pthread_cond_wait (&w->ended, &w->mutex);
   w->running++;
@@ -244,6 +254,7 @@
   rv_worker *w = g_new0 (rv_worker, 1);
   w->desc = *desc;
   w->fds = g_array_new (FALSE, FALSE, sizeof (int));
+  w->arrivals = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   w->listener = rv_listen (&port);
   pthread_mutex_init (&w->mutex, NULL);
   pthread_cond_init (&w->ended, NULL);
@@ -282,3 +293,27 @@
     shutdown (g_array_index (w->fds, int, i), SHUT_RDWR);
   pthread_mutex_unlock (&w->mutex);
 }
+
+/* Removes the entry of W, which goes on serving, without a notice before.  */
+void
+rv_leave (rv_worker *w)
+{
+  char key[128];
+  snprintf (key, sizeof key, "servers/%s", w->desc.id);
+  rv_remove (key);
+  pthread_mutex_lock (&w->mutex);
+  w->left_ms = rv_now_ms ();
+  pthread_mutex_unlock (&w->mutex);
+  rv_record ("%s leaves", w->desc.id);
+}
+
+/* Number of requests that reached W later than AFTER_MS after its entry was
+   removed.  */
+int
+rv_query_late_arrivals (const rv_worker *w, uint64_t after_ms)
+{
+  int late = 0;
+  for (guint i = 0; i < w->arrivals->len; i++)
+    late += g_array_index (w->arrivals, uint64_t, i) > after_ms;
+  return late;
+}
