--- a/review/2/case.c
+++ b/review/2/case.c
@@ -16,7 +16,7 @@
 #define CLIENTS 12
 #define GAP_MS 100 /* mean time between the orders of a client */
 #define DEADLINE_MS 2000
-#define CUT_AFTER_MS 6000
+#define CUT_AFTER_MS 4000
 /* drainMs, and how much longer a worker serves.  */
 #define DRAIN_MS 2500
 #define SERVE_ON_MS 2500
--- a/review/standins/rv_gateway.c
+++ b/review/standins/rv_gateway.c
@@ -116,6 +116,17 @@
   return error == 0;
 }
 
+/* Ends the gateways when the script is ended before its time.  */
+static void
+on_signal (int number)
+{
+  (void)number;
+  for (int i = 0; i < gateway_count; i++)
+    if (gateways[i].pid > 0)
+      kill (gateways[i].pid, SIGKILL);
+  _exit (2);
+}
+
 /* Starts COUNT gateways, which keep their settings and logs in FOLDER.  */
 bool
 rv_start_gateways (const char *program, const char *folder, int count,
@@ -124,6 +135,8 @@
   gateway_program = program;
   gateway_folder = folder;
   gateway_store = store;
+  signal (SIGTERM, on_signal);
+  signal (SIGINT, on_signal);
   for (gateway_count = 0; gateway_count < count; gateway_count++)
     {
       gateways[gateway_count] = (gateway){ .callers = free_port (),
