--- a/review/standins/rv.c
+++ b/review/standins/rv.c
@@ -16,6 +16,9 @@
 #include <time.h>
 #include <unistd.h>
 
+#define FREE_PORT_MIN 20000
+#define FREE_PORTS 10000
+
 static FILE *record;
 static uint64_t start_ms;
 static uint64_t random_state = 1;
@@ -115,6 +118,27 @@
   return fd;
 }
 
+/* A free port below the range that outgoing connections use.  */
+uint16_t
+rv_free_port (void)
+{
+  static uint16_t offset;
+  uint16_t first = (uint16_t)(getpid () * 37 % FREE_PORTS);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  while (fd >= 0 && offset < FREE_PORTS)
+    {
+      uint16_t port
+          = (uint16_t)(FREE_PORT_MIN + (first + offset++) % FREE_PORTS);
+      struct sockaddr_in address = loopback (port);
+      if (bind (fd, (struct sockaddr *)&address, sizeof address) != 0)
+        continue;
+      close (fd);
+      return port;
+    }
+  fprintf (stderr, "no free port\n");
+  exit (2);
+}
+
 /* Connects to a loopback port; -1 on failure.  */
 int
 rv_connect (uint16_t port)
--- a/review/standins/rv.h
+++ b/review/standins/rv.h
@@ -41,6 +41,7 @@
 void rv_close_record (void);
 
 int rv_listen (uint16_t *port);
+uint16_t rv_free_port (void);
 int rv_connect (uint16_t port);
 bool rv_read_message (rv_conn *c, rv_message *m, bool has_body);
 bool rv_field (const rv_message *m, const char *name, char *value,
--- a/review/standins/rv_gateway.c
+++ b/review/standins/rv_gateway.c
@@ -49,14 +49,6 @@
 static const char *gateway_folder;
 static uint16_t gateway_store;
 
-static uint16_t
-free_port (void)
-{
-  uint16_t port;
-  close (rv_listen (&port));
-  return port;
-}
-
 static bool
 write_settings (const char *path, int index, const gateway *g, uint16_t store)
 {
@@ -139,11 +131,11 @@
   signal (SIGINT, on_signal);
   for (gateway_count = 0; gateway_count < count; gateway_count++)
     {
-      gateways[gateway_count] = (gateway){ .callers = free_port (),
-                                           .ready = free_port (),
-                                           .directory = free_port (),
-                                           .peers = free_port (),
-                                           .metrics = free_port () };
+      gateways[gateway_count] = (gateway){ .callers = rv_free_port (),
+                                           .ready = rv_free_port (),
+                                           .directory = rv_free_port (),
+                                           .peers = rv_free_port (),
+                                           .metrics = rv_free_port () };
       if (!start (gateway_count))
         return false;
     }
