Never send two requests with one id on a connection

After a rejection the gateway sends the request again. The next attempt took the newest idle connection, which is the one of the rejected attempt, and a late second copy of the rejection there has the same id as the response that is expected. The attempt that was running counted as not run.

Ruled out: responses of cancelled exchanges (their connections are closed), and dispatch to two upstreams at a time.

A connection now retains the hashes of the ids that it carried, is not used for an id a second time, and is closed after 256 requests. This also covers a caller that sends a refused request again under its id. Responses that are skipped and bytes on idle connections are logged.

Red before, green now: Gw.ALateCopyOfARefusalIsNotTheNextAttemptsResponse (503, 2 runs), Gw.ALateCopyOfARefusalIsNotTheResponseToTheCallersRetry, Gw.AConnectionCarriesABoundedNumberOfRequests. The tests of connections that are not reused sent the same id twice and would pass without looking; they now send another one.

--- a/packages/gateway/tests/gw_test.cc
+++ b/packages/gateway/tests/gw_test.cc
@@ -8,10 +8,11 @@
 // is complete or the connection is closed.
 std::unique_ptr<Caller>
 send_request (Gateway &g, const std::string &path,
-              const std::string &fields = "", const std::string &body = "")
+              const std::string &fields = "", const std::string &body = "",
+              const std::string &id = "r1")
 {
   auto c = g.caller ();
-  c->request ("r1", path, fields, body);
+  c->request (id, path, fields, body);
   g.run ([&] { return c->complete () || c->closed; });
   return c;
 }
@@ -199,18 +200,43 @@
   EXPECT_EQ (c->status (), 200);
   EXPECT_TRUE (c->has ("body of r1"));
   EXPECT_FALSE (c->has ("not yours"));
-  auto next = send_request (g, "/once/y");
+  auto next = send_request (g, "/once/y", "", "", "r2");
   EXPECT_EQ (next->status (), 200);
   EXPECT_EQ (g.up ().connections, 2u) << "the connection was reused";
 }
 
+// Guards against a late copy of a refusal that is taken for the response to
+// the next attempt of the same request, on the connection that was refused on:
+// the attempt that runs counts as not run, and the request runs again.
+TEST (Gw, ALateCopyOfARefusalIsNotTheNextAttemptsResponse)
+{
+  Gateway g;
+  g.up ().behaviours = { ShedCopied, ShedCopied, Respond };
+  auto c = send_request (g, "/once/x");
+  EXPECT_EQ (c->status (), 200) << c->received;
+  EXPECT_EQ (g.up ().runs, 1u);
+}
+
+// Guards against the same copy where the caller sends its refused request
+// again, with the id that it had.
+TEST (Gw, ALateCopyOfARefusalIsNotTheResponseToTheCallersRetry)
+{
+  Gateway g (1, 0);
+  g.up ().behaviours = { ShedCopied };
+  EXPECT_EQ (send_request (g, "/once/x")->status (), 503);
+  g.wait (150);
+  auto c = send_request (g, "/once/x");
+  EXPECT_EQ (c->status (), 200) << c->received;
+  EXPECT_EQ (g.up ().runs, 1u);
+}
+
 // Guards against stray bytes being taken for the next response.
 TEST (Gw, AConnectionWithExtraBytesIsNotReused)
 {
   Gateway g;
   g.up ().behaviours = { Extra };
   EXPECT_TRUE (send_request (g, "/once/x")->has ("body of r1"));
-  auto next = send_request (g, "/once/y");
+  auto next = send_request (g, "/once/y", "", "", "r2");
   EXPECT_EQ (next->status (), 200);
   EXPECT_FALSE (next->has ("again"));
   EXPECT_EQ (g.up ().connections, 2u);
@@ -225,18 +251,30 @@
   c->request ("r1", "/once/x", "", std::string (3000000, 'b'));
   g.run ([&] { return c->complete (); });
   EXPECT_EQ (c->status (), 200);
-  EXPECT_EQ (send_request (g, "/once/y")->status (), 200);
+  EXPECT_EQ (send_request (g, "/once/y", "", "", "r2")->status (), 200);
   EXPECT_EQ (g.up ().connections, 2u);
 }
 
 TEST (Gw, ReusesGoodConnections)
 {
   Gateway g;
-  for (int i = 0; i < 3; i++)
-    EXPECT_EQ (send_request (g, "/once/x")->status (), 200);
+  for (const char *id : { "r1", "r2", "r3" })
+    EXPECT_EQ (send_request (g, "/once/x", "", "", id)->status (), 200);
   EXPECT_EQ (g.up ().connections, 1u);
 }
 
+// Guards against a connection that retains the ids of its requests without
+// end.
+TEST (Gw, AConnectionCarriesABoundedNumberOfRequests)
+{
+  Gateway g;
+  for (int i = 0; i < 300; i++)
+    EXPECT_EQ (send_request (g, "/once/x", "", "", "r" + std::to_string (i))
+                   ->status (),
+               200);
+  EXPECT_EQ (g.up ().connections, 2u);
+}
+
 TEST (Gw, AResponseWithoutALengthEndsWithTheConnection)
 {
   Gateway g;
--- a/packages/gateway/tests/support.hh
+++ b/packages/gateway/tests/support.hh
@@ -19,6 +19,7 @@
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 namespace support
@@ -148,6 +149,7 @@
   Truncated,       // half of a body, then the end of the connection
   Reset,           // no response, reset
   Shed,            // 503, states that it did not run
+  ShedCopied,      // the same, and again before the connection's next response
   Plain503,        // 503 that does not state so
   OtherInstance,   // 421
   Error,           // 500, signed
@@ -186,6 +188,7 @@
     struct bufferevent *bev;
     hp_reader *reader;
     std::string body;
+    std::string late_copy; // sent before the next response
   };
 
   std::deque<Behaviour> behaviours;
@@ -295,7 +298,7 @@
              int, void *user)
   {
     Upstream *self = static_cast<Upstream *> (user);
-    Conn *c = new Conn{ self, nullptr, nullptr, "" };
+    Conn *c = new Conn{ self, nullptr, nullptr, "", "" };
     hp_desc desc = {};
     desc.kind = HP_REQUEST;
     desc.on_body = [] (void *to, st_str bytes) {
@@ -383,15 +386,21 @@
                         MSG_NOSIGNAL);
     EXPECT_EQ (n, (ssize_t)text.size ());
   }
+  std::string
+  response_text (Conn *c, int status, const std::string &body, bool is_signed,
+                 const std::string &id = "", const std::string &more = "")
+  {
+    return "HTTP/1.1 " + std::to_string (status) + " X\r\n" + names.id + ": "
+           + (id.empty () ? field (c, names.id.c_str ()) : id) + "\r\n"
+           + (is_signed ? names.sign + ": s1\r\n" : "") + more
+           + "Content-Length: " + std::to_string (body.size ()) + "\r\n\r\n"
+           + body;
+  }
   void
   respond (Conn *c, int status, const std::string &body, bool is_signed,
            const std::string &id = "", const std::string &more = "")
   {
-    send (c, "HTTP/1.1 " + std::to_string (status) + " X\r\n" + names.id + ": "
-                 + (id.empty () ? field (c, names.id.c_str ()) : id) + "\r\n"
-                 + (is_signed ? names.sign + ": s1\r\n" : "") + more
-                 + "Content-Length: " + std::to_string (body.size ())
-                 + "\r\n\r\n" + body);
+    send (c, response_text (c, status, body, is_signed, id, more));
   }
   static std::string
   chunk (const std::string &text)
@@ -529,7 +538,9 @@
       }
     if (streams_by_path)
       b = behaviour_for_path (c, b);
-    if (b != Shed && b != OtherInstance)
+    if (!c->late_copy.empty ())
+      send (c, std::exchange (c->late_copy, ""));
+    if (b != Shed && b != ShedCopied && b != OtherInstance)
       {
         runs++;
         runs_of[field (c, names.id.c_str ())]++;
@@ -566,6 +577,11 @@
       case Shed:
         respond (c, 503, "", false, "", names.not_run + ": 1\r\n");
         return true;
+      case ShedCopied:
+        c->late_copy
+            = response_text (c, 503, "", false, "", names.not_run + ": 1\r\n");
+        send (c, c->late_copy);
+        return true;
       case Plain503:
         respond (c, 503, "busy", true);
         return true;
--- a/packages/gateway/uc.c
+++ b/packages/gateway/uc.c
@@ -1,6 +1,7 @@
 #include "uc.h"
 
 #include "ck.h"
+#include "lo.h"
 #include "nt.h"
 
 #include <event2/buffer.h>
@@ -20,6 +21,8 @@
 #define _UC_SKIP_MAX 2
 /* Most bytes of such responses that are read.  */
 #define _UC_SKIP_MAX_BYTES (1024 * 1024)
+/* Most requests on one connection, which retains their ids.  */
+#define _UC_REQUESTS_MAX 256
 
 typedef struct _uc_conn _uc_conn;
 
@@ -45,6 +48,9 @@
   hp_reader *reader;
   struct event *timer; /* of the connect, or of the idle time */
   st_name instance;
+  uint64_t *carried; /* hashes of the ids of its requests */
+  uint32_t carried_count;
+  uint32_t carried_capacity;
   uc_exchange *exchange; /* NULL while idle */
   bool connected;
   bool reusable;
@@ -69,6 +75,7 @@
   event_free (conn->timer);
   bufferevent_free (conn->bev);
   hp_destroy (conn->reader);
+  g_free (conn->carried);
   g_free (conn);
 }
 
@@ -157,14 +164,30 @@
   return idle > _UC_IDLE_MARGIN_MS ? idle - _UC_IDLE_MARGIN_MS : 0;
 }
 
-static bool
-_uc_id_matches (const uc_exchange *x, const hp_head *head)
+/* The request id that HEAD echoes; empty when there is none.  */
+static st_str
+_uc_echoed_id (const uc_pool *pool, const hp_head *head)
 {
   st_str id;
-  if (x->request_id.len == 0)
-    return true;
-  return hp_get (head, x->pool->desc.id_field, &id)
-         && st_equal (id, st_name_str (&x->request_id));
+  return hp_get (head, pool->desc.id_field, &id) ? id : (st_str){ "", 0 };
+}
+
+/* Skips a response that does not belong to the exchange of CONN.  False after
+   too many.  */
+static bool
+_uc_skip_response (_uc_conn *conn, const hp_head *head)
+{
+  uc_exchange *x = conn->exchange;
+  x->skipping = true;
+  if (head->status >= 200)
+    {
+      conn->reusable = false;
+      LO_EVENT ("stray_response", st_name_str (&x->request_id),
+                LO_STR ("upstream", st_name_str (&conn->instance)),
+                LO_STR ("other_request", _uc_echoed_id (conn->pool, head)),
+                LO_INT ("status", head->status));
+    }
+  return ++x->skipped_count <= _UC_SKIP_MAX;
 }
 
 /* Handles a new head.  False after too many responses that were skipped.  */
@@ -173,13 +196,11 @@
 {
   const hp_head *head = hp_query_head (conn->reader);
   uc_exchange *x = conn->exchange;
-  x->skipping = head->status < 200 || !_uc_id_matches (x, head);
-  if (x->skipping)
-    {
-      if (head->status >= 200)
-        conn->reusable = false;
-      return ++x->skipped_count <= _UC_SKIP_MAX;
-    }
+  if (head->status < 200
+      || !st_equal (_uc_echoed_id (conn->pool, head),
+                    st_name_str (&x->request_id)))
+    return _uc_skip_response (conn, head);
+  x->skipping = false;
   x->head_seen = true;
   if (!head->keep_alive || (!head->has_length && !head->chunked))
     conn->reusable = false;
@@ -218,6 +239,9 @@
   if (conn->exchange == NULL)
     {
       /* Bytes without a request belong to no exchange.  */
+      LO_EVENT ("stray_bytes", ST_LIT (""),
+                LO_STR ("upstream", st_name_str (&conn->instance)),
+                LO_INT ("bytes", evbuffer_get_length (in)));
       _uc_free_conn (conn);
       return;
     }
@@ -335,13 +359,42 @@
   g_free (pool);
 }
 
+static bool
+_uc_has_carried (const _uc_conn *conn, uint64_t request)
+{
+  for (uint32_t i = 0; i < conn->carried_count; i++)
+    if (conn->carried[i] == request)
+      return true;
+  return false;
+}
+
+/* Records that CONN carries REQUEST, the hash of an id.  */
+static void
+_uc_add_carried (_uc_conn *conn, uint64_t request)
+{
+  if (conn->carried_count == conn->carried_capacity)
+    {
+      conn->carried_capacity
+          = conn->carried_capacity == 0 ? 8 : 2 * conn->carried_capacity;
+      conn->carried
+          = g_renew (uint64_t, conn->carried, conn->carried_capacity);
+    }
+  conn->carried[conn->carried_count++] = request;
+  if (conn->carried_count == _UC_REQUESTS_MAX)
+    conn->reusable = false;
+}
+
+/* Takes an idle connection to INSTANCE that has not carried REQUEST: a late
+   copy of an earlier response to the same id could not be told from the
+   response to the next attempt.  */
 static _uc_conn *
-_uc_take_idle (uc_pool *pool, st_str instance)
+_uc_take_idle (uc_pool *pool, st_str instance, uint64_t request)
 {
   for (guint i = pool->idle->len; i > 0; i--)
     {
       _uc_conn *conn = pool->idle->pdata[i - 1];
-      if (!st_equal (st_name_str (&conn->instance), instance))
+      if (!st_equal (st_name_str (&conn->instance), instance)
+          || _uc_has_carried (conn, request))
         continue;
       g_ptr_array_remove_index (pool->idle, i - 1);
       event_del (conn->timer);
@@ -384,11 +437,13 @@
 uc_exchange *
 uc_send (uc_pool *pool, const uc_request *request)
 {
-  _uc_conn *conn = _uc_take_idle (pool, request->instance);
+  uint64_t id = st_hash (request->request_id, 0);
+  _uc_conn *conn = _uc_take_idle (pool, request->instance, id);
   if (conn == NULL)
     conn = _uc_connect (pool, request);
   if (conn == NULL)
     return NULL;
+  _uc_add_carried (conn, id);
   uc_exchange *x = g_new0 (uc_exchange, 1);
   x->pool = pool;
   x->conn = conn;
--- a/packages/gateway/uc.h
+++ b/packages/gateway/uc.h
@@ -16,7 +16,8 @@
    A response with another request's id is skipped as the late response of an
    earlier exchange.  Its connection is not reused, and neither is one with
    bytes after a response, or with a response that arrived before the request
-   was written.  */
+   was written.  No connection carries two requests with the same id, so that
+   the id tells the attempts of a request apart as well.  */
 #ifndef UC_H
 #define UC_H
 
@@ -53,7 +54,7 @@
 {
   st_str address;    /* IP:PORT */
   st_str instance;   /* idle connections are pooled by it */
-  st_str request_id; /* the response must echo it; "" accepts any */
+  st_str request_id; /* the response must echo it */
   st_str bytes;      /* complete request; copied */
   uc_on_event on_event;
   void *user;
