Judge a version on each route and under load, and bound its exposure

Three causes, which share the evidence that VMs report and are fixed together:

- A request drew its version at each look at the queue.
While the old upstreams were full, the first waiting request was sent as soon as a draw said "new".
The version is now drawn once for a request, further attempts go to the old version, and each VM bounds what it sends to the new one by its part of the bound (bounds.exposure_share and exposure_slack, from the template), less what the last phase takes, so that the bound holds for the sum without messages.
- The counts were added up over routes.
They are now kept and reported by route as well, and each is judged; a route of which little is seen gets 8%.
- With 3% of the requests no new upstream was ever busy.
In the last quarter before the decision one of them is kept just over half full, and the requests of this load test are judged by themselves.
Their times are compared only where the upstream is about as busy as the old ones are.

A VM that reads an order late, as after a restart, now adopts the order's age from the others; its deadline was too late before.

The load report's rollout rows have two more fields, so VMs of the version before do not read reports of this one while a rollout runs.

--- a/packages/decide/tests/vr_test.cc
+++ b/packages/decide/tests/vr_test.cc
@@ -8,14 +8,35 @@
 const uint64_t second = 1000000;
 const uint64_t ms = 1000;
 
+// Orders the version TARGET with a bound on the exposure that no test reaches.
+void
+order (vr_rollout *r, const char *target, uint64_t revision, uint64_t now,
+       double slack = 1e6)
+{
+  vr_order o = {};
+  o.target = st_from_cstr (target);
+  o.duration_us = 12 * second;
+  o.revision = revision;
+  o.exposure_slack = slack;
+  vr_set_order (r, &o, now);
+}
+
 vr_rollout
-ordered ()
+ordered (double slack = 1e6)
 {
   vr_rollout r = {};
-  vr_set_order (&r, ST_LIT ("v2"), 12 * second, 5, 100 * second);
+  order (&r, "v2", 5, 100 * second, slack);
   return r;
 }
 
+void
+set_peers (vr_rollout *r, const vr_counts &target, const vr_counts &other,
+           uint64_t key = VR_ALL)
+{
+  vr_row row = { key, target, other };
+  vr_set_peer_rows (r, &row, 1);
+}
+
 void
 record (vr_rollout *r, bool target, bool failed, uint64_t first_us,
         uint64_t pace_us = 0)
@@ -43,11 +64,11 @@
   std::mt19937 rng (7);
   int target = 0;
   for (int i = 0; i < 100000; i++)
-    target += vr_choose (&r, (uint32_t)rng ()) == VR_TARGET;
+    target += vr_choose (&r, 0, (uint32_t)rng ()) == VR_TARGET;
   EXPECT_GT (target, 2000);
   EXPECT_LT (target, 4000);
   vr_rollout none = {};
-  EXPECT_EQ (vr_choose (&none, 1), VR_ANY);
+  EXPECT_EQ (vr_choose (&none, 0, 1), VR_ANY);
   EXPECT_TRUE (vr_allows (&r, VR_TARGET, ST_LIT ("v2")));
   EXPECT_FALSE (vr_allows (&r, VR_OTHERS, ST_LIT ("v2")));
   EXPECT_TRUE (vr_allows (&r, VR_OTHERS, ST_LIT ("v1")));
@@ -65,7 +86,7 @@
       for (int i = 0; i < 10 && !r.found_bad; i++)
         record (&r, true, !slow && i % 2 == 0, slow ? 640 * ms : 80 * ms);
       EXPECT_TRUE (r.found_bad) << slow;
-      EXPECT_EQ (vr_choose (&r, 0), VR_OTHERS);
+      EXPECT_EQ (vr_choose (&r, 0, 0), VR_OTHERS);
       EXPECT_EQ (tick (&r, 104 * second, false), VR_REVERTED);
     }
 }
@@ -134,11 +155,11 @@
       vr_counts seen = { many ? 40u : 3u, 0 };
       vr_counts old = { 900, 9 };
       std::mt19937 rng (7);
-      vr_set_peer_counts (&r, &seen, &old);
+      set_peers (&r, seen, old);
       tick (&r, 106 * second, false);
       int target = 0;
       for (int i = 0; i < 100000; i++)
-        target += vr_choose (&r, (uint32_t)rng ()) == VR_TARGET;
+        target += vr_choose (&r, 0, (uint32_t)rng ()) == VR_TARGET;
       EXPECT_GT (target, many ? 2000 : 7000);
       EXPECT_LT (target, many ? 4000 : 9000);
     }
@@ -230,7 +251,7 @@
   EXPECT_EQ (tick (&r, 110 * second), VR_NONE);
   EXPECT_EQ (tick (&r, 112 * second - 500 * ms), VR_COMPLETED);
   vr_set_status (&r, ST_LIT ("v2"), VR_COMPLETED, 9);
-  EXPECT_EQ (vr_choose (&r, 0xffffffff), VR_TARGET);
+  EXPECT_EQ (vr_choose (&r, 0, 0xffffffff), VR_TARGET);
   EXPECT_EQ (tick (&r, 113 * second), VR_NONE);
 }
 
@@ -241,17 +262,17 @@
   vr_rollout good = ordered ();
   vr_counts some = { 20, 0 };
   vr_counts many = { 900, 9 };
-  vr_set_peer_counts (&good, &some, &many);
+  set_peers (&good, some, many);
   EXPECT_EQ (tick (&good, 112 * second - 500 * ms), VR_COMPLETED);
   vr_rollout bad = ordered ();
   vr_counts failing = { 9, 3 };
   record (&bad, true, true, 80 * ms);
   EXPECT_FALSE (bad.found_bad);
-  vr_set_peer_counts (&bad, &failing, &many);
+  set_peers (&bad, failing, many);
   EXPECT_TRUE (bad.found_bad);
   vr_rollout doubtful = ordered ();
   vr_counts few = { 8, 3 };
-  vr_set_peer_counts (&doubtful, &few, &many);
+  set_peers (&doubtful, few, many);
   EXPECT_FALSE (doubtful.found_bad);
   EXPECT_EQ (tick (&doubtful, 112 * second - 500 * ms), VR_REVERTED);
 }
@@ -276,12 +297,12 @@
   vr_rollout r = ordered ();
   EXPECT_EQ (tick (&r, 112 * second, false), VR_NONE);
   vr_set_status (&r, ST_LIT ("v2"), VR_REVERTED, 8);
-  vr_set_order (&r, ST_LIT ("v2"), 12 * second, 5, 200 * second);
+  order (&r, "v2", 5, 200 * second);
   EXPECT_EQ (tick (&r, 212 * second), VR_NONE);
-  EXPECT_EQ (vr_choose (&r, 0), VR_OTHERS);
+  EXPECT_EQ (vr_choose (&r, 0, 0), VR_OTHERS);
   vr_set_status (&r, ST_LIT ("v2"), VR_RUNNING, 7);
   EXPECT_EQ (r.state, VR_REVERTED) << "an older state";
-  vr_set_order (&r, ST_LIT ("v3"), 12 * second, 20, 300 * second);
+  order (&r, "v3", 20, 300 * second);
   EXPECT_EQ (r.state, VR_RUNNING);
   EXPECT_TRUE (vr_allows (&r, VR_OTHERS, ST_LIT ("v1")));
 }
@@ -292,9 +313,205 @@
 {
   vr_rollout r = {};
   vr_set_status (&r, ST_LIT ("v2"), VR_REVERTED, 8);
-  vr_set_order (&r, ST_LIT ("v2"), 12 * second, 5, 100 * second);
+  order (&r, "v2", 5, 100 * second);
   EXPECT_EQ (r.state, VR_REVERTED);
-  vr_set_order (&r, ST_LIT ("v2"), 12 * second, 9, 200 * second);
+  order (&r, "v2", 9, 200 * second);
   EXPECT_EQ (r.state, VR_RUNNING) << "ordered again";
 }
+
+// Guards against completing a version that fails on one route, which the
+// requests of the other routes hide.
+TEST (Vr, ABadRouteIsFoundAmongGoodOnes)
+{
+  vr_rollout r = ordered ();
+  vr_sample sample = {};
+  sample.first_us = 80 * ms;
+  for (int i = 0; i < 3000; i++)
+    {
+      sample.route = 10 + (uint64_t)(i % 3);
+      sample.failed = i % 50 == 0;
+      vr_record (&r, false, &sample);
+    }
+  for (int i = 0; i < 300; i++)
+    {
+      sample.route = i % 30 == 0 ? 10 : 11;
+      sample.failed = i % 60 == 0;
+      vr_record (&r, true, &sample);
+    }
+  EXPECT_TRUE (r.found_bad);
+  EXPECT_EQ (r.bad_key, 10u);
+}
+
+// The same where each VM has seen a few of the failures.
+TEST (Vr, ABadRouteIsFoundByTheCountsOfAllVms)
+{
+  vr_rollout r = ordered ();
+  vr_row rows[] = { { VR_ALL, { 200, 4 }, { 4000, 80 } },
+                    { 10, { 7, 3 }, { 600, 12 } },
+                    { VR_ALL, { 100, 3 }, { 2000, 40 } },
+                    { 10, { 5, 3 }, { 300, 6 } } };
+  vr_set_peer_rows (&r, rows, 2);
+  EXPECT_FALSE (r.found_bad);
+  vr_set_peer_rows (&r, rows, 4);
+  EXPECT_TRUE (r.found_bad);
+  EXPECT_EQ (r.peer_target_counts.seen, 300u);
+}
+
+// Guards against completing a version that fails under load: the load test's
+// requests are few among all.
+TEST (Vr, TheLoadTestIsJudgedByItself)
+{
+  vr_rollout r = ordered ();
+  for (int i = 0; i < 2000; i++)
+    record (&r, false, i % 50 == 0, 80 * ms);
+  for (int i = 0; i < 400; i++)
+    record (&r, true, i % 50 == 0, 80 * ms);
+  vr_sample sample = {};
+  sample.load_test = true;
+  sample.running = 4;
+  sample.first_us = 900 * ms;
+  for (int i = 0; i < 40; i++)
+    vr_record (&r, true, &sample);
+  EXPECT_FALSE (r.found_bad) << "times under load are not compared";
+  EXPECT_EQ (r.target_counts.seen, 400u);
+  sample.failed = true;
+  for (int i = 0; i < 7; i++)
+    vr_record (&r, true, &sample);
+  EXPECT_TRUE (r.found_bad);
+  EXPECT_EQ (r.bad_key, (uint64_t)VR_LOAD_TEST);
+  vr_row rows[VR_ROWS_MAX];
+  ASSERT_EQ (vr_query_rows (&r, rows, VR_ROWS_MAX), 2u);
+  EXPECT_EQ (rows[1].key, (uint64_t)VR_LOAD_TEST);
+  EXPECT_EQ (rows[1].target.seen, 47u);
+  EXPECT_EQ (rows[1].target.failed, 7u);
+}
+
+// Guards against completing a slow version of which most requests are seen in
+// the load test, on an upstream that is hardly busier than the old ones.
+TEST (Vr, SlowResponsesInTheLoadTestCount)
+{
+  vr_rollout r = ordered ();
+  for (int i = 0; i < 300; i++)
+    record (&r, false, i % 8 == 0, 40 * ms);
+  for (int i = 0; i < 12; i++)
+    record (&r, true, i % 4 == 0, 40 * ms);
+  vr_sample sample = {};
+  sample.load_test = true;
+  for (int i = 0; i < 40; i++)
+    {
+      sample.running = (uint32_t)i % 2;
+      sample.first_us = (i % 2 == 0 ? 300 : 40) * ms;
+      vr_record (&r, true, &sample);
+    }
+  EXPECT_TRUE (r.found_bad);
+  EXPECT_EQ (r.bad_key, (uint64_t)VR_ALL);
+}
+
+// Guards against a load test at any other time than shortly before the
+// decision, and of a version that is known to be bad.
+TEST (Vr, TheLoadTestComesShortlyBeforeTheDecision)
+{
+  vr_rollout r = ordered ();
+  EXPECT_FALSE (vr_in_load_test (&r, 101 * second));
+  EXPECT_FALSE (vr_in_load_test (&r, 108 * second));
+  EXPECT_TRUE (vr_in_load_test (&r, 109 * second));
+  EXPECT_TRUE (vr_in_load_test (&r, 111 * second));
+  EXPECT_FALSE (vr_in_load_test (&r, 112 * second - 500 * ms));
+  vr_rollout bad = ordered ();
+  bad.found_bad = true;
+  EXPECT_FALSE (vr_in_load_test (&bad, 111 * second));
+  vr_rollout none = {};
+  EXPECT_FALSE (vr_in_load_test (&none, 111 * second));
+}
+
+// Guards against a bad version that gets more than its share and slack: from
+// requests that drew it, in the load test, or after a decision for it, whose
+// requests count up to the deadline.
+TEST (Vr, TheExposureIsBounded)
+{
+  for (double slack : { 0.0, 6.0, 50.0 })
+    {
+      vr_rollout r = ordered (slack);
+      std::mt19937 rng (7);
+      const int count = 4000;
+      int target = 0;
+      for (int i = 1; i <= count; i++)
+        {
+          uint64_t now = 100 * second + (uint64_t)i * 12 * second / count;
+          bool to_target = now + 600 * ms >= 112 * second;
+          if (!to_target)
+            to_target = rng () % 3 == 0 ? vr_choose (&r, 0, 0) == VR_TARGET
+                                        : vr_in_load_test (&r, now);
+          vr_count_sent (&r, to_target);
+          target += to_target;
+          if (now + 600 * ms < 112 * second)
+            {
+              ASSERT_LE (target, 0.1 * i + slack) << i;
+            }
+        }
+      EXPECT_LE (target, 0.1 * count + slack);
+      EXPECT_GE (target, 300) << slack;
+      EXPECT_EQ (vr_choose (&r, 0, VR_DRAW_OTHERS), VR_OTHERS);
+    }
+}
+
+// Guards against a route of which hardly anything is seen among many requests
+// of others.
+TEST (Vr, ARouteWithFewRequestsGivesALargerShare)
+{
+  vr_rollout r = ordered ();
+  vr_sample sample = {};
+  for (int i = 0; i < 60; i++)
+    {
+      sample.route = i < 58 ? 10 : 11;
+      vr_record (&r, true, &sample);
+    }
+  tick (&r, 106 * second, false);
+  int usual = 0, rare = 0;
+  for (uint32_t draw = 0; draw < 65536; draw++)
+    {
+      usual += vr_choose (&r, 10, draw << 8) == VR_TARGET;
+      rare += vr_choose (&r, 11, draw << 8) == VR_TARGET;
+    }
+  EXPECT_LT (usual, 3000);
+  EXPECT_GT (rare, 4500);
+}
+
+// Guards against reverting a good version because several routes and the load
+// test are judged: each is one more chance for a false alarm.
+TEST (Vr, ManyRoutesAreNoReason)
+{
+  int reverted = 0;
+  std::mt19937 rng (5);
+  for (int round = 0; round < 400; round++)
+    {
+      vr_rollout r = ordered ();
+      vr_sample sample = {};
+      sample.first_us = 80 * ms;
+      for (int i = 0; i < 1200; i++)
+        {
+          bool load_test = i >= 1000 && i % 5 == 0;
+          sample.route = 10 + rng () % 6;
+          sample.failed = rng () % 40 == 0;
+          sample.load_test = load_test;
+          vr_record (&r, load_test || i % 33 == 0, &sample);
+        }
+      reverted
+          += r.found_bad || tick (&r, 112 * second - 500 * ms) != VR_COMPLETED;
+    }
+  EXPECT_LT (reverted, 20);
+}
+
+// Guards against a VM that restarts during a rollout and takes its deadline
+// for a later one.
+TEST (Vr, AnOrderThatIsReadLateKeepsItsDeadline)
+{
+  vr_rollout r = {};
+  order (&r, "v2", 5, 106 * second);
+  vr_set_age (&r, 6 * second, 106 * second);
+  EXPECT_EQ (r.end_us, 112 * second);
+  vr_set_age (&r, second, 107 * second);
+  EXPECT_EQ (r.end_us, 112 * second) << "a later one is not adopted";
+  EXPECT_EQ (tick (&r, 112 * second), VR_REVERTED);
+}
 } // namespace
--- a/packages/gateway/gw.h
+++ b/packages/gateway/gw.h
@@ -64,6 +64,10 @@
   /* Tokens by which a team may exceed its quota in a window: room for bursts
      and for load reports in transit.  */
   double quota_slack;
+  /* Requests to a version that turns out to be bad, of those to its service
+     while the rollout runs, and further ones.  */
+  double exposure_share; /* 0 means 0.1 */
+  double exposure_slack;
 } gw_bounds;
 
 typedef struct
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -89,6 +89,7 @@
     bu_count_request (&_gw_service_of (r)->retries, &terms, gw->now_us);
   r->budget_counted = true;
   _gw_charge_quota (r);
+  _gw_count_version (r, up);
   /* After a failed attempt it may wait again, as on time or as late.  */
   r->demand.rank = gq_queue_rank (&r->demand, GQ_WAIT);
   r->demand.waited_as_late = false;
@@ -190,6 +191,8 @@
 {
   r->runs += may_have_run;
   r->delivered_count += arrived;
+  if (arrived)
+    r->version_draw = VR_DRAW_OTHERS;
   if (r->demand.tried_count < GQ_TRIED_MAX)
     r->demand.tried[r->demand.tried_count++] = r->upstream;
 }
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -80,6 +80,8 @@
   uint32_t runs;            /* attempts that may have run */
   uint32_t delivered_count; /* attempts that may have reached an upstream */
   uint32_t prefill_tokens;  /* as in the upstream table */
+  uint32_t version_draw;    /* decides on the version in a rollout */
+  uint32_t running_before;  /* others at its upstream when it was sent */
   int status;               /* of the current response */
   st_name id;
   st_name service;
@@ -94,6 +96,7 @@
   bool not_run;   /* it states that the request did not run */
   bool encoded;   /* it has a content encoding, which upstreams must not use */
   bool is_stream; /* its events are forwarded as they arrive */
+  bool load_test; /* the attempt is part of the load test of a version */
 } _gw_request;
 
 struct _gw_conn
@@ -309,6 +312,8 @@
 
 /* Rollouts: gw_rollout.c.  */
 void _gw_choose_versions (_gw_request *r);
+ut_id _gw_choose_load_test (_gw_request *r);
+void _gw_count_version (_gw_request *r, const ut_upstream *up);
 void _gw_record_version (_gw_request *r, ut_outcome outcome);
 void _gw_tick_rollouts (gw_task *gw);
 size_t _gw_own_rollouts (const gw_task *gw,
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -101,9 +101,12 @@
   r->demand.remote_loads_delayed = gw->group.remote_loads_delayed;
   for (uint32_t i = 0; i < r->demand.rank; i++)
     r->demand.urgent_elsewhere |= waiting[i] > 0;
+  ut_id to = _gw_choose_load_test (r);
+  if (to.generation != 0)
+    return to;
   _gw_choose_versions (r);
-  ut_id to = gq_choose_upstream (gw->upstreams, st_name_str (&r->service),
-                                 &r->demand, gw->now_us, _gw_random (gw));
+  to = gq_choose_upstream (gw->upstreams, st_name_str (&r->service),
+                           &r->demand, gw->now_us, _gw_random (gw));
   if (to.generation != 0 || r->demand.versions != VR_TARGET)
     return to;
   /* The new version has no room.  */
--- a/packages/gateway/gw_request.c
+++ b/packages/gateway/gw_request.c
@@ -43,9 +43,11 @@
   else
     return NULL;
   uint32_t index = r->index;
-  *r = (_gw_request){
-    .gw = gw, .index = index, .conn = conn, .config = rc_ref (gw->config)
-  };
+  *r = (_gw_request){ .gw = gw,
+                      .index = index,
+                      .conn = conn,
+                      .config = rc_ref (gw->config),
+                      .version_draw = _gw_random (gw) };
   r->head = g_string_sized_new (512);
   r->body = g_string_new (NULL);
   r->prompt_parts = g_string_new (NULL);
--- a/packages/gateway/tests/rollout_test.cc
+++ b/packages/gateway/tests/rollout_test.cc
@@ -15,7 +15,8 @@
   std::unique_ptr<Upstream> target = std::make_unique<Upstream> (base);
   std::vector<vr_state> written;
 
-  Vms ()
+  // EXPOSURE_SHARE 0 means the default.
+  explicit Vms (double exposure_share = 0) : exposure_share_ (exposure_share)
   {
     std::string addresses[Count];
     for (auto &a : addresses)
@@ -68,6 +69,18 @@
     run ([&] { return c.complete () || c.closed; }, 3000);
     return c.status ();
   }
+  // Has VM look at its queues, as with each change of an upstream.
+  void
+  look_at_queues (int vm)
+  {
+    ut_entry e = {};
+    st_name_set (&e.id, ST_LIT ("up-3"));
+    st_name_set (&e.service, ST_LIT ("other"));
+    st_name_set (&e.address, ST_LIT ("127.0.0.1:1"));
+    e.slots = 1;
+    e.started_ms = ++looks_;
+    gw_put_upstream (vms[vm], &e);
+  }
   bool
   wrote (vr_state state)
   {
@@ -78,9 +91,11 @@
   }
 
 private:
+  double exposure_share_;
   gw_names fields_ = field_names ();
   std::string names_[Count] = { "a-1", "a-2", "a-3" };
   int sent_ = 0;
+  uint64_t looks_ = 0;
 
   void
   start (int i, const std::string &address)
@@ -96,6 +111,8 @@
     desc.names = &fields_;
     desc.bounds.retry_fixed = 1000;
     desc.bounds.retry_window_ms = 10000;
+    desc.bounds.exposure_share = exposure_share_;
+    desc.bounds.exposure_slack = 50;
     desc.seed = (uint64_t)i + 1;
     desc.write_rollout
         = [] (void *user, st_str, st_str, vr_state state, uint64_t) {
@@ -152,4 +169,88 @@
   EXPECT_LE (f.target->runs, 9u);
   EXPECT_TRUE (f.run ([&] { return f.wrote (VR_REVERTED); }, 3000));
 }
+
+// Callers that send a request through the VMs in turn whenever the one before
+// has ended.
+class Load
+{
+public:
+  uint32_t sent = 0, failed = 0;
+
+  Load (Vms &f, uint32_t callers) : f_ (f), callers_ (callers) {}
+  // Goes on until DONE or for LIMIT_MS; returns DONE.
+  bool
+  run (const std::function<bool ()> &done, int limit_ms)
+  {
+    return f_.run (
+        [&] {
+          for (auto &c : callers_)
+            renew (c);
+          return done ();
+        },
+        limit_ms);
+  }
+
+private:
+  Vms &f_;
+  std::vector<std::unique_ptr<Caller>> callers_;
+
+  void
+  renew (std::unique_ptr<Caller> &c)
+  {
+    if (c != nullptr && !c->complete () && !c->closed)
+      return;
+    failed += c != nullptr && c->status () != 200;
+    c = std::make_unique<Caller> (
+        f_.base, gw_query_port (f_.vms[sent % (uint32_t)Vms::Count]));
+    c->request ("l" + std::to_string (sent++), "/again/x");
+  }
+};
+
+// Guards against completing a version that fails under load only: with a small
+// share its upstreams are hardly ever busy.
+TEST (GwRollout, AVersionThatFailsUnderLoadIsReverted)
+{
+  for (bool bad : { true, false })
+    {
+      Vms f;
+      Load load (f, 24);
+      f.before->default_behaviour = Delayed;
+      f.target->default_behaviour = bad ? BusyError : Delayed;
+      ASSERT_TRUE (f.run ([&] { return f.all_joined (); }, 8000));
+      load.run ([] { return false; }, 300);
+      f.order (4000000);
+      load.run (
+          [&] { return f.wrote (VR_REVERTED) || f.wrote (VR_COMPLETED); },
+          5000);
+      EXPECT_EQ (f.wrote (VR_REVERTED), bad);
+      EXPECT_EQ (f.wrote (VR_COMPLETED), !bad);
+      EXPECT_GE (f.target->most_open, 5u);
+      EXPECT_LT (f.target->runs, load.sent / 4);
+    }
+}
+
+// Guards against a share of the new version that grows with each look at the
+// queue: a request that waits for the old version was sent to the new one as
+// soon as one of the looks drew it.
+TEST (GwRollout, ARequestThatWaitsKeepsItsVersion)
+{
+  Vms f (1); // the bound on the exposure does not hide it
+  f.before->default_behaviour = Silent;
+  f.target->default_behaviour = Delayed;
+  f.order (600000000);
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (int i = 0; i < 40; i++)
+    {
+      callers.push_back (
+          std::make_unique<Caller> (f.base, gw_query_port (f.vms[0])));
+      callers.back ()->request ("w" + std::to_string (i), "/again/x");
+    }
+  f.run ([&] { return f.before->runs >= 12; }, 1000);
+  uint32_t before = f.target->runs;
+  for (int look = 0; look < 300; look++)
+    f.look_at_queues (0);
+  f.run ([] { return false; }, 150);
+  EXPECT_LE (f.target->runs - before, 2u);
+}
 }
--- a/packages/gateway/tests/support.hh
+++ b/packages/gateway/tests/support.hh
@@ -5,6 +5,7 @@
 #include "gw.h"
 #include "hp.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <deque>
 #include <map>
@@ -153,6 +154,8 @@
   Plain503,        // 503 that does not state so
   OtherInstance,   // 421
   Error,           // 500, signed
+  Delayed,         // responds after 50 ms
+  BusyError,       // the same, with 500 where more than 4 requests are open
   Silent,          // never responds
   Unframed,        // no length, ends with the connection
   UnframedReset,   // no length, ends with a reset
@@ -201,6 +204,8 @@
   std::vector<std::string> heads; // of requests, in order of arrival
   std::vector<std::string> bodies;
   uint32_t runs = 0;
+  uint32_t open = 0; // requests with a delayed response
+  uint32_t most_open = 0;
   std::map<std::string, uint32_t> runs_of; // by request id
   uint64_t last_arrival_us = 0;
   std::string last_arrival;
@@ -455,6 +460,19 @@
       }
     send (c, "0\r\n\r\n");
   }
+  void
+  respond_later (Conn *c, bool fails_when_busy)
+  {
+    std::string text = response_text (
+        c, fails_when_busy && open >= 4 ? 500 : 200, "late", true);
+    open++;
+    most_open = std::max (most_open, open);
+    pulse (c, 50, 0, [this, c, text] (int) {
+      send (c, text);
+      open--;
+      return false;
+    });
+  }
   // What an endless response begins with, and what it repeats.
   std::pair<std::string, std::string>
   endless_text (Conn *c, Behaviour b)
@@ -591,6 +609,10 @@
       case Error:
         respond (c, 500, "failed", true);
         return true;
+      case Delayed:
+      case BusyError:
+        respond_later (c, b == BusyError);
+        return true;
       case Silent:
         return true;
       case Unframed:
--- a/packages/wire/ms.c
+++ b/packages/wire/ms.c
@@ -681,10 +681,12 @@
 {
   ms_load_rollout *m = item;
   _ms_io saved;
-  if (!_ms_enter_array (io, "rollout", 6, &saved))
+  if (!_ms_enter_array (io, "rollout", 8, &saved))
     return;
   _ms_u64 (io, "service", &m->service, UINT64_MAX);
   _ms_u64 (io, "order", &m->order, UINT64_MAX);
+  _ms_u32 (io, "age_ms", &m->age_ms, UINT32_MAX);
+  _ms_u64 (io, "stratum", &m->stratum, UINT64_MAX);
   _ms_u32 (io, "target_seen", &m->target_seen, UINT32_MAX);
   _ms_u32 (io, "target_failed", &m->target_failed, UINT32_MAX);
   _ms_u32 (io, "other_seen", &m->other_seen, UINT32_MAX);
--- a/packages/wire/ms.h
+++ b/packages/wire/ms.h
@@ -72,7 +72,7 @@
 #define MS_COUNTS_MAX 128
 #define MS_LOAD_ROWS_MAX 1024
 #define MS_LOAD_RANKS 16
-#define MS_LOAD_ROLLOUTS_MAX 8
+#define MS_LOAD_ROLLOUTS_MAX 32
 #define MS_SUSPECTS_MAX 64
 #define MS_TIERS 5
 #define MS_TOKENS_MAX (1u << 26)
@@ -361,6 +361,8 @@
 {
   uint64_t service; /* hash of its name */
   uint64_t order;   /* revision of the order */
+  uint32_t age_ms;  /* since the order was read first */
+  uint64_t stratum; /* which requests; the key of a vr_row */
   uint32_t target_seen;
   uint32_t target_failed;
   uint32_t other_seen;
