Keep an error's text out of a stream that is resumed

A stream that had begun and broke off is resumed at another upstream. Where that upstream responded 200 with a text of another media type, or with an event without an id, the caller got the text as an event and the stream ended as complete; where it sent no length and closed before its first event, the stream ended as complete without its rest. Status, signature and ids were checked, but not the media type and events without an id.

A response that states another media type is no stream, a resumed run begins with the event that follows the last one (or comments), and an unframed one without events counts as broken off. Heads and errors with a status of their own never reached the caller, as 13 further kinds of responses in the test show.

Red before, green now: GwStream.AnErrorOfTheSecondRunIsNotForwarded (3 of 17 kinds), GwStream.AResponseThatIsNoStreamIsNotForwarded (200 before, 502 now).

--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -104,6 +104,7 @@
   r->attempt_count++;
   r->status = 0;
   r->is_stream = false;
+  r->is_resumed = r->events > 0;
   g_string_truncate (r->response_body, 0);
   _gw_count_stored (r);
   /* waited_ms counts from the arrival and includes earlier attempts.  */
@@ -214,6 +215,17 @@
     _gw_fail (r, 502, reason);
 }
 
+/* False when HEAD states another media type than that of event streams.  */
+static bool
+_gw_may_be_event_stream (const hp_head *head)
+{
+  static const st_str type = { "text/event-stream", 17 };
+  st_str value;
+  return !hp_get (head, ST_LIT ("Content-Type"), &value)
+         || (value.len >= type.len
+             && hp_name_equal (st_slice (value, 0, type.len), type));
+}
+
 static void
 _gw_on_head (_gw_request *r, const hp_head *head)
 {
@@ -225,7 +237,9 @@
   r->encoded = hp_get (head, ST_LIT ("Content-Encoding"), &value)
                && !hp_name_equal (value, ST_LIT ("identity"));
   r->is_stream = r->route->kind == RC_STREAM && head->status == 200
-                 && r->is_signed && !r->encoded && !r->not_run;
+                 && r->is_signed && !r->encoded && !r->not_run
+                 && _gw_may_be_event_stream (head);
+  r->is_framed = head->has_length || head->chunked;
   if (r->events > 0)
     return; /* the caller has received the first head */
   g_string_truncate (r->response_head, 0);
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -96,7 +96,10 @@
   bool not_run;   /* it states that the request did not run */
   bool encoded;   /* it has a content encoding, which upstreams must not use */
   bool is_stream; /* its events are forwarded as they arrive */
-  bool load_test; /* the attempt is part of the load test of a version */
+  bool is_framed; /* it states where it ends, by its length or in chunks */
+  bool is_resumed; /* the attempt resumes a stream, and no event of it has had
+                      an id yet */
+  bool load_test;  /* the attempt is part of the load test of a version */
 } _gw_request;
 
 struct _gw_conn
--- a/packages/gateway/gw_relay.c
+++ b/packages/gateway/gw_relay.c
@@ -45,7 +45,8 @@
 }
 
 /* Forwards EVENT to the caller.  False when its id does not follow the last
-   one.  */
+   one, or it has none at the start of a resumed stream: it may be an error's
+   text.  Comments have no id.  */
 static bool
 _gw_forward_event (_gw_request *r, st_str event)
 {
@@ -57,7 +58,10 @@
         return false;
       r->has_last_event = true;
       r->last_event = id;
+      r->is_resumed = false;
     }
+  else if (r->is_resumed && event.ptr[0] != ':')
+    return false;
   if (r->events == 0)
     {
       r->first_us = gw->now_us;
@@ -127,7 +131,8 @@
   _gw_conn *conn = r->conn;
   _gw_service *service = _gw_service_of (r);
   r->exchange = NULL;
-  if (r->response_body->len > 0 || r->events == 0)
+  if (r->response_body->len > 0 || r->events == 0
+      || (!r->is_framed && r->last_event_us == 0))
     {
       /* A response without a length that its upstream broke off.  */
       _gw_record_prompt_lost (r);
--- a/packages/gateway/tests/gw_test.cc
+++ b/packages/gateway/tests/gw_test.cc
@@ -401,20 +401,39 @@
 // upstream at which a stream was to be resumed (found by the soak, seed 1).
 TEST (GwStream, AnErrorOfTheSecondRunIsNotForwarded)
 {
-  for (Behaviour b : { Error, Plain503, Unsigned, OtherId })
+  for (Behaviour b :
+       { Error, Plain503, Unsigned, OtherId, Shed, OtherInstance, NotFound,
+         ErrorText, ErrorEvent, ErrorUnframed, Encoded, Truncated, Unframed,
+         UnframedReset, EmptyUnframed, Respond, Extra })
     {
       Gateway g;
-      g.up ().behaviours = { StreamTruncated, b };
+      g.up ().behaviours = { StreamTruncated };
+      g.up ().default_behaviour = b;
       auto c = g.caller ();
       c->request ("r1", "/resume/x");
       EXPECT_TRUE (g.run ([&] { return c->closed; })) << b;
       EXPECT_TRUE (c->has ("part-2")) << b;
       EXPECT_EQ (c->received.find ("HTTP/1.1", 1), std::string::npos)
           << b << ": " << c->received;
-      EXPECT_FALSE (c->has ("\r\n0\r\n")) << b;
+      for (const char *text : { "\r\n0\r\n", "failed", "busy", "unsigned",
+                                "body of", "not yours", "unframed", "half" })
+        EXPECT_FALSE (c->has (text)) << b << ": " << c->received;
     }
 }
 
+// Guards against a response that is no stream of events being forwarded as
+// one.
+TEST (GwStream, AResponseThatIsNoStreamIsNotForwarded)
+{
+  Gateway g;
+  g.up ().default_behaviour = ErrorText;
+  auto c = g.caller ();
+  c->request ("r1", "/stream/x");
+  EXPECT_TRUE (g.run ([&] { return c->complete () || c->closed; }));
+  EXPECT_EQ (c->status (), 502);
+  EXPECT_FALSE (c->has ("overloaded"));
+}
+
 // Guards against streams that are aborted because many upstreams end at once:
 // a stream that has started waits for the retry budget.
 TEST (GwStream, AStartedStreamWaitsForTheRetryBudget)
--- a/packages/gateway/tests/support.hh
+++ b/packages/gateway/tests/support.hh
@@ -147,6 +147,12 @@
   OtherId,         // only the response of another request
   LateOtherFirst,  // the late response of another request, then its own
   Extra,           // its own response, then one more
+  NotFound,        // 404, signed
+  ErrorText,       // 200, signed, but a text that looks like an event
+  ErrorEvent,      // a stream of one event without an id
+  EmptyUnframed,   // a stream without a length and events, then the end of the
+                   // connection
+  ErrorUnframed,   // 500 without a length, ends with the connection
   Truncated,       // half of a body, then the end of the connection
   Reset,           // no response, reset
   Shed,            // 503, states that it did not run
@@ -609,6 +615,29 @@
       case Error:
         respond (c, 500, "failed", true);
         return true;
+      case NotFound:
+        respond (c, 404, "failed\n\n", true);
+        return true;
+      case ErrorText:
+        respond (c, 200, "failed: overloaded\n\n", true, "",
+                 "Content-Type: text/plain\r\n");
+        return true;
+      case ErrorEvent:
+        respond (c, 200, "event: error\ndata: failed\n\n", true, "",
+                 "Content-Type: text/event-stream\r\n");
+        return true;
+      case EmptyUnframed:
+        send (c, "HTTP/1.1 200 OK\r\n" + names.id + ": "
+                     + field (c, names.id.c_str ()) + "\r\n" + names.sign
+                     + ": s1\r\nContent-Type: text/event-stream\r\n\r\n");
+        finish (c);
+        return false;
+      case ErrorUnframed:
+        send (c, "HTTP/1.1 500 X\r\n" + names.id + ": "
+                     + field (c, names.id.c_str ()) + "\r\n" + names.sign
+                     + ": s1\r\n\r\nfailed\n\n");
+        finish (c);
+        return false;
       case Delayed:
       case BusyError:
         respond_later (c, b == BusyError);
