Act on what an upstream says of itself: leaving, and wanting a pause

A worker that leaves now says so in its responses (Server-Leaving), and one that turns a request away with 503 may say for how long it wants nothing (Retry-After). Neither was read: requests went on until the store said that the worker drains, and a full worker was avoided for 100 ms, and only as long as another one had room.

Both are read from the head of a response that belongs to the request. A leaving incarnation gets no new requests, also if its entry says ready or is removed and comes back. A pause (whole or fractional seconds, at most a minute; a date, a negative number and other text are ignored) excludes the upstream, whose slots do not count meanwhile. Where all upstreams of a service pause, a caller waits if the first pause ends in time, else it is told to come back after it, with jitter. VMs do not tell each other.

--- a/packages/decide/gq.c
+++ b/packages/decide/gq.c
@@ -86,9 +86,10 @@
 
 /* True when UP may get DEMAND, a new request to SERVICE.  */
 bool
-gq_usable (const ut_upstream *up, st_str service, const gq_demand *demand)
+gq_usable (const ut_upstream *up, st_str service, const gq_demand *demand,
+           uint64_t now_us)
 {
-  return !up->entry.leaving
+  return !up->entry.leaving && up->pause_until_us <= now_us
          && st_equal (st_name_str (&up->entry.service), service)
          && (demand->rollout == NULL
              || vr_allows (demand->rollout, demand->versions,
@@ -230,7 +231,7 @@
       while (ut_next (t, &id))
         {
           const ut_upstream *up = ut_query (t, id);
-          if (!gq_usable (up, service, demand)
+          if (!gq_usable (up, service, demand, now_us)
               || !_gq_is_candidate (candidates, up, _gq_was_tried (demand, id),
                                     now_us))
             continue;
@@ -252,6 +253,13 @@
   return (ut_id){ 0, 0 };
 }
 
+/* Jitter of a Retry-After, as a fraction of it.  */
+static double
+_gq_spread (uint32_t random)
+{
+  return _GQ_SPREAD_FRACTION * (random >> 8) / 16777216.0;
+}
+
 /* Retry-After of a refused caller, in microseconds.  It is the expected wait
    where a retry can still be on time.  Otherwise it is up to a third of the
    time left, so that a burst is over: a second refusal would waste the wait.
@@ -269,8 +277,7 @@
                                                      : _GQ_RETRY_AFTER_MIN_US;
   if (spent + soon + _GQ_RETRY_RESPONSE_FRACTION * target <= target)
     return (uint64_t)soon;
-  double spread = _GQ_SPREAD_FRACTION * (random >> 8) / 16777216.0;
-  double last = _GQ_RETRY_AFTER_FRACTION * left * (1 - spread);
+  double last = _GQ_RETRY_AFTER_FRACTION * left * (1 - _gq_spread (random));
   return (uint64_t)(last > _GQ_RETRY_AFTER_MIN_US ? last
                                                   : _GQ_RETRY_AFTER_MIN_US);
 }
@@ -310,6 +317,8 @@
   uint32_t late_rank = gq_queue_rank (demand, GQ_WAIT_LATE);
   double expected
       = backlog->service_us * (_gq_ahead (backlog, rank) + 1) / slots;
+  if (backlog->slots == 0 && backlog->paused_us > 0)
+    expected = (double)backlog->paused_us;
   uint64_t left
       = demand->deadline_us > now_us ? demand->deadline_us - now_us : 0;
   uint64_t spent = now_us - demand->arrived_us;
@@ -318,8 +327,12 @@
       = (uint64_t)(_GQ_ON_TIME_FRACTION * (double)demand->target_us);
   out->expected_us = (uint64_t)expected;
   out->retry_after_us = _gq_retry_after_us (demand, expected, now_us, random);
+  if (backlog->slots == 0 && out->retry_after_us < backlog->paused_us)
+    out->retry_after_us
+        = (uint64_t)((double)backlog->paused_us * (1 + _gq_spread (random)));
   if (spent < on_time_wait_us && left > 0 && !demand->is_caller_retry
-      && (backlog->slots == 0 || out->expected_us + spent <= allowed))
+      && ((backlog->slots == 0 && backlog->paused_us == 0)
+          || out->expected_us + spent <= allowed))
     {
       /* Without any slot it waits too: an upstream may appear.  */
       out->wait_until_us = demand->arrived_us + on_time_wait_us;
--- a/packages/decide/gq.h
+++ b/packages/decide/gq.h
@@ -27,7 +27,9 @@
    it goes to a plain service or was queued as late before.  Retry-After of a
    caller that can still be on time is the expected wait.  A caller that will
    be late anyway gets up to a third of its time left, with jitter, so that the
-   same burst does not refuse it twice.  Both are at least 250 ms.  */
+   same burst does not refuse it twice.  Both are at least 250 ms.  Where all
+   upstreams of a service have asked for a pause, it is not before the first
+   pause ends, with jitter.  */
 #ifndef GQ_H
 #define GQ_H
 
@@ -73,7 +75,9 @@
   uint32_t running;                /* on these upstreams, from all VMs */
   uint32_t waiting[GQ_RANKS];      /* on this VM */
   uint32_t peer_waiting[GQ_RANKS]; /* on the others */
-  double service_us; /* mean time that a request occupies a slot */
+  double service_us;  /* mean time that a request occupies a slot */
+  uint64_t paused_us; /* without slots: until the first pause that an upstream
+                         asked for ends; 0: none did */
 } gq_backlog;
 
 typedef enum
@@ -105,7 +109,7 @@
   bool gq_is_late (const gq_demand *demand);
   uint32_t gq_queue_rank (const gq_demand *demand, gq_verdict verdict);
   bool gq_usable (const ut_upstream *up, st_str service,
-                  const gq_demand *demand);
+                  const gq_demand *demand, uint64_t now_us);
 
 #ifdef __cplusplus
 }
--- a/packages/decide/rt.c
+++ b/packages/decide/rt.c
@@ -1,6 +1,8 @@
 #include "rt.h"
 
 #include <glib.h>
+#include <math.h>
+#include <string.h>
 
 #define _RT_PERMILLE_PER_RETRY 1000
 
@@ -98,3 +100,25 @@
 {
   return rt->saved_permille / _RT_PERMILLE_PER_RETRY;
 }
+
+/* Reads TEXT, the value of a Retry-After field in seconds, whole or with a
+   fraction, at most MAX_US.  False for a date and anything else that is not a
+   positive number.  */
+bool
+rt_parse_retry_after (st_str text, uint64_t max_us, uint64_t *out_us)
+{
+  char copy[32];
+  if (text.len == 0 || text.len >= sizeof copy)
+    return false;
+  for (size_t i = 0; i < text.len; i++)
+    if (!g_ascii_isdigit (text.ptr[i]) && text.ptr[i] != '.')
+      return false;
+  memcpy (copy, text.ptr, text.len);
+  copy[text.len] = 0;
+  char *end;
+  double us = g_ascii_strtod (copy, &end) * 1e6;
+  if (end != copy + text.len || !isfinite (us) || us < 1)
+    return false;
+  *out_us = us < (double)max_us ? (uint64_t)us : max_us;
+  return true;
+}
--- a/packages/decide/rt.h
+++ b/packages/decide/rt.h
@@ -10,11 +10,14 @@
        retry after rt_delay_us (rt, attempt);      // attempt 1, 2, ...
      else
        refuse with rt_retry_after_ms (rt, backlog, per_second);
-     rt_destroy (rt);  */
+     rt_destroy (rt);
+
+   rt_parse_retry_after reads the Retry-After of a response.  */
 #ifndef RT_H
 #define RT_H
 
 #include "al.h"
+#include "st.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -46,6 +49,7 @@
   uint32_t rt_retry_after_ms (rt_budget *rt, uint64_t backlog,
                               double per_second);
   uint32_t rt_query_tokens (const rt_budget *rt);
+  bool rt_parse_retry_after (st_str text, uint64_t max_us, uint64_t *out_us);
 
 #ifdef __cplusplus
 }
--- a/packages/decide/tests/limits_test.cc
+++ b/packages/decide/tests/limits_test.cc
@@ -396,4 +396,24 @@
   EXPECT_FALSE (lk_take_transfer (&lk, &transfer, 20 * S));
 }
 
+// Guards against a pause of an upstream that is longer than it asked for, or
+// that no number stands for.
+TEST (Rt, ReadsRetryAfter)
+{
+  const uint64_t max_us = 60000000;
+  uint64_t us = 0;
+  EXPECT_TRUE (rt_parse_retry_after (ST_LIT ("2"), max_us, &us));
+  EXPECT_EQ (us, 2000000u);
+  EXPECT_TRUE (rt_parse_retry_after (ST_LIT ("0.25"), max_us, &us));
+  EXPECT_EQ (us, 250000u);
+  EXPECT_TRUE (
+      rt_parse_retry_after (ST_LIT ("99999999999999999999"), max_us, &us));
+  EXPECT_EQ (us, max_us);
+  for (const char *text :
+       { "", "0", "-1", "-0.5", "abc", "1s", "1 2", "1e3", "inf", "nan", ".",
+         "1.2.3", "Fri, 04 Dec 2026 10:00:00 GMT",
+         "111111111111111111111111111111111111111111" })
+    EXPECT_FALSE (rt_parse_retry_after (st_from_cstr (text), max_us, &us))
+        << text;
+}
 }
--- a/packages/decide/ut.c
+++ b/packages/decide/ut.c
@@ -37,6 +37,13 @@
 /* Twice the upstreams, so that probe sequences are short; a power of two.  */
 #define _UT_INDEX_SIZE (2 * UT_UPSTREAMS_MAX)
 
+/* An incarnation that said that it leaves.  */
+typedef struct
+{
+  uint64_t hash; /* of its id */
+  uint64_t started_ms;
+} _ut_departed;
+
 struct ut_table
 {
   ut_desc desc;
@@ -45,6 +52,8 @@
   uint32_t used;   /* slots ever used */
   uint32_t *index; /* by hash: slot number + 1, 0 for none */
   _ut_report reports[UT_PEERS_MAX];
+  _ut_departed departed[UT_DEPARTED_MAX]; /* the oldest is replaced */
+  uint32_t departed_next;
 };
 
 /* Makes a table.  Returns NULL when out of memory.  */
@@ -191,6 +200,15 @@
   return (double)(hash >> 32) / 4294967296.0;
 }
 
+static bool
+_ut_has_departed (const ut_table *t, uint64_t hash, uint64_t started_ms)
+{
+  for (uint32_t i = 0; i < UT_DEPARTED_MAX && started_ms != 0; i++)
+    if (t->departed[i].hash == hash && t->departed[i].started_ms == started_ms)
+      return true;
+  return false;
+}
+
 /* Adds ENTRY or updates the one with its id.  An entry with another start time
    is another process: the measurements of the old one are discarded.  Returns
    generation 0 when the table is full.  */
@@ -202,6 +220,7 @@
   if (slot != NULL && slot->up.entry.started_ms == entry->started_ms)
     {
       slot->up.entry = *entry;
+      slot->up.entry.leaving |= slot->up.said_leaving;
       return id;
     }
   if (slot != NULL)
@@ -219,6 +238,9 @@
                             .hash = ut_hash (st_name_str (&entry->id)),
                             .order_penalty = _ut_order_penalty (t, entry),
                             .decayed_at_us = now_us };
+  slot->up.said_leaving
+      = _ut_has_departed (t, slot->up.hash, entry->started_ms);
+  slot->up.entry.leaving |= slot->up.said_leaving;
   _ut_sum_reports (t, &slot->up);
   _ut_reindex (t);
   return (ut_id){ index, slot->generation };
@@ -231,6 +253,9 @@
   _ut_slot *slot = _ut_at (t, id);
   if (slot == NULL)
     return;
+  if (slot->up.said_leaving)
+    t->departed[t->departed_next++ % UT_DEPARTED_MAX]
+        = (_ut_departed){ slot->up.hash, slot->up.entry.started_ms };
   slot->generation++;
   _ut_reindex (t);
 }
@@ -454,6 +479,26 @@
     slot->up.avoid_until_us = until_us;
 }
 
+/* Excludes ID until UNTIL_US, as it asked for.  It counts as sound.  */
+void
+ut_pause (ut_table *t, ut_id id, uint64_t until_us)
+{
+  _ut_slot *slot = _ut_at (t, id);
+  if (slot != NULL && slot->up.pause_until_us < until_us)
+    slot->up.pause_until_us = until_us;
+}
+
+/* Adopts that this incarnation of ID leaves, as it stated in a response.  */
+void
+ut_set_leaving (ut_table *t, ut_id id)
+{
+  _ut_slot *slot = _ut_at (t, id);
+  if (slot == NULL)
+    return;
+  slot->up.said_leaving = true;
+  slot->up.entry.leaving = true;
+}
+
 /* Sets the KEY that identifies the reports of this VM to the others.  */
 void
 ut_set_key (ut_table *t, uint64_t key)
--- a/packages/decide/ut.h
+++ b/packages/decide/ut.h
@@ -8,12 +8,18 @@
      ut_on_sent (t, id, prompt_tokens);       // a request is sent to it
      ut_on_response_start (t, id, prompt_tokens);
      ut_on_end (t, id, 0, UT_SERVED, now_us);
-     ut_set_peer (t, peer, &report, now_us);  // load report of another VM
+     ut_set_leaving (t, id);                  // it states that it leaves
+     ut_pause (t, id, until_us);              // it wants no requests until
+   then ut_set_peer (t, peer, &report, now_us);  // load report of another VM
 
    Ids carry a generation: no call finds an upstream that has been removed.
    The load of an upstream is this VM's own plus what the other VMs reported;
    a report is valid until the next one or until it is too old.
 
+   What an upstream states of itself in a response precedes its entry: one that
+   has said that it leaves is leaving until it starts again, whatever the entry
+   says and also if the entry is removed and comes back.
+
    All VMs see a freed slot at about the same time.  Those with waiting
    requests, the contenders, would all fill it, so they divide the slots of an
    upstream among themselves: each computes the same order from the keys of the
@@ -54,6 +60,10 @@
   bool leaving; /* gets no new requests */
 } ut_entry;
 
+/* Upstreams that left the table after they had said that they leave, and that
+   are remembered.  */
+#define UT_DEPARTED_MAX 64
+
 typedef enum
 {
   UT_SERVED = 0,
@@ -106,7 +116,9 @@
   uint64_t decayed_at_us;
   uint32_t unreachable_in_row;
   uint32_t connection_lost_in_row;
-  uint64_t avoid_until_us;
+  uint64_t avoid_until_us; /* used only if there is no other */
+  uint64_t pause_until_us; /* not used at all */
+  bool said_leaving;       /* in a response; the entry need not say so */
 } ut_upstream;
 
 typedef struct
@@ -147,6 +159,8 @@
                   ut_outcome outcome, uint64_t now_us);
   void ut_set_unit_time (ut_table *t, ut_id id, double unit_time_us);
   void ut_avoid (ut_table *t, ut_id id, uint64_t until_us);
+  void ut_pause (ut_table *t, ut_id id, uint64_t until_us);
+  void ut_set_leaving (ut_table *t, ut_id id);
   void ut_set_key (ut_table *t, uint64_t key);
   void ut_set_peer (ut_table *t, uint64_t peer, const ut_report *report,
                     uint64_t now_us);
--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -248,22 +248,25 @@
 {
   ut_id id = ut_find (gw->upstreams, st_name_str (&entry->id));
   const ut_upstream *existing = ut_query (gw->upstreams, id);
-  bool changed = existing == NULL || existing->entry.leaving != entry->leaving
-                 || existing->entry.started_ms != entry->started_ms;
+  bool was_leaving = existing != NULL && existing->entry.leaving;
+  bool changed
+      = existing == NULL || existing->entry.started_ms != entry->started_ms;
   _gw_now (gw);
-  if (ut_put (gw->upstreams, entry, gw->now_us).generation == 0)
+  id = ut_put (gw->upstreams, entry, gw->now_us);
+  if (id.generation == 0)
     {
       LO_EVENT ("upstreams_full", ST_LIT (""),
                 LO_STR ("upstream", st_name_str (&entry->id)));
       return;
     }
-  if (!changed)
+  bool leaving = ut_query (gw->upstreams, id)->entry.leaving;
+  if (!changed && leaving == was_leaving)
     return;
-  LO_EVENT (
-      "upstream", ST_LIT (""), LO_STR ("upstream", st_name_str (&entry->id)),
-      LO_STR ("service", st_name_str (&entry->service)),
-      LO_STR ("version", st_name_str (&entry->version)),
-      LO_BOOL ("leaving", entry->leaving), LO_INT ("slots", entry->slots));
+  LO_EVENT ("upstream", ST_LIT (""),
+            LO_STR ("upstream", st_name_str (&entry->id)),
+            LO_STR ("service", st_name_str (&entry->service)),
+            LO_STR ("version", st_name_str (&entry->version)),
+            LO_BOOL ("leaving", leaving), LO_INT ("slots", entry->slots));
   _gw_schedule_all (gw);
 }
 
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -11,6 +11,8 @@
    because it was full, or because it was another instance than expected.  */
 #define _GW_FULL_AVOID_US 100000
 #define _GW_OTHER_INSTANCE_AVOID_US 5000000
+/* Longest pause that an upstream can ask for with one response.  */
+#define _GW_PAUSE_MAX_US 60000000
 /* Weight of the newest request in the moving average of the time that a
    request occupies a slot.  */
 #define _GW_SERVICE_WEIGHT 0.05
@@ -226,11 +228,53 @@
              && hp_name_equal (st_slice (value, 0, type.len), type));
 }
 
+static void
+_gw_count_statement (const gw_task *gw, const char *name, st_str service)
+{
+  if (gw->desc.metrics != NULL)
+    mt_add (gw->desc.metrics,
+            mt_counter (gw->desc.metrics, name, "service", service, "",
+                        ST_LIT ("")),
+            1);
+}
+
+/* Adopts what R's upstream states of itself in HEAD: that it leaves, or that
+   it wants no requests for a while.  */
+static void
+_gw_read_statements (const _gw_request *r, const hp_head *head)
+{
+  gw_task *gw = r->gw;
+  const ut_upstream *up = ut_query (gw->upstreams, r->upstream);
+  st_str value;
+  uint64_t pause_us;
+  if (up != NULL && !up->said_leaving
+      && hp_get (head, gw->desc.names->leaving, &value))
+    {
+      LO_EVENT ("upstream_leaving", st_name_str (&r->id),
+                LO_STR ("upstream", st_name_str (&r->upstream_id)),
+                LO_INT ("status", head->status));
+      _gw_count_statement (gw, "gateway_upstreams_leaving_total",
+                           st_name_str (&r->service));
+      ut_set_leaving (gw->upstreams, r->upstream);
+    }
+  if (head->status != 503 || !hp_get (head, ST_LIT ("Retry-After"), &value)
+      || !rt_parse_retry_after (value, _GW_PAUSE_MAX_US, &pause_us))
+    return;
+  LO_EVENT ("upstream_paused", st_name_str (&r->id),
+            LO_STR ("upstream", st_name_str (&r->upstream_id)),
+            LO_STR ("asked_s", value),
+            LO_INT ("pause_ms", pause_us / CK_MS_US));
+  _gw_count_statement (gw, "gateway_upstream_pauses_total",
+                       st_name_str (&r->service));
+  ut_pause (gw->upstreams, r->upstream, gw->now_us + pause_us);
+}
+
 static void
 _gw_on_head (_gw_request *r, const hp_head *head)
 {
   const gw_names *names = r->gw->desc.names;
   st_str value;
+  _gw_read_statements (r, head);
   r->status = head->status;
   r->is_signed = hp_get (head, names->signature, &value) && value.len > 0;
   r->not_run = head->status == 421 || hp_get (head, names->not_run, &value);
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -16,6 +16,7 @@
 #include "pt.h"
 #include "qa.h"
 #include "qn.h"
+#include "rt.h"
 #include "uc.h"
 
 #include <event2/buffer.h>
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -115,6 +115,15 @@
                              &r->demand, gw->now_us, _gw_random (gw));
 }
 
+/* True when UP would serve R but for the pause that it asked for.  */
+static bool
+_gw_is_paused (const _gw_request *r, const ut_upstream *up)
+{
+  return up->pause_until_us > r->gw->now_us
+         && gq_usable (up, st_name_str (&r->service), &r->demand,
+                       up->pause_until_us);
+}
+
 static gq_backlog
 _gw_backlog (_gw_request *r)
 {
@@ -128,7 +137,13 @@
   while (ut_next (gw->upstreams, &id))
     {
       const ut_upstream *up = ut_query (gw->upstreams, id);
-      if (!gq_usable (up, st_name_str (&r->service), &r->demand))
+      if (_gw_is_paused (r, up))
+        {
+          uint64_t left_us = up->pause_until_us - gw->now_us;
+          if (backlog.paused_us == 0 || left_us < backlog.paused_us)
+            backlog.paused_us = left_us;
+        }
+      if (!gq_usable (up, st_name_str (&r->service), &r->demand, gw->now_us))
         continue;
       backlog.slots += up->entry.slots > 0 ? up->entry.slots : 1;
       backlog.running += up->own_running + up->peer_running;
@@ -247,7 +262,8 @@
     return false;
   ut_id to = victim->upstream;
   const ut_upstream *up = ut_query (gw->upstreams, to);
-  if (up == NULL || !gq_usable (up, st_name_str (&r->service), &r->demand)
+  if (up == NULL
+      || !gq_usable (up, st_name_str (&r->service), &r->demand, gw->now_us)
       || !_gw_take_retry (victim))
     return false;
   LO_EVENT ("preempt", st_name_str (&victim->id),
--- a/packages/gateway/gw_rollout.c
+++ b/packages/gateway/gw_rollout.c
@@ -119,6 +119,7 @@
   ut_id id = _gw_find_tested_upstream (r, rollout);
   const ut_upstream *up = ut_query (gw->upstreams, id);
   if (up == NULL || up->avoid_until_us > gw->now_us
+      || up->pause_until_us > gw->now_us
       || up->own_running + up->peer_running > up->entry.slots / 2)
     return (ut_id){ 0, 0 };
   return id;
--- a/packages/gateway/tests/gw_test.cc
+++ b/packages/gateway/tests/gw_test.cc
@@ -310,6 +310,84 @@
   EXPECT_EQ (gw_query_counts (g.gw).open, 0u);
 }
 
+// Guards against requests to an upstream that has asked for a pause, also
+// where it is the only one or idle, and against avoiding it for longer.
+TEST (Gw, AnUpstreamThatAsksForAPauseGetsNoRequests)
+{
+  Gateway g (2);
+  g.up (0).behaviours = { ShedPause };
+  int number = 0;
+  auto ask = [&] {
+    return send_request (g, "/once/x", "", "", "p" + std::to_string (number++))
+        ->status ();
+  };
+  while (g.up (0).heads.empty ())
+    EXPECT_EQ (ask (), 200);
+  ck_clock clock = {};
+  uint64_t paused_us = ck_now_us (&clock);
+  while (ck_now_us (&clock) < paused_us + 900000)
+    {
+      g.put (0);
+      EXPECT_EQ (ask (), 200);
+    }
+  EXPECT_EQ (g.up (0).heads.size (), 1u);
+  EXPECT_EQ (g.up (0).runs, 0u);
+  g.wait (200);
+  for (int i = 0; i < 200 && g.up (0).runs == 0; i++)
+    ask ();
+  EXPECT_GT (g.up (0).runs, 0u);
+}
+
+// Guards against a Retry-After after which all upstreams still pause, and
+// against callers that wait for a pause which outlasts them.
+TEST (Gw, CallersAreToldWhenTheFirstPauseEnds)
+{
+  Gateway g;
+  g.up ().default_behaviour = ShedPause;
+  g.up ().pause_s = "1.5";
+  EXPECT_EQ (send_request (g, "/once/x")->status (), 503);
+  ASSERT_EQ (g.up ().heads.size (), 1u);
+  auto c = send_request (g, "/once/x", "X-Deadline: 6000\r\n", "", "r2");
+  EXPECT_EQ (c->status (), 503);
+  EXPECT_EQ (g.up ().heads.size (), 1u);
+  size_t at = c->received.find ("Retry-After: ");
+  ASSERT_NE (at, std::string::npos);
+  EXPECT_GE (atof (c->received.c_str () + at + 13), 1.0) << c->received;
+  EXPECT_LE (atof (c->received.c_str () + at + 13), 2.5) << c->received;
+}
+
+// Guards against requests to an upstream that has said in a response that it
+// leaves: its entry need not say so, and may be removed and come back.
+TEST (Gw, AnUpstreamThatSaysItLeavesGetsNoRequests)
+{
+  Gateway g (2);
+  g.up (0).behaviours = { Leaving };
+  int number = 0;
+  auto ask = [&] {
+    auto c
+        = send_request (g, "/once/x", "", "", "l" + std::to_string (number++));
+    EXPECT_EQ (c->status (), 200);
+    return c->has ("leaving");
+  };
+  for (int i = 0; i < 200 && g.up (0).runs == 0; i++)
+    ask ();
+  ASSERT_EQ (g.up (0).runs, 1u);
+  for (int i = 0; i < 20; i++)
+    {
+      g.put (0);
+      ask ();
+    }
+  gw_remove_upstream (g.gw, ST_LIT ("up-0"), "entry_removed");
+  g.put (0);
+  for (int i = 0; i < 20; i++)
+    ask ();
+  EXPECT_EQ (g.up (0).runs, 1u);
+  g.put (0, false, 4, 2);
+  for (int i = 0; i < 200 && g.up (0).runs == 1; i++)
+    ask ();
+  EXPECT_GT (g.up (0).runs, 1u) << "started again";
+}
+
 // ---- streams ----
 
 TEST (GwStream, ForwardsEvents)
--- a/packages/gateway/tests/support.hh
+++ b/packages/gateway/tests/support.hh
@@ -125,6 +125,7 @@
   names.expect_instance = ST_LIT ("X-Expect");
   names.signature = ST_LIT ("X-Sign");
   names.not_run = ST_LIT ("X-Not-Run");
+  names.leaving = ST_LIT ("X-Leaving");
   names.token_usage = ST_LIT ("X-Tokens");
   names.prompt_parts = ST_LIT ("X-Parts");
   names.resume_after = ST_LIT ("Last-Event-Id");
@@ -143,21 +144,24 @@
 enum Behaviour
 {
   Respond,
-  Unsigned,        // 200 without a signature
-  OtherId,         // only the response of another request
-  LateOtherFirst,  // the late response of another request, then its own
-  Extra,           // its own response, then one more
-  NotFound,        // 404, signed
-  ErrorText,       // 200, signed, but a text that looks like an event
-  ErrorEvent,      // a stream of one event without an id
-  EmptyUnframed,   // a stream without a length and events, then the end of the
-                   // connection
-  ErrorUnframed,   // 500 without a length, ends with the connection
-  Truncated,       // half of a body, then the end of the connection
-  Reset,           // no response, reset
-  Shed,            // 503, states that it did not run
-  ShedCopied,      // the same, and again before the connection's next response
-  Plain503,        // 503 that does not state so
+  Unsigned,       // 200 without a signature
+  OtherId,        // only the response of another request
+  LateOtherFirst, // the late response of another request, then its own
+  Extra,          // its own response, then one more
+  NotFound,       // 404, signed
+  ErrorText,      // 200, signed, but a text that looks like an event
+  ErrorEvent,     // a stream of one event without an id
+  EmptyUnframed,  // a stream without a length and events, then the end of the
+                  // connection
+  ErrorUnframed,  // 500 without a length, ends with the connection
+  Truncated,      // half of a body, then the end of the connection
+  Reset,          // no response, reset
+  Shed,           // 503, states that it did not run
+  ShedPause,      // the same, and wants no requests for PAUSE_S
+  Leaving,        // responds and states that it leaves
+  ShedCopied, // 503 that did not run, and again before the connection's next
+              // response
+  Plain503,   // 503 that does not state so
   OtherInstance,   // 421
   Error,           // 500, signed
   Delayed,         // responds after 50 ms
@@ -202,6 +206,7 @@
 
   std::deque<Behaviour> behaviours;
   Behaviour default_behaviour = Respond;
+  std::string pause_s = "1";
   FieldNames names;
   bool record_requests = true;
   // Responds with streams to the paths of streams only, where the behaviour is
@@ -564,7 +569,7 @@
       b = behaviour_for_path (c, b);
     if (!c->late_copy.empty ())
       send (c, std::exchange (c->late_copy, ""));
-    if (b != Shed && b != ShedCopied && b != OtherInstance)
+    if (b != Shed && b != ShedPause && b != ShedCopied && b != OtherInstance)
       {
         runs++;
         runs_of[field (c, names.id.c_str ())]++;
@@ -601,6 +606,13 @@
       case Shed:
         respond (c, 503, "", false, "", names.not_run + ": 1\r\n");
         return true;
+      case ShedPause:
+        respond (c, 503, "", false, "",
+                 names.not_run + ": 1\r\nRetry-After: " + pause_s + "\r\n");
+        return true;
+      case Leaving:
+        respond (c, 200, "leaving", true, "", "X-Leaving: 1\r\n");
+        return true;
       case ShedCopied:
         c->late_copy
             = response_text (c, 503, "", false, "", names.not_run + ": 1\r\n");
@@ -838,7 +850,8 @@
     return *upstreams[i];
   }
   void
-  put (uint32_t i, bool leaving = false, uint32_t slots = 4)
+  put (uint32_t i, bool leaving = false, uint32_t slots = 4,
+       uint64_t started_ms = 1)
   {
     ut_entry e = {};
     st_name_set (&e.id, str ("up-" + std::to_string (i)));
@@ -848,6 +861,7 @@
     st_name_set (&e.region, ST_LIT ("west"));
     e.slots = slots;
     e.leaving = leaving;
+    e.started_ms = started_ms;
     gw_put_upstream (gw, &e);
   }
   // Sets a configuration of VERSION: routes /once/, /again/, /stream/ and
