Give each data centre its own load test where loads arrive late

In deployments whose active VMs are more than one group all VMs chose the same upstream of the new version, and each sent to it by loads that others report late. With 60 active VMs that is many times the load that the test is for. Now each data centre tests one of its own upstreams there; a data centre without one tests none.

--- a/packages/gateway/gw_rollout.c
+++ b/packages/gateway/gw_rollout.c
@@ -8,7 +8,6 @@
 #define _GW_ROLLOUT_SKEW_US 1000000
 /* Fewest events of an attempt whose mean time between events is judged.  */
 #define _GW_PACE_EVENTS_MIN 3
-
 /* A VM that has run for less when it reads an order may have restarted during
    the rollout.  */
 #define _GW_ROLLOUT_UPTIME_MIN_US 2000000
@@ -83,7 +82,9 @@
 }
 
 /* The upstream of R's service that is kept under load, the same one at all
-   VMs; generation 0 when none may be.  */
+   VMs; generation 0 when none may be.  Where the loads of other data centres
+   arrive late each data centre has its own: all VMs together would send it
+   many times its load before they see it.  */
 static ut_id
 _gw_find_tested_upstream (const _gw_request *r, const vr_rollout *rollout)
 {
@@ -95,6 +96,8 @@
     {
       const ut_upstream *up = ut_query (gw->upstreams, id);
       if (!up->entry.leaving && _gw_is_target (rollout, up)
+          && !(gw->group.remote_loads_delayed
+               && ut_query_distance (gw->upstreams, id) > 0)
           && st_equal (st_name_str (&up->entry.service),
                        st_name_str (&r->service))
           && (found.generation == 0 || up->hash < found_hash))
