Repair two header comments and drop dead members of tests

The formatter had merged two lines of the example in ut.h, and a paragraph of vr.h broke in its middle. Load::failed and a parameter of set_peers in the tests were not used.

--- a/packages/decide/tests/vr_test.cc
+++ b/packages/decide/tests/vr_test.cc
@@ -30,10 +30,9 @@
 }
 
 void
-set_peers (vr_rollout *r, const vr_counts &target, const vr_counts &other,
-           uint64_t key = VR_ALL)
+set_peers (vr_rollout *r, const vr_counts &target, const vr_counts &other)
 {
-  vr_row row = { key, target, other };
+  vr_row row = { VR_ALL, target, other };
   vr_set_peer_rows (r, &row, 1);
 }
 
--- a/packages/decide/ut.h
+++ b/packages/decide/ut.h
@@ -9,8 +9,8 @@
      ut_on_response_start (t, id, prompt_tokens);
      ut_on_end (t, id, 0, UT_SERVED, now_us);
      ut_set_leaving (t, id);                  // it states that it leaves
-     ut_pause (t, id, until_us);              // it wants no requests until
-   then ut_set_peer (t, peer, &report, now_us);  // load report of another VM
+     ut_pause (t, id, until_us);              // it asks for a pause
+     ut_set_peer (t, peer, &report, now_us);  // load report of another VM
 
    Ids carry a generation: no call finds an upstream that has been removed.
    The load of an upstream is this VM's own plus what the other VMs reported;
--- a/packages/decide/vr.h
+++ b/packages/decide/vr.h
@@ -22,14 +22,15 @@
    not.  A response that takes much longer than the old version's usually do on
    its route, until its first event or between events, counts as failed; where
    the upstream was much busier than the old ones usually are, only the load
-   test counts the request, and only errors, as times depend on the load.  A VM
-   that finds the new
-   version bad by the sum of all VMs, in all, on a route or in the load test,
-   stops using it at once and writes the state "reverted".  Near the deadline
-   the controller, the first active VM, writes "completed" when the evidence
-   suffices and the new upstreams can carry the traffic, else "reverted".
-   Writes are conditional on the revision of the last state, so a VM that was
-   paused overwrites nothing, and a state that is final is not changed.
+   test counts the request, and only errors, as times depend on the load.
+
+   A VM that finds the new version bad by the sum of all VMs, in all, on a
+   route or in the load test, stops using it at once and writes the state
+   "reverted".  Near the deadline the controller, the first active VM, writes
+   "completed" when the evidence suffices and the new upstreams can carry the
+   traffic, else "reverted".  Writes are conditional on the revision of the
+   last state, so a VM that was paused overwrites nothing, and a state that is
+   final is not changed.
 
    The full share comes last, so that a version whose fault shows only then has
    run few requests before the deadline.
--- a/packages/gateway/tests/rollout_test.cc
+++ b/packages/gateway/tests/rollout_test.cc
@@ -184,8 +184,6 @@
 class Load
 {
 public:
-  uint32_t sent = 0, failed = 0;
-
   Load (Vms &f, uint32_t callers) : f_ (f), callers_ (callers) {}
   // Goes on until DONE or for LIMIT_MS; returns DONE.
   bool
@@ -203,16 +201,16 @@
 private:
   Vms &f_;
   std::vector<std::unique_ptr<Caller>> callers_;
+  uint32_t sent_ = 0;
 
   void
   renew (std::unique_ptr<Caller> &c)
   {
     if (c != nullptr && !c->complete () && !c->closed)
       return;
-    failed += c != nullptr && c->status () != 200;
     c = std::make_unique<Caller> (
-        f_.base, gw_query_port (f_.vms[sent % (uint32_t)Vms::Count]));
-    c->request ("l" + std::to_string (sent++), "/again/x");
+        f_.base, gw_query_port (f_.vms[sent_ % (uint32_t)Vms::Count]));
+    c->request ("l" + std::to_string (sent_++), "/again/x");
   }
 };
 
