Serve requests in their home regions, obey evacuations, limit cold upstreams

Change: el_ decides which upstreams may get a request (regions of route and team, evacuated data centres) and each VM's share of what a cold upstream bears; gq_usable asks it for first attempts, retries and waiting work. A request that waits for a full region no longer stops those for other regions. Evacuations are followed like other orders of the store.

--- /dev/null
+++ b/packages/decide/el.c
@@ -0,0 +1,104 @@
+#include "el.h"
+
+/* Interval of the allowance where an upstream bears at least one request a
+   second.  It is longer than a second by the time that requests may differ in
+   on their way.  */
+#define _EL_INTERVAL_US 1050000
+
+/* True when SET, which may be NULL, has REGION.  */
+bool
+el_allows_region (const el_regions *set, st_str region)
+{
+  if (set == NULL || set->count == 0)
+    return true;
+  for (uint32_t i = 0; i < set->count; i++)
+    if (st_equal (set->names[i], region))
+      return true;
+  return false;
+}
+
+/* True when no region is in both A and B; either may be NULL.  */
+bool
+el_is_disjoint (const el_regions *a, const el_regions *b)
+{
+  if (a == NULL || b == NULL || a->count == 0 || b->count == 0)
+    return false;
+  for (uint32_t i = 0; i < a->count; i++)
+    if (el_allows_region (b, a->names[i]))
+      return false;
+  return true;
+}
+
+/* Order of the VMs that decides which of them gets REQUEST at UPSTREAM.  */
+static uint64_t
+_el_order (uint64_t vm, uint64_t upstream, uint32_t request)
+{
+  uint64_t x = (vm ^ upstream) * UINT64_C (0x9e3779b97f4a7c15)
+               + (uint64_t)request * UINT64_C (0xd6e8feb86659fd93);
+  x = (x ^ x >> 32) * UINT64_C (0xd6e8feb86659fd93);
+  return x ^ x >> 29;
+}
+
+/* Requests that the VM SELF may send in an interval to UPSTREAM, which bears
+   PER_S a second.  Each of them is assigned to one of SELF and the COUNT
+   OTHERS by rendezvous hashing, so VMs that know the same others never send
+   more than PER_S together.  */
+uint32_t
+el_share (uint64_t self, const uint64_t *others, uint32_t count,
+          uint64_t upstream, double per_s)
+{
+  uint32_t requests = per_s < 1 ? 1 : (uint32_t)per_s;
+  uint32_t share = 0;
+  for (uint32_t request = 0; request < requests && share < EL_SENDS_MAX;
+       request++)
+    {
+      uint64_t own = _el_order (self, upstream, request);
+      uint32_t i = 0;
+      while (i < count && _el_order (others[i], upstream, request) <= own)
+        i++;
+      share += i == count;
+    }
+  return share;
+}
+
+/* True when the upstream of COLD is cold and its rate is limited.  */
+bool
+el_is_cold (const el_cold *cold, uint64_t now_us)
+{
+  return cold->per_s > 0
+         && (now_us < cold->until_us || now_us < cold->held_us);
+}
+
+static uint64_t
+_el_interval_us (const el_cold *cold)
+{
+  return cold->per_s < 1 ? (uint64_t)(_EL_INTERVAL_US / cold->per_s)
+                         : _EL_INTERVAL_US;
+}
+
+/* True when this VM may send one request more to the upstream of COLD.  */
+bool
+el_cold_allows (const el_cold *cold, uint64_t now_us)
+{
+  if (!el_is_cold (cold, now_us))
+    return true;
+  if (cold->share == 0)
+    return false;
+  if (cold->sent_count < cold->share)
+    return true;
+  uint64_t oldest
+      = cold->sent_us[(cold->sent_count - cold->share) % EL_SENDS_MAX];
+  return now_us - oldest >= _el_interval_us (cold);
+}
+
+/* Records a request that is sent to the upstream of COLD, cold or not.  */
+void
+el_on_sent (el_cold *cold, uint64_t now_us)
+{
+  cold->sent_us[cold->sent_count % EL_SENDS_MAX] = now_us;
+  /* Only differences up to EL_SENDS_MAX count, so the number may wrap at a
+     multiple of it once it is past them.  */
+  cold->sent_count++;
+  if (cold->sent_count == 4 * EL_SENDS_MAX)
+    cold->sent_count = 2 * EL_SENDS_MAX;
+}
--- /dev/null
+++ b/packages/decide/el.h
@@ -0,0 +1,70 @@
+/* el.h -- which upstreams may get a request at all, and at what rate.
+
+   Used by ut, which keeps the state of each upstream, and by gq, which asks
+   before it weighs load and distance.  Three rules of the operator's:
+
+   Home regions.  A route and a team may each name the regions in which their
+   requests may be served; both bind.
+
+     el_regions route = { names, 1 };
+     if (!el_allows_region (&route, region)) look at the next upstream
+     if (el_is_disjoint (&route, &team)) no region is left: refuse
+
+   Evacuation.  The upstreams of a data centre that is evacuated get nothing;
+   ut keeps the names.
+
+   Cold upstreams.  An upstream that has just started crashes when it gets more
+   than some requests a second from all VMs together.  Each of these requests
+   is assigned to one VM, so no message is needed for it:
+
+     cold.share = el_share (own, others, count, upstream, 9.8);
+     if (el_cold_allows (&cold, now_us)) { send; el_on_sent (&cold, now_us); }
+
+   A VM that is cut off, frozen or killed keeps what is assigned to it, as long
+   as the caller lists it among the others.  The load pattern it answers is a
+   data centre whose upstreams come back at once, empty, while requests wait at
+   all VMs.  */
+#ifndef EL_H
+#define EL_H
+
+#include "st.h"
+
+/* Most requests that one VM sends to a cold upstream in an interval.  */
+#define EL_SENDS_MAX 32
+
+/* A set of regions; one without names has all.  */
+typedef struct
+{
+  const st_str *names;
+  uint32_t count;
+} el_regions;
+
+/* What a VM knows of one upstream that may be cold.  */
+typedef struct
+{
+  double per_s;        /* of all VMs together while it is cold; 0: no limit */
+  uint32_t share;      /* of this VM, in an interval */
+  uint64_t until_us;   /* as the upstream states */
+  uint64_t held_us;    /* cold until then, whatever it states */
+  uint32_t sent_count; /* so far */
+  uint64_t sent_us[EL_SENDS_MAX]; /* the newest sends */
+} el_cold;
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  bool el_allows_region (const el_regions *set, st_str region);
+  bool el_is_disjoint (const el_regions *a, const el_regions *b);
+  uint32_t el_share (uint64_t self, const uint64_t *others, uint32_t count,
+                     uint64_t upstream, double per_s);
+  bool el_is_cold (const el_cold *cold, uint64_t now_us);
+  bool el_cold_allows (const el_cold *cold, uint64_t now_us);
+  void el_on_sent (el_cold *cold, uint64_t now_us);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/packages/decide/gq.c
+++ b/packages/decide/gq.c
@@ -84,18 +84,32 @@
   return demand->rank - demand->rank % 2 + (verdict == GQ_WAIT_LATE);
 }
 
-/* True when UP may get DEMAND, a new request to SERVICE.  */
+/* True when UP may get DEMAND, a new request to SERVICE, as far as it is not
+   for the rate at which a cold upstream gets requests.  */
 bool
 gq_usable (const ut_upstream *up, st_str service, const gq_demand *demand,
            uint64_t now_us)
 {
-  return !up->entry.leaving && up->pause_until_us <= now_us
+  return !up->entry.leaving && !up->evacuated && up->pause_until_us <= now_us
+         && el_allows_region (demand->regions[0],
+                              st_name_str (&up->entry.region))
+         && el_allows_region (demand->regions[1],
+                              st_name_str (&up->entry.region))
          && st_equal (st_name_str (&up->entry.service), service)
          && (demand->rollout == NULL
              || vr_allows (demand->rollout, demand->versions,
                            st_name_str (&up->entry.version)));
 }
 
+/* True when DEMAND, a new request to SERVICE, may be sent to UP now.  */
+bool
+gq_may_send (const ut_upstream *up, st_str service, const gq_demand *demand,
+             uint64_t now_us)
+{
+  return gq_usable (up, service, demand, now_us)
+         && el_cold_allows (&up->cold, now_us);
+}
+
 static bool
 _gq_was_tried (const gq_demand *demand, ut_id id)
 {
@@ -236,7 +250,8 @@
                                     now_us))
             continue;
           any_candidate = true;
-          if (!_gq_has_room (t, id, demand, &contenders))
+          if (!el_cold_allows (&up->cold, now_us)
+              || !_gq_has_room (t, id, demand, &contenders))
             continue;
           random = random * 1664525u + 1013904223u;
           double cost = _gq_cost (t, id, up, demand, now_us)
--- a/packages/decide/gq.h
+++ b/packages/decide/gq.h
@@ -63,8 +63,9 @@
   ut_id tried[GQ_TRIED_MAX]; /* used again only if no other upstream is left */
   uint64_t arrived_us;
   uint64_t deadline_us;
-  const vr_rollout *rollout; /* of the service; NULL: none */
-  vr_choice versions;        /* that it may be sent to */
+  const el_regions *regions[2]; /* of the route and the team; NULL: all */
+  const vr_rollout *rollout;    /* of the service; NULL: none */
+  vr_choice versions;           /* that it may be sent to */
 } gq_demand;
 
 /* Waiting requests and slots of one service; PEER_WAITING covers all services,
@@ -108,6 +109,8 @@
                     uint32_t route_tier);
   bool gq_is_late (const gq_demand *demand);
   uint32_t gq_queue_rank (const gq_demand *demand, gq_verdict verdict);
+  bool gq_may_send (const ut_upstream *up, st_str service,
+                    const gq_demand *demand, uint64_t now_us);
   bool gq_usable (const ut_upstream *up, st_str service,
                   const gq_demand *demand, uint64_t now_us);
 
--- a/packages/decide/ut.c
+++ b/packages/decide/ut.c
@@ -44,9 +44,24 @@
   uint64_t started_ms;
 } _ut_departed;
 
+/* Limit for the cold upstreams of a service.  */
+typedef struct
+{
+  st_name service;
+  double per_s;
+  uint64_t cold_us; /* how long an upstream of it is cold */
+} _ut_cold_limit;
+
 struct ut_table
 {
   ut_desc desc;
+  st_name evacuated[UT_EVACUATED_MAX];
+  uint32_t evacuated_count;
+  _ut_cold_limit cold_limits[UT_COLD_SERVICES_MAX];
+  uint32_t cold_limit_count;
+  uint64_t cold_vms[UT_COLD_VMS_MAX]; /* the others */
+  uint32_t cold_vm_count;
+  bool not_cold_vm; /* this VM has no part of the allowance */
   _ut_slot *slots;
   uint64_t key;    /* of this VM */
   uint32_t used;   /* slots ever used */
@@ -209,6 +224,47 @@
   return false;
 }
 
+static bool
+_ut_is_evacuated (const ut_table *t, st_str data_center)
+{
+  for (uint32_t i = 0; i < t->evacuated_count; i++)
+    if (st_equal (st_name_str (&t->evacuated[i]), data_center))
+      return true;
+  return false;
+}
+
+static const _ut_cold_limit *
+_ut_find_cold_limit (const ut_table *t, st_str service)
+{
+  for (uint32_t i = 0; i < t->cold_limit_count; i++)
+    if (st_equal (st_name_str (&t->cold_limits[i].service), service))
+      return &t->cold_limits[i];
+  return NULL;
+}
+
+/* Sets the limit of UP while it is cold, and this VM's share of it.  */
+static void
+_ut_update_cold (const ut_table *t, ut_upstream *up)
+{
+  const _ut_cold_limit *limit
+      = _ut_find_cold_limit (t, st_name_str (&up->entry.service));
+  up->cold.per_s = limit != NULL ? limit->per_s : 0;
+  up->cold.share = 0;
+  if (up->cold.per_s > 0 && !t->not_cold_vm)
+    up->cold.share
+        = el_share (ut_hash (st_name_str (&t->desc.vm)), t->cold_vms,
+                    t->cold_vm_count, up->hash, up->cold.per_s);
+}
+
+/* Adopts what the entry of UP, the newest, states of its cold start.  */
+static void
+_ut_read_cold (ut_upstream *up, uint64_t now_us)
+{
+  up->cold.until_us = up->entry.cold_ms > 0
+                          ? now_us + up->entry.cold_ms * UINT64_C (1000)
+                          : 0;
+}
+
 /* Adds ENTRY or updates the one with its id.  An entry with another start time
    is another process: the measurements of the old one are discarded.  Returns
    generation 0 when the table is full.  */
@@ -221,6 +277,10 @@
     {
       slot->up.entry = *entry;
       slot->up.entry.leaving |= slot->up.said_leaving;
+      slot->up.evacuated
+          = _ut_is_evacuated (t, st_name_str (&entry->data_center));
+      _ut_read_cold (&slot->up, now_us);
+      _ut_update_cold (t, &slot->up);
       return id;
     }
   if (slot != NULL)
@@ -241,6 +301,9 @@
   slot->up.said_leaving
       = _ut_has_departed (t, slot->up.hash, entry->started_ms);
   slot->up.entry.leaving |= slot->up.said_leaving;
+  slot->up.evacuated = _ut_is_evacuated (t, st_name_str (&entry->data_center));
+  _ut_read_cold (&slot->up, now_us);
+  _ut_update_cold (t, &slot->up);
   _ut_sum_reports (t, &slot->up);
   _ut_reindex (t);
   return (ut_id){ index, slot->generation };
@@ -499,6 +562,88 @@
   slot->up.entry.leaving = true;
 }
 
+/* Starts or ends the evacuation of DATA_CENTER.  After its end the upstreams
+   there count as cold for the time of a cold start: they have been idle, and
+   an entry that says so may arrive later than the order.  False when too many
+   data centres are evacuated to remember another one.  */
+bool
+ut_set_evacuated (ut_table *t, st_str data_center, bool evacuated,
+                  uint64_t now_us)
+{
+  bool was = _ut_is_evacuated (t, data_center);
+  if (evacuated && !was)
+    {
+      if (t->evacuated_count == UT_EVACUATED_MAX)
+        return false;
+      st_name_set (&t->evacuated[t->evacuated_count++], data_center);
+    }
+  for (uint32_t i = 0; !evacuated && i < t->evacuated_count; i++)
+    if (st_equal (st_name_str (&t->evacuated[i]), data_center))
+      t->evacuated[i] = t->evacuated[--t->evacuated_count];
+  for (uint32_t i = 0; i < t->used; i++)
+    {
+      ut_upstream *up = &t->slots[i].up;
+      if (t->slots[i].generation % 2 == 0
+          || !st_equal (st_name_str (&up->entry.data_center), data_center))
+        continue;
+      const _ut_cold_limit *limit
+          = _ut_find_cold_limit (t, st_name_str (&up->entry.service));
+      if (up->evacuated && !evacuated && limit != NULL)
+        up->cold.held_us = now_us + limit->cold_us;
+      up->evacuated = evacuated;
+    }
+  return true;
+}
+
+static void
+_ut_update_all_cold (ut_table *t)
+{
+  for (uint32_t i = 0; i < t->used; i++)
+    if (t->slots[i].generation % 2 == 1)
+      _ut_update_cold (t, &t->slots[i].up);
+}
+
+/* Limits the cold upstreams of SERVICE, which are cold for COLD_US after a
+   start, to PER_S requests a second from all VMs; 0: no limit.  Services
+   beyond UT_COLD_SERVICES_MAX have none.  */
+void
+ut_set_cold_limit (ut_table *t, st_str service, double per_s, uint64_t cold_us)
+{
+  _ut_cold_limit *limit = (_ut_cold_limit *)_ut_find_cold_limit (t, service);
+  if (limit == NULL
+      && (per_s <= 0 || t->cold_limit_count == UT_COLD_SERVICES_MAX))
+    return;
+  if (limit == NULL)
+    {
+      limit = &t->cold_limits[t->cold_limit_count++];
+      st_name_set (&limit->service, service);
+    }
+  limit->per_s = per_s;
+  limit->cold_us = cold_us;
+  _ut_update_all_cold (t);
+}
+
+/* Sets the VMs that share the allowance of a cold upstream: this one where
+   SELF, and the COUNT OTHERS, hashes of their names.  */
+void
+ut_set_cold_vms (ut_table *t, bool self, const uint64_t *others,
+                 uint32_t count)
+{
+  t->cold_vm_count = count < UT_COLD_VMS_MAX ? count : UT_COLD_VMS_MAX;
+  memcpy (t->cold_vms, others, t->cold_vm_count * sizeof *others);
+  t->not_cold_vm = !self;
+  _ut_update_all_cold (t);
+}
+
+/* Counts a request that is sent to ID, for the time when it may be cold.  */
+void
+ut_use_cold_allowance (ut_table *t, ut_id id, uint64_t now_us)
+{
+  _ut_slot *slot = _ut_at (t, id);
+  if (slot != NULL)
+    el_on_sent (&slot->up.cold, now_us);
+}
+
 /* Sets the KEY that identifies the reports of this VM to the others.  */
 void
 ut_set_key (ut_table *t, uint64_t key)
--- a/packages/decide/ut.h
+++ b/packages/decide/ut.h
@@ -20,6 +20,14 @@
    has said that it leaves is leaving until it starts again, whatever the entry
    says and also if the entry is removed and comes back.
 
+   Data centres that are evacuated and limits for cold upstreams apply to the
+   upstreams that are in the table and to those that come; see el.h.
+
+     ut_set_evacuated (t, dc, true, now_us);
+     ut_set_cold_limit (t, service, 9.8, 3000000);
+     ut_set_cold_vms (t, true, others, count);     // who shares it
+     ut_use_cold_allowance (t, id, now_us);        // with each send
+
    All VMs see a freed slot at about the same time.  Those with waiting
    requests, the contenders, would all fill it, so they divide the slots of an
    upstream among themselves: each computes the same order from the keys of the
@@ -32,6 +40,7 @@
 #define UT_H
 
 #include "al.h"
+#include "el.h"
 #include "st.h"
 
 #define UT_UPSTREAMS_MAX 1024
@@ -60,6 +69,13 @@
   bool leaving; /* gets no new requests */
 } ut_entry;
 
+/* Most data centres that are evacuated at a time, and services with a limit
+   for cold upstreams.  */
+#define UT_EVACUATED_MAX 64
+#define UT_COLD_SERVICES_MAX 64
+/* Most VMs that share the allowance of a cold upstream.  */
+#define UT_COLD_VMS_MAX 256
+
 /* Upstreams that left the table after they had said that they leave, and that
    are remembered.  */
 #define UT_DEPARTED_MAX 64
@@ -119,6 +135,8 @@
   uint64_t avoid_until_us; /* used only if there is no other */
   uint64_t pause_until_us; /* not used at all */
   bool said_leaving;       /* in a response; the entry need not say so */
+  bool evacuated;          /* its data centre is */
+  el_cold cold;
 } ut_upstream;
 
 typedef struct
@@ -161,6 +179,13 @@
   void ut_avoid (ut_table *t, ut_id id, uint64_t until_us);
   void ut_pause (ut_table *t, ut_id id, uint64_t until_us);
   void ut_set_leaving (ut_table *t, ut_id id);
+  bool ut_set_evacuated (ut_table *t, st_str data_center, bool evacuated,
+                         uint64_t now_us);
+  void ut_set_cold_limit (ut_table *t, st_str service, double per_s,
+                          uint64_t cold_us);
+  void ut_set_cold_vms (ut_table *t, bool self, const uint64_t *others,
+                        uint32_t count);
+  void ut_use_cold_allowance (ut_table *t, ut_id id, uint64_t now_us);
   void ut_set_key (ut_table *t, uint64_t key);
   void ut_set_peer (ut_table *t, uint64_t peer, const ut_report *report,
                     uint64_t now_us);
--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -142,6 +142,7 @@
   gw->conns = g_ptr_array_new ();
   gw->body_waiting = g_ptr_array_new ();
   _gw_start_bodies (gw);
+  _gw_make_regions (gw);
   _gw_make_group (&gw->group);
   gw->listed = g_array_new (FALSE, TRUE, sizeof (_gw_listed_vm));
   gw->silent = _gw_make_silent ();
@@ -208,6 +209,8 @@
   _gw_destroy_group (&gw->group);
   g_hash_table_destroy (gw->seen_peers);
   g_array_free (gw->listed, TRUE);
+  g_array_free (gw->regions, TRUE);
+  g_array_free (gw->cold_vms, TRUE);
   g_array_free (gw->silent, TRUE);
   qa_destroy (gw->quota_ledger);
   qn_destroy (gw->quarantine);
@@ -246,6 +249,8 @@
       bu_set_quota (&_gw_find_team (gw, team->name)->quota, team->rate,
                     team->burst + _gw_quota_slack (gw, team), gw->now_us);
     }
+  _gw_set_cold_limits (gw);
+  _gw_bind_all_regions (gw);
   _gw_load_changed (gw);
 }
 
--- a/packages/gateway/gw.h
+++ b/packages/gateway/gw.h
@@ -159,6 +159,7 @@
                        uint64_t duration_us, uint64_t revision);
   void gw_set_rollout_state (gw_task *gw, st_str service, st_str target,
                              vr_state state, uint64_t revision);
+  void gw_set_evacuated (gw_task *gw, st_str data_center, bool evacuated);
   void gw_set_quarantine (gw_task *gw, st_str part, bool blocked);
   void gw_remove_quarantine (gw_task *gw, st_str part);
   void gw_publish_document (gw_task *gw, st_str document);
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -57,7 +57,9 @@
   GBytes *body;
   GString *prompt_parts; /* as the caller sent them; "": none */
   qn_prompt prompt;
-  double quota; /* units of the team's quota that it takes */
+  rc_config *regions_config; /* whose regions demand.regions are */
+  uint64_t region_mask;      /* of these regions */
+  double quota;              /* units of the team's quota that it takes */
   gq_demand demand;
   uint64_t queue_timeout_us; /* time at which its wait in the queue ends */
   uint64_t end_us;           /* deadline, of the caller or the route */
@@ -231,6 +233,8 @@
   _gw_group group;
   GPtrArray *services;       /* of _gw_service */
   GPtrArray *teams;          /* of _gw_team */
+  GArray *regions;           /* that routes and teams name, of st_name */
+  GArray *cold_vms;          /* that share the allowance of cold upstreams */
   GHashTable *route_callers; /* hash of a route's name -> pt_route */
   GPtrArray *conns;
   _gw_request *requests; /* pool */
@@ -338,6 +342,15 @@
 void _gw_limit_unsent (_gw_request *r);
 void _gw_on_unsent_empty (_gw_request *r);
 
+/* Regions and cold upstreams: gw_regions.c.  */
+void _gw_make_regions (gw_task *gw);
+void _gw_bind_regions (_gw_request *r, rc_config *config);
+void _gw_bind_all_regions (gw_task *gw);
+bool _gw_refuse_without_region (_gw_request *r);
+void _gw_set_cold_limits (gw_task *gw);
+void _gw_divide_cold (gw_task *gw, bool self, const st_str *vms,
+                      uint32_t count);
+
 /* Rollouts: gw_rollout.c.  */
 void _gw_choose_versions (_gw_request *r);
 ut_id _gw_choose_load_test (_gw_request *r);
--- a/packages/gateway/gw_load.c
+++ b/packages/gateway/gw_load.c
@@ -126,6 +126,12 @@
     if (fleet->roles[i].active && fleet->roles[i].vm_group == gw->group.id)
       vms[others++] = fleet->members[i].name;
   ut_assign (gw->upstreams, vms, others, gw->group.remote_loads_delayed);
+  /* Those of all groups share what cold upstreams may get.  */
+  others = 0;
+  for (uint32_t i = 1; i < fleet->count; i++)
+    if (fleet->roles[i].active)
+      vms[others++] = fleet->members[i].name;
+  _gw_divide_cold (gw, fleet->roles[0].active, vms, others);
   g_free (vms);
 }
 
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -82,12 +82,15 @@
   _gw_load_changed (r->gw);
 }
 
+/* True when a request as urgent as R waits that may be served wherever R may:
+   it found no upstream, so R would find none.  */
 static bool
-_gw_any_waits_up_to (const _gw_queue *q, uint32_t rank)
+_gw_any_waits_before (const _gw_queue *q, const _gw_request *r)
 {
-  for (uint32_t i = 0; i <= rank; i++)
-    if (q->count[i] > 0)
-      return true;
+  for (uint32_t i = 0; i <= r->demand.rank; i++)
+    for (const _gw_request *w = q->first[i]; w != NULL; w = w->next)
+      if ((r->region_mask & ~w->region_mask) == 0)
+        return true;
   return false;
 }
 
@@ -130,7 +133,10 @@
   gw_task *gw = r->gw;
   _gw_service *service = _gw_service_of (r);
   gq_backlog backlog = { .service_us = service->service_us };
+  gq_demand anywhere = r->demand;
+  uint32_t slots_anywhere = 0;
   ut_id id = { 0, 0 };
+  anywhere.regions[0] = anywhere.regions[1] = NULL;
   if (backlog.service_us <= 0)
     backlog.service_us = r->engine ? _GW_DEFAULT_ENGINE_SERVICE_US
                                    : _GW_DEFAULT_PLAIN_SERVICE_US;
@@ -143,6 +149,8 @@
           if (backlog.paused_us == 0 || left_us < backlog.paused_us)
             backlog.paused_us = left_us;
         }
+      if (gq_usable (up, st_name_str (&r->service), &anywhere, gw->now_us))
+        slots_anywhere += up->entry.slots > 0 ? up->entry.slots : 1;
       if (!gq_usable (up, st_name_str (&r->service), &r->demand, gw->now_us))
         continue;
       backlog.slots += up->entry.slots > 0 ? up->entry.slots : 1;
@@ -151,6 +159,13 @@
   for (uint32_t i = 0; i < GQ_RANKS; i++)
     backlog.waiting[i] = service->queue.count[i];
   _gw_peer_waiting (gw, backlog.peer_waiting);
+  /* Of what waits, the part that competes for the regions of R.  */
+  for (uint32_t i = 0; i < GQ_RANKS && backlog.slots < slots_anywhere; i++)
+    {
+      backlog.waiting[i] = backlog.waiting[i] * backlog.slots / slots_anywhere;
+      backlog.peer_waiting[i]
+          = backlog.peer_waiting[i] * backlog.slots / slots_anywhere;
+    }
   return backlog;
 }
 
@@ -263,7 +278,7 @@
   ut_id to = victim->upstream;
   const ut_upstream *up = ut_query (gw->upstreams, to);
   if (up == NULL
-      || !gq_usable (up, st_name_str (&r->service), &r->demand, gw->now_us)
+      || !gq_may_send (up, st_name_str (&r->service), &r->demand, gw->now_us)
       || !_gw_take_retry (victim))
     return false;
   LO_EVENT ("preempt", st_name_str (&victim->id),
@@ -371,7 +386,8 @@
   _gw_service *service = _gw_service_of (r);
   struct timeval left = ck_timeval (r->end_us - gw->now_us);
   event_add (r->timer, &left);
-  if (_gw_refuse_while_leaving (r) || _gw_refuse_quarantined (r))
+  if (_gw_refuse_while_leaving (r) || _gw_refuse_quarantined (r)
+      || _gw_refuse_without_region (r))
     return;
   if (r->team != NULL
       && !bu_hold_quota (&_gw_find_team (gw, r->team->name)->quota, r->quota,
@@ -387,7 +403,7 @@
     _gw_mark_started (r);
   else if (r->demand.is_caller_retry && r->engine)
     r->demand.rank = gq_queue_rank (&r->demand, GQ_WAIT_LATE);
-  if (!_gw_any_waits_up_to (&service->queue, r->demand.rank))
+  if (!_gw_any_waits_before (&service->queue, r))
     to = _gw_choose_upstream (r);
   if (to.generation != 0)
     _gw_dispatch (r, to);
@@ -410,31 +426,49 @@
     _gw_wait_or_refuse (r, true, "overload");
 }
 
+/* The first request of rank RANK that waits for SERVICE and may be served in a
+   region other than those of FULL; NULL when there is none.  */
+static _gw_request *
+_gw_find_waiting (const _gw_service *service, uint32_t rank, uint64_t full)
+{
+  _gw_request *r = service->queue.first[rank];
+  while (r != NULL && (r->region_mask & ~full) == 0)
+    r = r->next;
+  return r;
+}
+
 /* Dispatches what waits for SERVICE, the most urgent rank first.  A less
    urgent rank gets a free slot before a more urgent one only where the first
-   request of the latter waits for the retry budget; a rank that finds no
-   upstream stops the less urgent ones too.  */
+   request of the latter waits for the retry budget.  A request that finds no
+   upstream stops those behind it and all less urgent ones, except where these
+   may be served in other regions than it.  */
 void
 _gw_schedule (gw_task *gw, _gw_service *service)
 {
+  uint64_t full = 0;
   _gw_now (gw);
-  for (uint32_t rank = 0; rank < GQ_RANKS; rank++)
-    while (service->queue.first[rank] != NULL)
-      {
-        _gw_request *r = service->queue.first[rank];
-        if (_gw_refuse_quarantined (r))
-          continue;
-        ut_id to = _gw_choose_upstream (r);
-        if (to.generation == 0)
-          return;
-        if (r->retry_due && !_gw_take_retry (r))
-          break;
-        if (_gw_refuse_over_quota (r))
-          continue;
-        r->retry_due = false;
-        _gw_dequeue (r);
-        _gw_dispatch (r, to);
-      }
+  for (uint32_t rank = 0; rank < GQ_RANKS && full != UINT64_MAX; rank++)
+    {
+      _gw_request *r;
+      while ((r = _gw_find_waiting (service, rank, full)) != NULL)
+        {
+          if (_gw_refuse_quarantined (r))
+            continue;
+          ut_id to = _gw_choose_upstream (r);
+          if (to.generation == 0)
+            {
+              full |= r->region_mask;
+              continue;
+            }
+          if (r->retry_due && !_gw_take_retry (r))
+            break;
+          if (_gw_refuse_over_quota (r))
+            continue;
+          r->retry_due = false;
+          _gw_dequeue (r);
+          _gw_dispatch (r, to);
+        }
+    }
 }
 
 /* Dispatches what waits for all services.  */
--- /dev/null
+++ b/packages/gateway/gw_regions.c
@@ -0,0 +1,171 @@
+/* Regions: where a request may be served, and the VMs that share the allowance
+   of cold upstreams.  The rules are those of el.h.  */
+#include "gw_internal.h"
+
+/* A VM that was active keeps its part of the allowance of cold upstreams for
+   this long, since it may send from behind a partition.  */
+#define _GW_COLD_VM_US 20000000
+
+typedef struct
+{
+  uint64_t name; /* hash */
+  uint64_t active_us;
+  bool present; /* active in the newest view of the members */
+} _gw_cold_vm;
+
+/* Bit of the region NAME in masks.  Regions beyond the last bit share it, so
+   that requests for them wait for each other.  */
+static uint64_t
+_gw_region_bit (gw_task *gw, st_str name)
+{
+  guint i = 0;
+  while (i < gw->regions->len
+         && !st_equal (st_name_str (&g_array_index (gw->regions, st_name, i)),
+                       name))
+    i++;
+  if (i == gw->regions->len && i < 63)
+    {
+      st_name copy;
+      st_name_set (&copy, name);
+      g_array_append_val (gw->regions, copy);
+    }
+  return UINT64_C (1) << (i < 63 ? i : 63);
+}
+
+static uint64_t
+_gw_region_mask (gw_task *gw, const el_regions *set)
+{
+  uint64_t mask = 0;
+  if (set == NULL || set->count == 0)
+    return UINT64_MAX;
+  for (uint32_t i = 0; i < set->count; i++)
+    mask |= _gw_region_bit (gw, set->names[i]);
+  return mask;
+}
+
+/* Sets the regions in which R may be served to those of CONFIG.  A route or a
+   team that CONFIG does not have keeps those that it had.  */
+void
+_gw_bind_regions (_gw_request *r, rc_config *config)
+{
+  const rc_route *route
+      = rc_find_route (config, r->route->host, r->route->prefix);
+  const rc_team *team
+      = r->team != NULL ? rc_find_team (config, r->team->name) : NULL;
+  if (route == NULL || (team == NULL && r->team != NULL))
+    return;
+  rc_ref (config);
+  rc_unref (r->regions_config);
+  r->regions_config = config;
+  r->demand.regions[0] = &route->regions;
+  r->demand.regions[1] = team != NULL ? &team->regions : NULL;
+  r->region_mask = _gw_region_mask (r->gw, r->demand.regions[0])
+                   & _gw_region_mask (r->gw, r->demand.regions[1]);
+}
+
+/* Applies the regions of a new configuration to the requests that are open, so
+   that waiting ones and their next attempts keep to them.  */
+void
+_gw_bind_all_regions (gw_task *gw)
+{
+  for (uint32_t i = 0; i < gw->used; i++)
+    if (gw->requests[i].state != _GW_FREE && gw->requests[i].route != NULL)
+      _gw_bind_regions (&gw->requests[i], gw->config);
+}
+
+/* Refuses R where no region is left in which it may be served; true when it
+   did.  */
+bool
+_gw_refuse_without_region (_gw_request *r)
+{
+  if (!el_is_disjoint (r->demand.regions[0], r->demand.regions[1]))
+    return false;
+  LO_EVENT ("no_common_region", st_name_str (&r->id),
+            LO_STR ("route", r->route->name), LO_STR ("team", r->team->name),
+            LO_STR ("route_region", r->demand.regions[0]->names[0]),
+            LO_STR ("team_region", r->demand.regions[1]->names[0]),
+            LO_INT ("config", rc_query_version (r->regions_config)));
+  _gw_refuse (r, 503, "no_common_region", 0);
+  return true;
+}
+
+/* Sets the limits for cold upstreams from the configuration.  */
+void
+_gw_set_cold_limits (gw_task *gw)
+{
+  const rc_service *service;
+  for (uint32_t i = 0; (service = rc_query_service (gw->config, i)) != NULL;
+       i++)
+    ut_set_cold_limit (gw->upstreams, service->name, service->cold_per_s,
+                       service->cold_ms * CK_MS_US);
+}
+
+static void
+_gw_note_cold_vm (gw_task *gw, uint64_t name)
+{
+  for (guint i = 0; i < gw->cold_vms->len; i++)
+    {
+      _gw_cold_vm *vm = &g_array_index (gw->cold_vms, _gw_cold_vm, i);
+      if (vm->name != name)
+        continue;
+      vm->active_us = gw->now_us;
+      vm->present = true;
+      return;
+    }
+  _gw_cold_vm vm = { name, gw->now_us, true };
+  if (gw->cold_vms->len < UT_COLD_VMS_MAX)
+    g_array_append_val (gw->cold_vms, vm);
+}
+
+/* Drops the VMs that have not been active for long.  A VM that sees less than
+   half of them may itself be cut off, and drops none.  */
+static void
+_gw_expire_cold_vms (gw_task *gw)
+{
+  guint present = 0;
+  for (guint i = 0; i < gw->cold_vms->len; i++)
+    present += g_array_index (gw->cold_vms, _gw_cold_vm, i).present;
+  if (2 * present <= gw->cold_vms->len)
+    return;
+  for (guint i = gw->cold_vms->len; i > 0; i--)
+    if (gw->now_us - g_array_index (gw->cold_vms, _gw_cold_vm, i - 1).active_us
+        > _GW_COLD_VM_US)
+      g_array_remove_index_fast (gw->cold_vms, i - 1);
+}
+
+/* Divides the allowance of cold upstreams among the active VMs: this one where
+   SELF, and the COUNT others whose names are VMS.  */
+void
+_gw_divide_cold (gw_task *gw, bool self, const st_str *vms, uint32_t count)
+{
+  uint64_t others[UT_COLD_VMS_MAX];
+  for (guint i = 0; i < gw->cold_vms->len; i++)
+    g_array_index (gw->cold_vms, _gw_cold_vm, i).present = false;
+  for (uint32_t i = 0; i < count; i++)
+    _gw_note_cold_vm (gw, ut_hash (vms[i]));
+  _gw_expire_cold_vms (gw);
+  for (guint i = 0; i < gw->cold_vms->len; i++)
+    others[i] = g_array_index (gw->cold_vms, _gw_cold_vm, i).name;
+  ut_set_cold_vms (gw->upstreams, self, others, gw->cold_vms->len);
+}
+
+/* Makes the lists that the functions above use.  */
+void
+_gw_make_regions (gw_task *gw)
+{
+  gw->regions = g_array_new (FALSE, TRUE, sizeof (st_name));
+  gw->cold_vms = g_array_new (FALSE, TRUE, sizeof (_gw_cold_vm));
+}
+
+/* Starts or ends the evacuation of DATA_CENTER, whose upstreams get nothing
+   meanwhile.  */
+void
+gw_set_evacuated (gw_task *gw, st_str data_center, bool evacuated)
+{
+  _gw_now (gw);
+  bool ok
+      = ut_set_evacuated (gw->upstreams, data_center, evacuated, gw->now_us);
+  LO_EVENT ("evacuation", ST_LIT (""), LO_STR ("data_center", data_center),
+            LO_BOOL ("evacuated", evacuated), LO_BOOL ("accepted", ok));
+  _gw_schedule_all (gw);
+}
--- a/packages/gateway/gw_request.c
+++ b/packages/gateway/gw_request.c
@@ -46,6 +46,7 @@
   *r = (_gw_request){ .gw = gw,
                       .index = index,
                       .conn = conn,
+                      .region_mask = UINT64_MAX,
                       .config = rc_ref (gw->config),
                       .version_draw = _gw_random (gw) };
   r->head = g_string_sized_new (512);
@@ -76,6 +77,8 @@
   g_string_free (r->response_body, TRUE);
   g_string_free (r->response_head, TRUE);
   rc_unref (r->config);
+  rc_unref (r->regions_config);
+  r->route = NULL;
   r->state = _GW_FREE;
   r->conn = NULL;
   r->next = gw->free_first != 0 ? &gw->requests[gw->free_first - 1] : NULL;
--- a/packages/gateway/gw_rollout.c
+++ b/packages/gateway/gw_rollout.c
@@ -95,7 +95,7 @@
   while (ut_next (gw->upstreams, &id))
     {
       const ut_upstream *up = ut_query (gw->upstreams, id);
-      if (!up->entry.leaving && _gw_is_target (rollout, up)
+      if (!up->entry.leaving && !up->evacuated && _gw_is_target (rollout, up)
           && !(gw->group.remote_loads_delayed
                && ut_query_distance (gw->upstreams, id) > 0)
           && st_equal (st_name_str (&up->entry.service),
@@ -121,8 +121,11 @@
     return (ut_id){ 0, 0 };
   ut_id id = _gw_find_tested_upstream (r, rollout);
   const ut_upstream *up = ut_query (gw->upstreams, id);
+  /* The version that was drawn does not matter here.  */
+  gq_demand demand = r->demand;
+  demand.rollout = NULL;
   if (up == NULL || up->avoid_until_us > gw->now_us
-      || up->pause_until_us > gw->now_us
+      || !gq_may_send (up, st_name_str (&r->service), &demand, gw->now_us)
       || up->own_running + up->peer_running > up->entry.slots / 2)
     return (ut_id){ 0, 0 };
   return id;
--- a/packages/gateway/rc.c
+++ b/packages/gateway/rc.c
@@ -24,9 +24,18 @@
 {
   rc_route *route = item;
   g_free (route->weighted_services);
+  g_free ((gpointer)route->regions.names);
   g_free (route);
 }
 
+static void
+_rc_free_team (gpointer item)
+{
+  rc_team *team = item;
+  g_free ((gpointer)team->regions.names);
+  g_free (team);
+}
+
 /* Makes an empty configuration with one reference.  */
 rc_config *
 rc_make (uint64_t version)
@@ -37,7 +46,7 @@
   c->text = g_string_chunk_new (4096);
   c->routes = g_ptr_array_new_with_free_func (_rc_free_route);
   c->services = g_ptr_array_new_with_free_func (g_free);
-  c->teams = g_ptr_array_new_with_free_func (g_free);
+  c->teams = g_ptr_array_new_with_free_func (_rc_free_team);
   c->keys = g_hash_table_new (g_str_hash, g_str_equal);
   c->limits = _rc_limits;
   return c;
@@ -98,6 +107,16 @@
       = (rc_weighted_service){ rc_copy_text (c, service), weight };
 }
 
+/* Adds REGION to SET, the regions of a route or a team of C.  */
+void
+rc_add_region (rc_config *c, el_regions *set, st_str region)
+{
+  st_str *names = g_renew (st_str, (gpointer)set->names, set->count + 1);
+  names[set->count] = rc_copy_text (c, region);
+  set->names = names;
+  set->count++;
+}
+
 /* Adds a service.  */
 rc_service *
 rc_add_service (rc_config *c, st_str name)
@@ -197,6 +216,27 @@
   return NULL;
 }
 
+/* The route with exactly this HOST and PREFIX, or NULL.  */
+const rc_route *
+rc_find_route (const rc_config *c, st_str host, st_str prefix)
+{
+  for (guint i = 0; i < c->routes->len; i++)
+    {
+      const rc_route *route = c->routes->pdata[i];
+      if (st_equal (route->prefix, prefix)
+          && hp_name_equal (route->host, host))
+        return route;
+    }
+  return NULL;
+}
+
+/* The service with INDEX, from 0; NULL past the last one.  */
+const rc_service *
+rc_query_service (const rc_config *c, uint32_t index)
+{
+  return index < c->services->len ? c->services->pdata[index] : NULL;
+}
+
 /* The service NAME, or NULL.  */
 const rc_service *
 rc_find_service (const rc_config *c, st_str name)
--- a/packages/gateway/rc.h
+++ b/packages/gateway/rc.h
@@ -15,6 +15,7 @@
 #ifndef RC_H
 #define RC_H
 
+#include "el.h"
 #include "er.h"
 #include "st.h"
 
@@ -46,7 +47,8 @@
                          first event */
   uint32_t max_event_gap_ms; /* longest gap between the events of a stream */
   uint32_t tier;
-  uint32_t attempts; /* most upstreams on which one request may run */
+  uint32_t attempts;  /* most upstreams on which one request may run */
+  el_regions regions; /* in which it may be served */
   uint32_t weighted_service_count;
   rc_weighted_service *weighted_services; /* one is chosen by weight */
 } rc_route;
@@ -54,7 +56,10 @@
 typedef struct
 {
   st_str name;
-  bool engine; /* model engine: tokens, prompts, streams */
+  bool engine;       /* model engine: tokens, prompts, streams */
+  double cold_per_s; /* requests a second that a cold upstream bears from all
+                        VMs together; 0: no limit */
+  uint32_t cold_ms;  /* how long an upstream is cold after its start */
 } rc_service;
 
 typedef struct
@@ -66,6 +71,7 @@
   uint32_t default_tokens; /* tokens of a request that states no usage */
   double rate;             /* per second; 0: no limit */
   double burst;
+  el_regions regions; /* in which its requests may be served */
   uint32_t index;
 } rc_team;
 
@@ -92,6 +98,7 @@
   rc_route *rc_add_route (rc_config *c, st_str host, st_str prefix);
   void rc_add_weighted_service (rc_config *c, rc_route *route, st_str service,
                                 uint32_t weight);
+  void rc_add_region (rc_config *c, el_regions *set, st_str region);
   rc_service *rc_add_service (rc_config *c, st_str name);
   rc_team *rc_add_team (rc_config *c, st_str name);
   bool rc_add_key (rc_config *c, rc_team *team, st_str key);
@@ -102,6 +109,9 @@
   const rc_limits *rc_query_limits (const rc_config *c);
   bool rc_has_teams (const rc_config *c);
   const rc_route *rc_match (const rc_config *c, st_str host, st_str path);
+  const rc_route *rc_find_route (const rc_config *c, st_str host,
+                                 st_str prefix);
+  const rc_service *rc_query_service (const rc_config *c, uint32_t index);
   const rc_service *rc_find_service (const rc_config *c, st_str name);
   const rc_team *rc_find_team (const rc_config *c, st_str name);
   const rc_team *rc_query_team (const rc_config *c, uint32_t index);
