Remember the fleet that shares cold upstreams; tests of regions and cold

A VM that is cut off keeps its part of the allowance, takes no new one, and one that starts waits for the last second of the process before it.

--- a/packages/decide/el.c
+++ b/packages/decide/el.c
@@ -5,6 +5,43 @@
    on their way.  */
 #define _EL_INTERVAL_US 1050000
 
+static el_vm *
+_el_find_vm (el_fleet *fleet, uint64_t vm)
+{
+  for (uint32_t i = 0; i < fleet->count; i++)
+    if (fleet->vms[i].vm == vm)
+      return &fleet->vms[i];
+  return NULL;
+}
+
+/* Adopts a new view: this VM is ACTIVE or not, and so are the COUNT OTHERS.
+   Without a majority of those that it knows, neither it nor VMs that are new
+   to it get a part.  */
+void
+el_update_fleet (el_fleet *fleet, bool active, const uint64_t *others,
+                 uint32_t count, uint64_t now_us)
+{
+  uint32_t known = fleet->count;
+  uint32_t present = 0;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      el_vm *vm = _el_find_vm (fleet, others[i]);
+      if (vm == NULL)
+        continue;
+      vm->active_us = now_us;
+      present++;
+    }
+  bool majority = known == 0 || 2 * present > known;
+  if (majority || !active)
+    fleet->has_part = active;
+  for (uint32_t i = 0; majority && i < count; i++)
+    if (fleet->count < EL_VMS_MAX && _el_find_vm (fleet, others[i]) == NULL)
+      fleet->vms[fleet->count++] = (el_vm){ others[i], now_us };
+  for (uint32_t i = fleet->count; majority && i > 0; i--)
+    if (now_us - fleet->vms[i - 1].active_us > EL_VM_MEMORY_US)
+      fleet->vms[i - 1] = fleet->vms[--fleet->count];
+}
+
 /* True when SET, which may be NULL, has REGION.  */
 bool
 el_allows_region (const el_regions *set, st_str region)
@@ -40,23 +77,27 @@
 }
 
 /* Requests that the VM SELF may send in an interval to UPSTREAM, which bears
-   PER_S a second.  Each of them is assigned to one of SELF and the COUNT
-   OTHERS by rendezvous hashing, so VMs that know the same others never send
-   more than PER_S together.  */
+   PER_S a second.  Each of them is assigned to one VM of SELF and FLEET by
+   rendezvous hashing, so VMs that know the same fleet never send more than
+   PER_S together.  */
 uint32_t
-el_share (uint64_t self, const uint64_t *others, uint32_t count,
-          uint64_t upstream, double per_s)
+el_share (const el_fleet *fleet, uint64_t self, uint64_t upstream,
+          double per_s)
 {
   uint32_t requests = per_s < 1 ? 1 : (uint32_t)per_s;
   uint32_t share = 0;
+  if (!fleet->has_part)
+    return 0;
   for (uint32_t request = 0; request < requests && share < EL_SENDS_MAX;
        request++)
     {
       uint64_t own = _el_order (self, upstream, request);
       uint32_t i = 0;
-      while (i < count && _el_order (others[i], upstream, request) <= own)
+      while (i < fleet->count
+             && (fleet->vms[i].vm == self
+                 || _el_order (fleet->vms[i].vm, upstream, request) <= own))
         i++;
-      share += i == count;
+      share += i == fleet->count;
     }
   return share;
 }
@@ -76,13 +117,21 @@
                          : _EL_INTERVAL_US;
 }
 
+/* Earliest time at which a process that has started at STARTED_US may send to
+   a cold upstream: the one before it has the allowance of its last second.  */
+uint64_t
+el_first_send_us (uint64_t started_us)
+{
+  return started_us + _EL_INTERVAL_US;
+}
+
 /* True when this VM may send one request more to the upstream of COLD.  */
 bool
 el_cold_allows (const el_cold *cold, uint64_t now_us)
 {
   if (!el_is_cold (cold, now_us))
     return true;
-  if (cold->share == 0)
+  if (cold->share == 0 || now_us < cold->from_us)
     return false;
   if (cold->sent_count < cold->share)
     return true;
--- a/packages/decide/el.h
+++ b/packages/decide/el.h
@@ -17,11 +17,17 @@
    than some requests a second from all VMs together.  Each of these requests
    is assigned to one VM, so no message is needed for it:
 
-     cold.share = el_share (own, others, count, upstream, 9.8);
      if (el_cold_allows (&cold, now_us)) { send; el_on_sent (&cold, now_us); }
 
-   A VM that is cut off, frozen or killed keeps what is assigned to it, as long
-   as the caller lists it among the others.  The load pattern it answers is a
+   A VM that is cut off, frozen or killed keeps what is assigned to it: the
+   fleet remembers the VMs that were active.  A VM that sees no majority of
+   them may itself be the one that is cut off; it forgets none, and takes no
+   part that it did not have before.
+
+     el_update_fleet (&fleet, active, others, count, now_us);
+     cold.share = el_share (&fleet, own, upstream, 9.8);
+
+   The load pattern it answers is a
    data centre whose upstreams come back at once, empty, while requests wait at
    all VMs.  */
 #ifndef EL_H
@@ -32,6 +38,11 @@
 /* Most requests that one VM sends to a cold upstream in an interval.  */
 #define EL_SENDS_MAX 32
 
+/* Most VMs that share the allowance of a cold upstream.  */
+#define EL_VMS_MAX 256
+/* A VM that was active keeps its part for this long.  */
+#define EL_VM_MEMORY_US 20000000
+
 /* A set of regions; one without names has all.  */
 typedef struct
 {
@@ -46,19 +57,37 @@
   uint32_t share;      /* of this VM, in an interval */
   uint64_t until_us;   /* as the upstream states */
   uint64_t held_us;    /* cold until then, whatever it states */
+  uint64_t from_us;    /* the process before may have sent until then */
   uint32_t sent_count; /* so far */
   uint64_t sent_us[EL_SENDS_MAX]; /* the newest sends */
 } el_cold;
 
+typedef struct
+{
+  uint64_t vm;        /* hash of its name */
+  uint64_t active_us; /* last seen as active */
+} el_vm;
+
+/* The other VMs that share the allowance of cold upstreams.  */
+typedef struct
+{
+  el_vm vms[EL_VMS_MAX];
+  uint32_t count;
+  bool has_part; /* this VM has one */
+} el_fleet;
+
 #ifdef __cplusplus
 extern "C"
 {
 #endif
 
+  void el_update_fleet (el_fleet *fleet, bool active, const uint64_t *others,
+                        uint32_t count, uint64_t now_us);
   bool el_allows_region (const el_regions *set, st_str region);
   bool el_is_disjoint (const el_regions *a, const el_regions *b);
-  uint32_t el_share (uint64_t self, const uint64_t *others, uint32_t count,
-                     uint64_t upstream, double per_s);
+  uint32_t el_share (const el_fleet *fleet, uint64_t self, uint64_t upstream,
+                     double per_s);
+  uint64_t el_first_send_us (uint64_t started_us);
   bool el_is_cold (const el_cold *cold, uint64_t now_us);
   bool el_cold_allows (const el_cold *cold, uint64_t now_us);
   void el_on_sent (el_cold *cold, uint64_t now_us);
--- /dev/null
+++ b/packages/decide/tests/el_test.cc
@@ -0,0 +1,184 @@
+// el_test.cc -- home regions and the allowance of cold upstreams, on a paused
+// clock.
+#include "el.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <random>
+#include <vector>
+
+namespace
+{
+const uint64_t ms = 1000;
+const uint64_t second = 1000 * ms;
+// The platform's bound on a cold upstream in any second.
+const double per_s = 9.8, over = 1.5, slack = 5;
+
+// Guards against a route whose regions bind and a team whose regions do not,
+// or the other way round.
+TEST (El, RegionsOfRouteAndTeam)
+{
+  const st_str west = ST_LIT ("west"), east = ST_LIT ("east");
+  const st_str both[] = { west, east };
+  el_regions only_west = { &west, 1 }, only_east = { &east, 1 };
+  el_regions all = { nullptr, 0 }, two = { both, 2 };
+  EXPECT_TRUE (el_allows_region (nullptr, west));
+  EXPECT_TRUE (el_allows_region (&all, east));
+  EXPECT_TRUE (el_allows_region (&only_west, west));
+  EXPECT_FALSE (el_allows_region (&only_west, east));
+  EXPECT_FALSE (el_allows_region (&only_west, ST_LIT ("")));
+  EXPECT_TRUE (el_is_disjoint (&only_west, &only_east));
+  EXPECT_FALSE (el_is_disjoint (&only_west, &two));
+  EXPECT_FALSE (el_is_disjoint (&only_west, &all));
+  EXPECT_FALSE (el_is_disjoint (&only_west, nullptr));
+}
+
+// Guards against an upstream that stays limited after its cold start, and one
+// whose word is overtaken by an order.
+TEST (El, OnlyColdUpstreamsAreLimited)
+{
+  el_cold cold = {};
+  cold.per_s = per_s;
+  cold.until_us = 3 * second;
+  EXPECT_FALSE (el_cold_allows (&cold, second)); // no share
+  EXPECT_TRUE (el_cold_allows (&cold, 3 * second));
+  cold.held_us = 5 * second;
+  EXPECT_FALSE (el_cold_allows (&cold, 4 * second));
+  cold.per_s = 0;
+  EXPECT_TRUE (el_cold_allows (&cold, second));
+}
+
+// Guards against a share that can be used twice within a second.
+TEST (El, AShareIsUsedOnceInAnInterval)
+{
+  el_cold cold = {};
+  cold.per_s = per_s;
+  cold.until_us = UINT64_MAX;
+  cold.share = 3;
+  std::vector<uint64_t> sent;
+  for (uint64_t now = second; now < 60 * second; now += 7 * ms)
+    if (el_cold_allows (&cold, now))
+      {
+        el_on_sent (&cold, now);
+        sent.push_back (now);
+      }
+  EXPECT_GT (sent.size (), 150u);
+  for (size_t i = 3; i < sent.size (); i++)
+    EXPECT_GT (sent[i] - sent[i - 3], second);
+}
+
+// VMs that all send to one cold upstream whenever they may, while the network
+// between them is cut and processes restart.
+class Cold
+{
+public:
+  Cold (uint32_t vms, uint32_t active, uint64_t seed)
+      : random_ (seed), active_ (active), vms_ (vms)
+  {
+    for (Vm &vm : vms_)
+      {
+        vm.cold.per_s = per_s;
+        vm.cold.until_us = UINT64_MAX;
+      }
+  }
+  // Returns the most requests in any second.  PARTS: sides of the partition;
+  // as many as VMs: each VM is alone.
+  size_t
+  run (uint32_t parts)
+  {
+    std::vector<uint64_t> sent;
+    for (uint64_t now = second; now < 50 * second; now += 10 * ms)
+      {
+        if (now % (400 * ms) == 0)
+          view (now, now > 10 * second && now < 35 * second ? parts : 1);
+        if (now % (100 * ms) == 0)
+          restart_one (now);
+        for (Vm &vm : vms_)
+          if (el_cold_allows (&vm.cold, now))
+            {
+              el_on_sent (&vm.cold, now);
+              sent.push_back (now);
+            }
+      }
+    size_t most = 0, from = 0;
+    for (size_t i = 0; i < sent.size (); i++)
+      {
+        while (sent[i] - sent[from] >= second)
+          from++;
+        most = std::max (most, i - from + 1);
+      }
+    total = sent.size ();
+    return most;
+  }
+  size_t total = 0;
+
+private:
+  struct Vm
+  {
+    el_fleet fleet = {};
+    el_cold cold = {};
+    uint64_t started_us = 0;
+    bool fresh = true;
+  };
+  std::mt19937_64 random_;
+  uint32_t active_;
+  std::vector<Vm> vms_;
+
+  // Each VM sees those of its side; the first ones of a side are active.  A
+  // process that has just started sees the list of the store.
+  void
+  view (uint64_t now, uint32_t parts)
+  {
+    for (uint32_t i = 0; i < vms_.size (); i++)
+      {
+        std::vector<uint64_t> others;
+        uint32_t active = 0;
+        bool self = false;
+        uint32_t sides = vms_[i].fresh ? 1 : parts;
+        for (uint32_t j = 0; j < vms_.size () && active < active_; j++)
+          if (j % sides == i % sides)
+            {
+              active++;
+              if (j == i)
+                self = true;
+              else
+                others.push_back (1000 + j);
+            }
+        Vm &vm = vms_[i];
+        vm.fresh = false;
+        el_update_fleet (&vm.fleet, self, others.data (),
+                         (uint32_t)others.size (), now);
+        vm.cold.share = el_share (&vm.fleet, 1000 + i, 77, per_s);
+      }
+  }
+  void
+  restart_one (uint64_t now)
+  {
+    Vm &vm = vms_[random_ () % vms_.size ()];
+    if (random_ () % 20 != 0)
+      return;
+    el_cold cold = vm.cold;
+    vm = {};
+    vm.cold.per_s = cold.per_s;
+    vm.cold.until_us = cold.until_us;
+    vm.cold.from_us = el_first_send_us (now);
+    // Without a view it has no configuration and sends nothing.
+  }
+};
+
+// Guards against a cold upstream that gets more than it bears from all VMs
+// together, while these are cut off from each other and restart.
+TEST (El, AllVmsTogetherKeepTheBoundOfAColdUpstream)
+{
+  for (uint32_t vms : { 2u, 6u, 60u, 195u })
+    for (uint64_t seed = 1; seed <= 5; seed++)
+      for (uint32_t parts : { 1u, 2u, 3u, vms })
+        {
+          Cold cold (vms, std::min (vms, 12u), seed);
+          EXPECT_LE (cold.run (parts), per_s * over + slack)
+              << vms << " VMs in " << parts << " parts, seed " << seed;
+          // It is not starved either.
+          EXPECT_GT (cold.total, 100u) << vms << " VMs in " << parts;
+        }
+}
+} // namespace
--- a/packages/decide/tests/gq_test.cc
+++ b/packages/decide/tests/gq_test.cc
@@ -70,6 +70,65 @@
   EXPECT_LT (gq_rank (true, 9, 9), (uint32_t)GQ_RANKS);
 }
 
+// Guards against a request that leaves its home regions when they are full,
+// and against one that goes to a data centre that is evacuated.
+TEST (Gq, FullHomeRegionsAndEvacuationsAreKept)
+{
+  Fleet fleet;
+  const st_str west = ST_LIT ("west"), east = ST_LIT ("east");
+  el_regions home = { &west, 1 };
+  el_regions other = { &east, 1 };
+  ut_id a = fleet.add ("a");
+  fleet.add ("b", "east-a", "east");
+  gq_demand d = demand (2);
+  d.regions[0] = &home;
+  EXPECT_EQ (fleet.choose (d), "a");
+  d.regions[1] = &other;
+  EXPECT_EQ (fleet.choose (d), "");
+  d.regions[1] = nullptr;
+  fleet.fill (a, 4);
+  EXPECT_EQ (fleet.choose (d), "");
+  d.regions[0] = nullptr;
+  EXPECT_EQ (fleet.choose (d), "b");
+  EXPECT_TRUE (ut_set_evacuated (fleet.t, ST_LIT ("east-a"), true, second));
+  EXPECT_EQ (fleet.choose (d), "");
+  fleet.add ("c", "east-a", "east");
+  EXPECT_EQ (fleet.choose (d), "");
+  EXPECT_TRUE (ut_set_evacuated (fleet.t, ST_LIT ("east-a"), false, second));
+  EXPECT_NE (fleet.choose (d), "");
+}
+
+// Guards against a cold upstream that gets requests as fast as it has slots,
+// when it says so itself or when its data centre is taken back.
+TEST (Gq, AColdUpstreamGetsNoMoreThanItBears)
+{
+  for (bool evacuated : { false, true })
+    {
+      Fleet fleet;
+      ut_id a = fleet.add ("a", "west-a", "west", 100);
+      ut_set_cold_limit (fleet.t, ST_LIT ("llm"), 3, 5 * second);
+      if (evacuated)
+        {
+          ut_set_evacuated (fleet.t, ST_LIT ("west-a"), true, 0);
+          ut_set_evacuated (fleet.t, ST_LIT ("west-a"), false, 0);
+        }
+      else
+        {
+          ut_entry e = ut_query (fleet.t, a)->entry;
+          e.cold_ms = 5000;
+          ut_put (fleet.t, &e, 0);
+        }
+      uint32_t sent = 0;
+      while (fleet.choose (demand (2)) == "a" && sent < 50)
+        {
+          ut_on_sent (fleet.t, a, 0);
+          ut_use_cold_allowance (fleet.t, a, second);
+          sent++;
+        }
+      EXPECT_EQ (sent, 3u);
+    }
+}
+
 // Guards against all requests of a team sharing one rank: drafts were refused
 // while chats ran.
 TEST (Gq, RoutesOfOneTeamKeepTheirOrder)
--- a/packages/decide/ut.c
+++ b/packages/decide/ut.c
@@ -59,9 +59,8 @@
   uint32_t evacuated_count;
   _ut_cold_limit cold_limits[UT_COLD_SERVICES_MAX];
   uint32_t cold_limit_count;
-  uint64_t cold_vms[UT_COLD_VMS_MAX]; /* the others */
-  uint32_t cold_vm_count;
-  bool not_cold_vm; /* this VM has no part of the allowance */
+  el_fleet fleet; /* that shares the allowance of cold upstreams */
+  uint64_t first_put_us;
   _ut_slot *slots;
   uint64_t key;    /* of this VM */
   uint32_t used;   /* slots ever used */
@@ -79,6 +78,7 @@
   if (t == NULL)
     return NULL;
   t->desc = *desc;
+  t->fleet.has_part = true; /* until it is told of others */
   if (t->desc.report_max_age_us == 0)
     t->desc.report_max_age_us = _UT_REPORT_MAX_AGE_US;
   t->slots = al_alloc (&desc->allocator, UT_UPSTREAMS_MAX * sizeof *t->slots);
@@ -250,10 +250,9 @@
       = _ut_find_cold_limit (t, st_name_str (&up->entry.service));
   up->cold.per_s = limit != NULL ? limit->per_s : 0;
   up->cold.share = 0;
-  if (up->cold.per_s > 0 && !t->not_cold_vm)
-    up->cold.share
-        = el_share (ut_hash (st_name_str (&t->desc.vm)), t->cold_vms,
-                    t->cold_vm_count, up->hash, up->cold.per_s);
+  if (up->cold.per_s > 0)
+    up->cold.share = el_share (&t->fleet, ut_hash (st_name_str (&t->desc.vm)),
+                               up->hash, up->cold.per_s);
 }
 
 /* Adopts what the entry of UP, the newest, states of its cold start.  */
@@ -304,6 +303,10 @@
   slot->up.evacuated = _ut_is_evacuated (t, st_name_str (&entry->data_center));
   _ut_read_cold (&slot->up, now_us);
   _ut_update_cold (t, &slot->up);
+  if (t->first_put_us == 0)
+    t->first_put_us = now_us;
+  if (t->first_put_us != 0)
+    slot->up.cold.from_us = el_first_send_us (t->first_put_us);
   _ut_sum_reports (t, &slot->up);
   _ut_reindex (t);
   return (ut_id){ index, slot->generation };
@@ -623,15 +626,14 @@
   _ut_update_all_cold (t);
 }
 
-/* Sets the VMs that share the allowance of a cold upstream: this one where
-   SELF, and the COUNT OTHERS, hashes of their names.  */
+/* Sets the VMs that share the allowance of cold upstreams, as far as this VM
+   sees them: itself where ACTIVE, and the COUNT OTHERS, hashes of their
+   names.  */
 void
-ut_set_cold_vms (ut_table *t, bool self, const uint64_t *others,
-                 uint32_t count)
+ut_set_cold_vms (ut_table *t, bool active, const uint64_t *others,
+                 uint32_t count, uint64_t now_us)
 {
-  t->cold_vm_count = count < UT_COLD_VMS_MAX ? count : UT_COLD_VMS_MAX;
-  memcpy (t->cold_vms, others, t->cold_vm_count * sizeof *others);
-  t->not_cold_vm = !self;
+  el_update_fleet (&t->fleet, active, others, count, now_us);
   _ut_update_all_cold (t);
 }
 
--- a/packages/decide/ut.h
+++ b/packages/decide/ut.h
@@ -25,7 +25,7 @@
 
      ut_set_evacuated (t, dc, true, now_us);
      ut_set_cold_limit (t, service, 9.8, 3000000);
-     ut_set_cold_vms (t, true, others, count);     // who shares it
+     ut_set_cold_vms (t, true, others, count, now_us);     // who shares it
      ut_use_cold_allowance (t, id, now_us);        // with each send
 
    All VMs see a freed slot at about the same time.  Those with waiting
@@ -73,8 +73,6 @@
    for cold upstreams.  */
 #define UT_EVACUATED_MAX 64
 #define UT_COLD_SERVICES_MAX 64
-/* Most VMs that share the allowance of a cold upstream.  */
-#define UT_COLD_VMS_MAX 256
 
 /* Upstreams that left the table after they had said that they leave, and that
    are remembered.  */
@@ -183,8 +181,8 @@
                          uint64_t now_us);
   void ut_set_cold_limit (ut_table *t, st_str service, double per_s,
                           uint64_t cold_us);
-  void ut_set_cold_vms (ut_table *t, bool self, const uint64_t *others,
-                        uint32_t count);
+  void ut_set_cold_vms (ut_table *t, bool active, const uint64_t *others,
+                        uint32_t count, uint64_t now_us);
   void ut_use_cold_allowance (ut_table *t, ut_id id, uint64_t now_us);
   void ut_set_key (ut_table *t, uint64_t key);
   void ut_set_peer (ut_table *t, uint64_t peer, const ut_report *report,
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -234,7 +234,6 @@
   GPtrArray *services;       /* of _gw_service */
   GPtrArray *teams;          /* of _gw_team */
   GArray *regions;           /* that routes and teams name, of st_name */
-  GArray *cold_vms;          /* that share the allowance of cold upstreams */
   GHashTable *route_callers; /* hash of a route's name -> pt_route */
   GPtrArray *conns;
   _gw_request *requests; /* pool */
@@ -343,7 +342,6 @@
 void _gw_on_unsent_empty (_gw_request *r);
 
 /* Regions and cold upstreams: gw_regions.c.  */
-void _gw_make_regions (gw_task *gw);
 void _gw_bind_regions (_gw_request *r, rc_config *config);
 void _gw_bind_all_regions (gw_task *gw);
 bool _gw_refuse_without_region (_gw_request *r);
--- a/packages/gateway/gw_regions.c
+++ b/packages/gateway/gw_regions.c
@@ -2,17 +2,6 @@
    of cold upstreams.  The rules are those of el.h.  */
 #include "gw_internal.h"
 
-/* A VM that was active keeps its part of the allowance of cold upstreams for
-   this long, since it may send from behind a partition.  */
-#define _GW_COLD_VM_US 20000000
-
-typedef struct
-{
-  uint64_t name; /* hash */
-  uint64_t active_us;
-  bool present; /* active in the newest view of the members */
-} _gw_cold_vm;
-
 /* Bit of the region NAME in masks.  Regions beyond the last bit share it, so
    that requests for them wait for each other.  */
 static uint64_t
@@ -100,61 +89,17 @@
                        service->cold_ms * CK_MS_US);
 }
 
-static void
-_gw_note_cold_vm (gw_task *gw, uint64_t name)
-{
-  for (guint i = 0; i < gw->cold_vms->len; i++)
-    {
-      _gw_cold_vm *vm = &g_array_index (gw->cold_vms, _gw_cold_vm, i);
-      if (vm->name != name)
-        continue;
-      vm->active_us = gw->now_us;
-      vm->present = true;
-      return;
-    }
-  _gw_cold_vm vm = { name, gw->now_us, true };
-  if (gw->cold_vms->len < UT_COLD_VMS_MAX)
-    g_array_append_val (gw->cold_vms, vm);
-}
-
-/* Drops the VMs that have not been active for long.  A VM that sees less than
-   half of them may itself be cut off, and drops none.  */
-static void
-_gw_expire_cold_vms (gw_task *gw)
-{
-  guint present = 0;
-  for (guint i = 0; i < gw->cold_vms->len; i++)
-    present += g_array_index (gw->cold_vms, _gw_cold_vm, i).present;
-  if (2 * present <= gw->cold_vms->len)
-    return;
-  for (guint i = gw->cold_vms->len; i > 0; i--)
-    if (gw->now_us - g_array_index (gw->cold_vms, _gw_cold_vm, i - 1).active_us
-        > _GW_COLD_VM_US)
-      g_array_remove_index_fast (gw->cold_vms, i - 1);
-}
-
 /* Divides the allowance of cold upstreams among the active VMs: this one where
    SELF, and the COUNT others whose names are VMS.  */
 void
 _gw_divide_cold (gw_task *gw, bool self, const st_str *vms, uint32_t count)
 {
-  uint64_t others[UT_COLD_VMS_MAX];
-  for (guint i = 0; i < gw->cold_vms->len; i++)
-    g_array_index (gw->cold_vms, _gw_cold_vm, i).present = false;
+  uint64_t others[EL_VMS_MAX];
+  if (count > EL_VMS_MAX)
+    count = EL_VMS_MAX;
   for (uint32_t i = 0; i < count; i++)
-    _gw_note_cold_vm (gw, ut_hash (vms[i]));
-  _gw_expire_cold_vms (gw);
-  for (guint i = 0; i < gw->cold_vms->len; i++)
-    others[i] = g_array_index (gw->cold_vms, _gw_cold_vm, i).name;
-  ut_set_cold_vms (gw->upstreams, self, others, gw->cold_vms->len);
-}
-
-/* Makes the lists that the functions above use.  */
-void
-_gw_make_regions (gw_task *gw)
-{
-  gw->regions = g_array_new (FALSE, TRUE, sizeof (st_name));
-  gw->cold_vms = g_array_new (FALSE, TRUE, sizeof (_gw_cold_vm));
+    others[i] = ut_hash (vms[i]);
+  ut_set_cold_vms (gw->upstreams, self, others, count, gw->now_us);
 }
 
 /* Starts or ends the evacuation of DATA_CENTER, whose upstreams get nothing
