Divide the quotas between the sides of a partition by the remembered fleet

Change: the fleet that shares cold upstreams also says which part is silent; reports of an incarnation count from its start; a VM that hears nobody keeps its role and names the VMs of the store's list.

--- a/packages/decide/el.c
+++ b/packages/decide/el.c
@@ -32,16 +32,54 @@
       present++;
     }
   bool majority = known == 0 || 2 * present > known;
+  fleet->view_us = now_us;
   if (majority || !active)
-    fleet->has_part = active;
+    {
+      if (active && !fleet->has_part)
+        fleet->since_us = now_us;
+      fleet->has_part = active;
+    }
   for (uint32_t i = 0; majority && i < count; i++)
     if (fleet->count < EL_VMS_MAX && _el_find_vm (fleet, others[i]) == NULL)
-      fleet->vms[fleet->count++] = (el_vm){ others[i], now_us };
-  for (uint32_t i = fleet->count; majority && i > 0; i--)
-    if (now_us - fleet->vms[i - 1].active_us > EL_VM_MEMORY_US)
+      fleet->vms[fleet->count++] = (el_vm){ others[i], now_us, now_us };
+  uint64_t memory_us = majority ? EL_VM_MEMORY_US : EL_VM_MEMORY_MAX_US;
+  for (uint32_t i = fleet->count; i > 0; i--)
+    if (now_us - fleet->vms[i - 1].active_us > memory_us)
       fleet->vms[i - 1] = fleet->vms[--fleet->count];
 }
 
+/* Removes VM, which has left or is no longer active.  */
+void
+el_forget_vm (el_fleet *fleet, uint64_t vm)
+{
+  el_vm *found = _el_find_vm (fleet, vm);
+  if (found != NULL)
+    *found = fleet->vms[--fleet->count];
+}
+
+/* Part of the VMs that this one does not hear, of those that were active when
+   the first of them became silent: VMs that have become active since then
+   share the part of their side.  From 0 to 1.  */
+double
+el_silent_part (const el_fleet *fleet)
+{
+  uint64_t cut_us = UINT64_MAX;
+  uint32_t silent = 0;
+  uint32_t known = 0;
+  for (uint32_t i = 0; i < fleet->count; i++)
+    if (fleet->vms[i].active_us < fleet->view_us
+        && fleet->vms[i].active_us < cut_us)
+      cut_us = fleet->vms[i].active_us;
+  for (uint32_t i = 0; i < fleet->count; i++)
+    {
+      known += fleet->vms[i].first_us <= cut_us;
+      silent += fleet->vms[i].first_us <= cut_us
+                && fleet->vms[i].active_us < fleet->view_us;
+    }
+  known += fleet->has_part && fleet->since_us <= cut_us;
+  return known > 0 ? (double)silent / known : 0;
+}
+
 /* True when SET, which may be NULL, has REGION.  */
 bool
 el_allows_region (const el_regions *set, st_str region)
--- a/packages/decide/el.h
+++ b/packages/decide/el.h
@@ -22,7 +22,10 @@
    A VM that is cut off, frozen or killed keeps what is assigned to it: the
    fleet remembers the VMs that were active.  A VM that sees no majority of
    them may itself be the one that is cut off; it forgets none, and takes no
-   part that it did not have before.
+   part that it did not have before.  The quotas of teams are divided between
+   the sides of a partition by the same memory:
+
+     el_silent_part (&fleet)   part of the VMs that this side does not hear
 
      el_update_fleet (&fleet, active, others, count, now_us);
      cold.share = el_share (&fleet, own, upstream, 9.8);
@@ -40,8 +43,10 @@
 
 /* Most VMs that share the allowance of a cold upstream.  */
 #define EL_VMS_MAX 256
-/* A VM that was active keeps its part for this long.  */
+/* A VM that was active keeps its part for this long, and where those that are
+   missing are not the minority, for the second time.  */
 #define EL_VM_MEMORY_US 20000000
+#define EL_VM_MEMORY_MAX_US 60000000
 
 /* A set of regions; one without names has all.  */
 typedef struct
@@ -65,6 +70,7 @@
 typedef struct
 {
   uint64_t vm;        /* hash of its name */
+  uint64_t first_us;  /* first seen as active */
   uint64_t active_us; /* last seen as active */
 } el_vm;
 
@@ -73,7 +79,9 @@
 {
   el_vm vms[EL_VMS_MAX];
   uint32_t count;
-  bool has_part; /* this VM has one */
+  uint64_t view_us;  /* time of the newest view */
+  uint64_t since_us; /* this VM has had a part since then */
+  bool has_part;     /* this VM has one */
 } el_fleet;
 
 #ifdef __cplusplus
@@ -83,6 +91,8 @@
 
   void el_update_fleet (el_fleet *fleet, bool active, const uint64_t *others,
                         uint32_t count, uint64_t now_us);
+  void el_forget_vm (el_fleet *fleet, uint64_t vm);
+  double el_silent_part (const el_fleet *fleet);
   bool el_allows_region (const el_regions *set, st_str region);
   bool el_is_disjoint (const el_regions *a, const el_regions *b);
   uint32_t el_share (const el_fleet *fleet, uint64_t self, uint64_t upstream,
--- a/packages/decide/ut.c
+++ b/packages/decide/ut.c
@@ -637,6 +637,21 @@
   _ut_update_all_cold (t);
 }
 
+/* Removes VM, the hash of a name, from those that share the allowance: it has
+   left or is on standby.  */
+void
+ut_forget_cold_vm (ut_table *t, uint64_t vm)
+{
+  el_forget_vm (&t->fleet, vm);
+}
+
+/* Part of these VMs that this one does not hear; see el_silent_part.  */
+double
+ut_query_silent_part (const ut_table *t)
+{
+  return el_silent_part (&t->fleet);
+}
+
 /* Counts a request that is sent to ID, for the time when it may be cold.  */
 void
 ut_use_cold_allowance (ut_table *t, ut_id id, uint64_t now_us)
--- a/packages/decide/ut.h
+++ b/packages/decide/ut.h
@@ -183,6 +183,8 @@
                           uint64_t cold_us);
   void ut_set_cold_vms (ut_table *t, bool active, const uint64_t *others,
                         uint32_t count, uint64_t now_us);
+  void ut_forget_cold_vm (ut_table *t, uint64_t vm);
+  double ut_query_silent_part (const ut_table *t);
   void ut_use_cold_allowance (ut_table *t, ut_id id, uint64_t now_us);
   void ut_set_key (ut_table *t, uint64_t key);
   void ut_set_peer (ut_table *t, uint64_t peer, const ut_report *report,
--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -143,6 +143,7 @@
   gw->body_waiting = g_ptr_array_new ();
   _gw_start_bodies (gw);
   gw->regions = g_array_new (FALSE, TRUE, sizeof (st_name));
+  gw->active_vms = g_array_new (FALSE, TRUE, sizeof (_gw_active_vm));
   _gw_make_group (&gw->group);
   gw->listed = g_array_new (FALSE, TRUE, sizeof (_gw_listed_vm));
   gw->silent = _gw_make_silent ();
@@ -210,6 +211,7 @@
   g_hash_table_destroy (gw->seen_peers);
   g_array_free (gw->listed, TRUE);
   g_array_free (gw->regions, TRUE);
+  g_array_free (gw->active_vms, TRUE);
   g_array_free (gw->silent, TRUE);
   qa_destroy (gw->quota_ledger);
   qn_destroy (gw->quarantine);
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -158,6 +158,7 @@
   st_name name; /* empty until a configuration has it */
   uint64_t hash;
   bu_quota quota;
+  uint64_t reported_from;  /* admitted before it joined as it is now */
   uint64_t sums[_GW_SUMS]; /* admitted since this VM's start */
 } _gw_team;
 
@@ -190,6 +191,13 @@
   uint32_t capacity;
 } _gw_listed_vm;
 
+typedef struct
+{
+  uint64_t name; /* hash */
+  uint64_t key;  /* hash of the incarnation; 0: known from the list only */
+  bool direct;   /* it reports to this VM directly */
+} _gw_active_vm;
+
 /* The VM group of this VM and the recipients of its reports, rebuilt from the
    members at intervals; see pc.h.  The VMs of a group forward configurations
    to each other.  Where the active VMs are at most PC_ONE_GROUP_MAX, they
@@ -229,7 +237,12 @@
   bool quotas_started;       /* with their part of a bucket */
   uint32_t started_together; /* VMs that started with this one and reported */
   GArray *listed;            /* VM list of the registry, of _gw_listed_vm */
-  GArray *silent; /* VMs that have stopped reporting, see gw_silent.c */
+  GArray *silent;       /* VMs that have stopped reporting, see gw_silent.c */
+  uint64_t heard_us;    /* last report of any VM; 0: none yet */
+  GArray *active_vms;   /* the others that are active, of _gw_active_vm */
+  double silent_part;   /* of the quotas, left to VMs that are not heard */
+  uint64_t active_us;   /* this VM has been active since then */
+  uint64_t rejoined_us; /* as another incarnation; 0: never */
   _gw_group group;
   GPtrArray *services;       /* of _gw_service */
   GPtrArray *teams;          /* of _gw_team */
@@ -346,8 +359,6 @@
 void _gw_bind_all_regions (gw_task *gw);
 bool _gw_refuse_without_region (_gw_request *r);
 void _gw_set_cold_limits (gw_task *gw);
-void _gw_divide_cold (gw_task *gw, bool self, const st_str *vms,
-                      uint32_t count);
 
 /* Rollouts: gw_rollout.c.  */
 void _gw_choose_versions (_gw_request *r);
@@ -386,6 +397,9 @@
 void _gw_on_silent_returned (gw_task *gw, uint64_t key);
 void _gw_on_silent_ended (gw_task *gw, st_str name);
 void _gw_expire_silent (gw_task *gw);
+bool _gw_is_isolated (const gw_task *gw);
+void _gw_update_silent_part (gw_task *gw, bool returned);
+void _gw_update_fleet (gw_task *gw);
 
 /* The other VMs: gw_peers.c.  */
 bool _gw_shares_quotas (const gw_task *gw, const _gw_peer *p);
--- a/packages/gateway/gw_load.c
+++ b/packages/gateway/gw_load.c
@@ -126,21 +126,44 @@
     if (fleet->roles[i].active && fleet->roles[i].vm_group == gw->group.id)
       vms[others++] = fleet->members[i].name;
   ut_assign (gw->upstreams, vms, others, gw->group.remote_loads_delayed);
-  /* Those of all groups share what cold upstreams may get.  */
-  others = 0;
-  for (uint32_t i = 1; i < fleet->count; i++)
-    if (fleet->roles[i].active)
-      vms[others++] = fleet->members[i].name;
-  _gw_divide_cold (gw, fleet->roles[0].active, vms, others);
   g_free (vms);
 }
 
+/* Remembers which VMs are active, of all groups.  One that is on standby again
+   shares nothing, although it is no longer heard.  */
+static void
+_gw_list_active (gw_task *gw, const _gw_fleet *fleet)
+{
+  g_array_set_size (gw->active_vms, 0);
+  for (uint32_t i = 1; i < fleet->count; i++)
+    {
+      st_str incarnation = fleet->records[i].incarnation;
+      _gw_active_vm vm
+          = { .name = ut_hash (fleet->members[i].name),
+              .key = incarnation.len > 0 ? ut_hash (incarnation) : 0,
+              .direct = fleet->roles[i].vm_group == gw->group.id
+                        || (gw->group.active && gw->group.active_group) };
+      if (fleet->roles[i].active)
+        g_array_append_val (gw->active_vms, vm);
+      else
+        ut_forget_cold_vm (gw->upstreams, vm.name);
+    }
+  _gw_update_fleet (gw);
+}
+
 /* Rebuilds the group and the lists of recipients from the members.  */
 void
 _gw_build_group (gw_task *gw)
 {
   static _gw_fleet fleet;
   _gw_group *group = &gw->group;
+  /* A VM that is cut off takes no further role: all that are would become
+     active, each with its own view of the load and the quotas.  */
+  if (_gw_is_isolated (gw) && gw->listed->len > 1)
+    {
+      group->built_us = gw->now_us;
+      return;
+    }
   _gw_clear_group (group);
   _gw_read_fleet (gw, &fleet);
   bool was_active = group->active;
@@ -158,7 +181,10 @@
   for (uint32_t i = 1; i < fleet.count; i++)
     if (fleet.records[i].incarnation.len > 0)
       _gw_add_recipient (gw, &fleet, i);
+  if (group->active && !was_active)
+    gw->active_us = gw->now_us;
   _gw_assign_slots (gw, &fleet);
+  _gw_list_active (gw, &fleet);
   group->built_us = gw->now_us;
   if (group->active != was_active)
     LO_EVENT ("takes_callers", ST_LIT (""), LO_BOOL ("active", group->active),
@@ -200,8 +226,9 @@
   for (guint i = 0; i < gw->teams->len && count < _GW_TEAMS_MAX; i++)
     {
       const _gw_team *team = gw->teams->pdata[i];
-      if (team->quota.admitted > 0)
-        teams[count++] = (ms_load_team){ team->hash, team->quota.admitted };
+      uint64_t admitted = team->quota.admitted - team->reported_from;
+      if (admitted > 0)
+        teams[count++] = (ms_load_team){ team->hash, admitted };
     }
   return count;
 }
@@ -231,7 +258,8 @@
   m.u.load.store_revision = state.revision;
   m.u.load.config_version = gw_query_config_version (gw);
   m.u.load.ready = gw_query_ready (gw);
-  uint64_t uptime_ms = (gw->now_us - gw->started_us) / CK_MS_US;
+  uint64_t since_us = gw->rejoined_us != 0 ? gw->rejoined_us : gw->started_us;
+  uint64_t uptime_ms = (gw->now_us - since_us) / CK_MS_US;
   m.u.load.uptime_ms
       = uptime_ms < UINT32_MAX ? (uint32_t)uptime_ms : UINT32_MAX;
   return m;
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -70,11 +70,14 @@
    _GW_START_SKEW_US before it, and is seen for the first time, so that none of
    its admitted requests has been counted here.  A VM that left or was declared
    dead is removed and may report again; its admitted requests were counted
-   before.  */
+   before.  So were, in the sums, those of all that started before this VM
+   became active.  */
 static bool
 _gw_started_later (gw_task *gw, uint64_t key, const ms_load *load)
 {
-  uint64_t own_us = gw->now_us - gw->started_us;
+  uint64_t since_us
+      = gw->active_us > gw->started_us ? gw->active_us : gw->started_us;
+  uint64_t own_us = gw->now_us - since_us;
   if (load->scope != MS_LOAD_VM
       || load->uptime_ms * CK_MS_US > own_us + _GW_START_SKEW_US
       || g_hash_table_size (gw->seen_peers) >= _GW_SEEN_PEERS_MAX)
@@ -288,6 +291,7 @@
   if (p == NULL)
     return;
   bool first = p->report_received_us == 0;
+  gw->heard_us = gw->now_us;
   _gw_store_load (gw, p, load);
   _gw_on_silent_returned (gw, key);
   if (first)
@@ -461,6 +465,19 @@
   ut_set_key (gw->upstreams, ut_hash (st_from_cstr (gw->incarnation)));
 }
 
+/* Reports as a VM that starts now: the others count the first report of the
+   new incarnation in full, and have counted those of the one before.  */
+static void
+_gw_restart_reports (gw_task *gw)
+{
+  gw->rejoined_us = gw->now_us;
+  for (guint i = 0; i < gw->teams->len; i++)
+    {
+      _gw_team *team = gw->teams->pdata[i];
+      team->reported_from = team->quota.admitted;
+    }
+}
+
 static void
 _gw_on_member (void *user, mb_event event, st_str name, st_str incarnation)
 {
@@ -483,7 +500,10 @@
       if (p != NULL && event == MB_DIED)
         _gw_add_silent (gw, p);
       if (event == MB_LEFT)
-        _gw_on_silent_ended (gw, name);
+        {
+          ut_forget_cold_vm (gw->upstreams, ut_hash (name));
+          _gw_on_silent_ended (gw, name);
+        }
       if (p != NULL)
         _gw_remove_peer (gw, p);
       break;
@@ -492,6 +512,7 @@
         ck_clock clock = { 0 };
         uint64_t counter = ck_wall_ms (&clock);
         _gw_new_incarnation (gw);
+        _gw_restart_reports (gw);
         pe_rejoin (gw->peers, st_from_cstr (gw->incarnation), counter);
         break;
       }
@@ -542,6 +563,7 @@
 {
   ut_expire_peers (gw->upstreams, gw->now_us);
   _gw_expire_silent (gw);
+  _gw_update_fleet (gw);
   for (int i = 0; i < UT_PEERS_MAX; i++)
     if (gw->peer[i].key != 0 && gw->peer[i].ready
         && gw->now_us - gw->peer[i].report_received_us > _GW_REPORT_TIMEOUT_US)
@@ -603,7 +625,9 @@
 
 /* Fills VMS with the members that are not dead, this VM first, at most MAX;
    returns their number.  The active VMs are chosen among the ready ones only,
-   so a VM that accepts no callers is replaced before it is declared dead.  */
+   so a VM that accepts no callers is replaced before it is declared dead.  One
+   that hears no other VM takes those of the registry's list: the others may
+   serve callers, and it may itself be the one that is cut off.  */
 uint32_t
 gw_query_vms (const gw_task *gw, gw_vm *vms, uint32_t max)
 {
@@ -612,6 +636,7 @@
   uint32_t count = 0;
   uint32_t ready_count = 0;
   uint32_t cursor = 0;
+  bool isolated = _gw_is_isolated (gw) && gw->listed->len > 1;
   mb_record record;
   if (max > GW_VMS_MAX)
     max = GW_VMS_MAX;
@@ -623,7 +648,7 @@
   if (vms[0].ready)
     ready[ready_count++]
         = (pc_member){ vms[0].name, vms[0].data_center, gw->desc.capacity };
-  while (gw->peers != NULL && count < max
+  while (gw->peers != NULL && !isolated && count < max
          && mb_query_member (pe_query_members (gw->peers), &cursor, &record))
     {
       if (record.state == MB_DEAD || st_equal (record.name, gw->desc.vm_name))
@@ -637,11 +662,14 @@
         ready[ready_count++]
             = (pc_member){ record.name, record.data_center, record.capacity };
     }
-  for (guint i = 0; i < gw->listed->len && _gw_is_joining (gw) && count < max;
+  for (guint i = 0;
+       i < gw->listed->len && (isolated || _gw_is_joining (gw)) && count < max;
        i++)
     {
       const _gw_listed_vm *vm = &g_array_index (gw->listed, _gw_listed_vm, i);
-      if (_gw_is_member (gw, st_name_str (&vm->name)))
+      st_str name = st_name_str (&vm->name);
+      if (isolated ? st_equal (name, gw->desc.vm_name)
+                   : _gw_is_member (gw, name))
         continue;
       vms[count++]
           = (gw_vm){ .name = st_name_str (&vm->name),
--- a/packages/gateway/gw_regions.c
+++ b/packages/gateway/gw_regions.c
@@ -89,19 +89,6 @@
                        service->cold_ms * CK_MS_US);
 }
 
-/* Divides the allowance of cold upstreams among the active VMs: this one where
-   SELF, and the COUNT others whose names are VMS.  */
-void
-_gw_divide_cold (gw_task *gw, bool self, const st_str *vms, uint32_t count)
-{
-  uint64_t others[EL_VMS_MAX];
-  if (count > EL_VMS_MAX)
-    count = EL_VMS_MAX;
-  for (uint32_t i = 0; i < count; i++)
-    others[i] = ut_hash (vms[i]);
-  ut_set_cold_vms (gw->upstreams, self, others, count, gw->now_us);
-}
-
 /* Starts or ends the evacuation of DATA_CENTER, whose upstreams get nothing
    meanwhile.  */
 void
