--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -141,7 +141,9 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   gw->conns = g_ptr_array_new ();
   gw->body_waiting = g_ptr_array_new ();
+  gw->limits = desc->limits != NULL ? desc->limits : lm_make (&(lm_desc){ 0 });
   _gw_start_bodies (gw);
+  _gw_start_responses (gw);
   gw->regions = g_array_new (FALSE, TRUE, sizeof (st_name));
   gw->active_vms = g_array_new (FALSE, TRUE, sizeof (_gw_active_vm));
   _gw_make_group (&gw->group);
@@ -157,8 +159,10 @@
   st_name_set (&table.data_center, desc->data_center);
   st_name_set (&table.region, desc->region);
   gw->upstreams = ut_make (&table);
-  gw->pool = uc_make (
-      &(uc_desc){ .base = desc->base, .id_field = desc->names->request_id });
+  gw->pool
+      = uc_make (&(uc_desc){ .base = desc->base,
+                             .max_connections = desc->upstream_connections,
+                             .id_field = desc->names->request_id });
   gw->started_us = _gw_now (gw);
   if (gw->upstreams == NULL || gw->quota_ledger == NULL
       || gw->quarantine == NULL)
@@ -199,6 +203,8 @@
     pe_destroy (gw->peers);
   if (gw->listener != NULL)
     evconnlistener_free (gw->listener);
+  if (gw->desc.limits == NULL)
+    lm_destroy (gw->limits);
   uc_destroy (gw->pool);
   ut_destroy (gw->upstreams);
   rc_unref (gw->config);
--- a/packages/gateway/gw.h
+++ b/packages/gateway/gw.h
@@ -22,6 +22,7 @@
 
 #include "ck.h"
 #include "er.h"
+#include "lm.h"
 #include "mt.h"
 #include "rc.h"
 #include "ut.h"
@@ -88,8 +89,11 @@
   st_str data_center;
   uint32_t capacity;     /* thousandths of a core; 0: unknown */
   uint64_t memory_bytes; /* of the process; 0: unknown */
-  st_str listen;         /* IP:PORT for callers; port 0: any */
-  st_str peer_listen;    /* IP:PORT for the other VMs; "": runs alone */
+  lm_pool *limits; /* of all connections; NULL: none but those of bodies */
+  uint32_t upstream_connections; /* most at a time; 0: no limit */
+  uint32_t peer_connections;     /* the same; 0: the default of pe.h */
+  st_str listen;                 /* IP:PORT for callers; port 0: any */
+  st_str peer_listen; /* IP:PORT for the other VMs; "": runs alone */
   const gw_names *names;
   gw_bounds bounds;
   uint64_t seed;
--- a/packages/gateway/gw_accept.c
+++ b/packages/gateway/gw_accept.c
@@ -10,9 +10,15 @@
 #include <string.h>
 #include <sys/socket.h>
 
-/* Bytes that are read ahead during a request.  Reading continues so that a
-   caller's close is noticed.  */
-#define _GW_READ_AHEAD_BYTES 65536
+/* Bytes that are read at a time, and while a request is processed: reading
+   continues so that a caller's close is noticed.  */
+#define _GW_READ_BYTES 65536
+#define _GW_READ_AHEAD_BYTES 4096
+/* Bytes of responses that a caller has not read, above which its next request
+   is not read either.  */
+#define _GW_UNREAD_MAX_BYTES 65536
+/* What a connection takes besides its buffers.  */
+#define _GW_CONN_BYTES 2048
 /* Limits until the first configuration is set.  */
 #define _GW_DEFAULT_HEAD_BYTES 16384
 #define _GW_DEFAULT_BODY_BYTES 4194304
@@ -56,6 +62,7 @@
       _gw_abandon (r, "caller_left");
     }
   _gw_release_body (conn);
+  lm_remove (gw->limits, &conn->limit);
   g_ptr_array_remove_index_fast (gw->conns, conn->index);
   if (conn->index < gw->conns->len)
     ((_gw_conn *)gw->conns->pdata[conn->index])->index = conn->index;
@@ -68,6 +75,24 @@
 
 static void _gw_read_requests (_gw_conn *conn);
 
+/* Counts what CONN stores in the limit of all connections.  */
+void
+_gw_count_conn (_gw_conn *conn)
+{
+  size_t bytes = _GW_CONN_BYTES + hp_query_memory (conn->reader)
+                 + evbuffer_get_length (bufferevent_get_input (conn->bev))
+                 + evbuffer_get_length (bufferevent_get_output (conn->bev));
+  /* One connection alone cannot exceed what all have.  */
+  lm_set_bytes (conn->gw->limits, &conn->limit, bytes);
+}
+
+static bool
+_gw_is_unread (const _gw_conn *conn)
+{
+  return evbuffer_get_length (bufferevent_get_output (conn->bev))
+         > _GW_UNREAD_MAX_BYTES;
+}
+
 /* Called after a response: closes CONN or waits for the next request.  */
 static void
 _gw_after_response (_gw_conn *conn)
@@ -75,6 +100,8 @@
   conn->request = NULL;
   conn->idle_since_us = ck_now_us (conn->gw->desc.clock);
   _gw_release_body (conn);
+  lm_set_busy (&conn->limit, false);
+  lm_progress (conn->gw->limits, &conn->limit, LM_PROGRESS);
   if (conn->close_after)
     {
       /* The write callback closes once all has been written.  */
@@ -87,6 +114,13 @@
   conn->body_too_large = false;
   _gw_arm_conn_timer (conn, _gw_limits (conn->gw).idle_timeout_ms
                                 + _GW_IDLE_MARGIN_MS);
+  conn->unread = _gw_is_unread (conn);
+  if (conn->unread)
+    {
+      bufferevent_disable (conn->bev, EV_READ);
+      return;
+    }
+  bufferevent_setwatermark (conn->bev, EV_READ, 0, _GW_READ_BYTES);
   if (evbuffer_get_length (bufferevent_get_input (conn->bev)) > 0)
     event_active (conn->timer, EV_READ, 0);
 }
@@ -178,6 +212,7 @@
 _gw_abort_response (_gw_conn *conn)
 {
   conn->request = NULL;
+  lm_set_busy (&conn->limit, false);
   if (!conn->chunked)
     {
       nt_reset_on_close (bufferevent_getfd (conn->bev));
@@ -271,7 +306,8 @@
 {
   struct evbuffer *in = bufferevent_get_input (conn->bev);
   rc_limits limits = _gw_limits (conn->gw);
-  if (conn->request != NULL || conn->close_after || conn->body_wanted > 0)
+  if (conn->request != NULL || conn->close_after || conn->body_wanted > 0
+      || conn->unread)
     return;
   bool not_started = !hp_query_started (conn->reader);
   for (;;)
@@ -305,7 +341,13 @@
         if (conn->body_too_large)
           _gw_reject (conn, 413, "body_too_large");
         else
-          _gw_identify (conn);
+          {
+            lm_progress (conn->gw->limits, &conn->limit, LM_PROGRESS);
+            lm_set_busy (&conn->limit, true);
+            bufferevent_setwatermark (conn->bev, EV_READ, 0,
+                                      _GW_READ_AHEAD_BYTES);
+            _gw_identify (conn);
+          }
         return;
       case HP_TOO_LARGE:
         _gw_reject (conn, 431, "head_too_large");
@@ -320,6 +362,7 @@
 _gw_on_body (void *user, st_str bytes)
 {
   _gw_conn *conn = user;
+  lm_progress (conn->gw->limits, &conn->limit, bytes.len);
   if (conn->body->len + bytes.len > _gw_limits (conn->gw).body_bytes)
     conn->body_too_large = true;
   else
@@ -335,6 +378,7 @@
     evbuffer_drain (in, evbuffer_get_length (in));
   else
     _gw_read_requests (conn);
+  _gw_count_conn (conn);
 }
 
 static void
@@ -349,6 +393,13 @@
     _gw_close_conn (conn);
   else if (conn->request != NULL)
     _gw_on_unsent_empty (conn->request);
+  else if (conn->unread)
+    {
+      conn->unread = false;
+      bufferevent_setwatermark (bev, EV_READ, 0, _GW_READ_BYTES);
+      bufferevent_enable (bev, EV_READ);
+      event_active (conn->timer, EV_READ, 0);
+    }
 }
 
 static void
@@ -368,6 +419,7 @@
     {
       /* Bytes of the next request were received with the last one.  */
       _gw_read_requests (conn);
+      _gw_count_conn (conn);
       return;
     }
   if (conn->body_wanted > 0)
@@ -378,6 +430,12 @@
     _gw_close_conn (conn);
 }
 
+static void
+_gw_close_limited (void *conn)
+{
+  _gw_close_conn (conn);
+}
+
 /* Adds a connection of a caller, on the socket FD.  */
 void
 _gw_add_conn (gw_task *gw, evutil_socket_t fd)
@@ -389,6 +447,7 @@
       = bufferevent_socket_new (gw->desc.base, fd, BEV_OPT_CLOSE_ON_FREE);
   conn->reader = hp_make (&(hp_desc){ .kind = HP_REQUEST,
                                       .max_head_bytes = limits.head_bytes,
+                                      .max_fields = limits.head_bytes,
                                       .on_body = _gw_on_body,
                                       .user = conn });
   conn->body = g_string_new (NULL);
@@ -396,9 +455,10 @@
   conn->idle_since_us = ck_now_us (gw->desc.clock);
   conn->index = gw->conns->len;
   g_ptr_array_add (gw->conns, conn);
+  lm_add (gw->limits, &conn->limit, "callers", _gw_close_limited, conn);
   nt_set_tcp_options (fd);
   bufferevent_setcb (conn->bev, _gw_on_read, _gw_on_write, _gw_on_event, conn);
-  bufferevent_setwatermark (conn->bev, EV_READ, 0, _GW_READ_AHEAD_BYTES);
+  bufferevent_setwatermark (conn->bev, EV_READ, 0, _GW_READ_BYTES);
   bufferevent_enable (conn->bev, EV_READ | EV_WRITE);
   _gw_arm_conn_timer (conn, limits.idle_timeout_ms + _GW_IDLE_MARGIN_MS);
 }
@@ -441,5 +501,6 @@
         err, ER_UNAVAILABLE, "cannot listen on %.*s: %s; free the address",
         ST_FMT (text), evutil_socket_error_to_string (EVUTIL_SOCKET_ERROR ()));
   evconnlistener_set_error_cb (gw->listener, _gw_on_accept_error);
+  nt_limit_buffers (evconnlistener_get_fd (gw->listener));
   return true;
 }
--- a/packages/gateway/gw_identify.c
+++ b/packages/gateway/gw_identify.c
@@ -296,5 +296,6 @@
   g_string_append_len (r->prompt_parts, parts.ptr, (gssize)parts.len);
   qn_read_prompt (&r->prompt, st_name_str (&r->service), parts);
   _gw_write_head (r, head);
+  hp_release_fields (conn->reader);
   _gw_admit (r);
 }
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -121,6 +121,8 @@
   bool continue_due; /* where the caller expects it before the body */
   bool body_too_large;
   bool close_after;
+  lm_conn limit;
+  bool unread;            /* the caller does not read, and is not read */
   bool dropping;          /* what the caller still sends */
   bool chunked;           /* the response in progress is */
   uint64_t idle_since_us; /* start, or end of the last response */
@@ -254,7 +256,9 @@
   uint32_t used;         /* entries of the pool used so far */
   uint32_t open_count;
   uint64_t request_count;
-  size_t stored_bytes;       /* of all responses */
+  size_t stored_bytes; /* of all responses */
+  size_t stored_max;
+  lm_pool *limits;           /* desc.limits, or its own */
   bb_budget bodies;          /* memory of request bodies */
   GPtrArray *body_waiting;   /* of _gw_conn, in the order of arrival */
   dn_drain drain;            /* of a planned stop */
@@ -298,6 +302,7 @@
 bool _gw_listen (gw_task *gw, er_error *err);
 void _gw_add_conn (gw_task *gw, evutil_socket_t fd);
 void _gw_close_conn (_gw_conn *conn);
+void _gw_count_conn (_gw_conn *conn);
 bool _gw_is_head_request (const _gw_conn *conn);
 void _gw_send_response (_gw_conn *conn, int status, st_str fields,
                         st_str body);
@@ -348,6 +353,7 @@
 void _gw_relay_end (_gw_request *r);
 
 /* Limit: gw_limit.c.  */
+void _gw_start_responses (gw_task *gw);
 void _gw_count_stored (_gw_request *r);
 bool _gw_check_limits (_gw_request *r);
 void _gw_on_limit_exceeded (_gw_request *r, const char *reason);
--- a/packages/gateway/gw_limit.c
+++ b/packages/gateway/gw_limit.c
@@ -6,14 +6,26 @@
    complete.  */
 #define _GW_RESPONSE_MAX_BYTES (8 * 1024 * 1024)
 #define _GW_EVENT_MAX_BYTES (1024 * 1024)
-/* Most bytes of all responses: the smallest VMs have 88 MB, and a buffer that
-   grows takes up to twice its contents.  */
+/* Most bytes of all responses: the smallest VMs of the deployments have 88 MB,
+   and a buffer that grows takes up to twice its contents.  A smaller process
+   stores a fraction of its memory.  */
 #define _GW_STORED_MAX_BYTES (12 * 1024 * 1024)
+#define _GW_STORED_FRACTION 0.13
 /* Bytes for a caller above which its upstream is not read.  */
 #define _GW_UNSENT_MAX_BYTES (64 * 1024)
 /* How long an upstream is avoided that exceeded a limit.  */
 #define _GW_LIMIT_AVOID_US 5000000
 
+/* Sets the limit for the responses of GW.  */
+void
+_gw_start_responses (gw_task *gw)
+{
+  double part = _GW_STORED_FRACTION * (double)gw->desc.memory_bytes;
+  gw->stored_max = _GW_STORED_MAX_BYTES;
+  if (gw->desc.memory_bytes > 0 && part < _GW_STORED_MAX_BYTES)
+    gw->stored_max = (size_t)part;
+}
+
 /* Updates the count of stored bytes after a change of R's response.  */
 void
 _gw_count_stored (_gw_request *r)
@@ -76,7 +88,7 @@
                                           : "answer_too_large");
       return false;
     }
-  while (gw->stored_bytes > _GW_STORED_MAX_BYTES)
+  while (gw->stored_bytes > gw->stored_max)
     {
       _gw_request *largest = _gw_find_largest (gw);
       bool own = largest == r;
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -542,6 +542,7 @@
                              .region = gw->desc.region,
                              .data_center = gw->desc.data_center,
                              .capacity = gw->desc.capacity,
+                             .max_connections = gw->desc.peer_connections,
                              .peer_address = gw->desc.peer_listen,
                              .callers_address = gw->desc.listen,
                              .counter = counter,
--- a/packages/gateway/tests/support.hh
+++ b/packages/gateway/tests/support.hh
@@ -321,6 +321,8 @@
     Conn *c = new Conn{ self, nullptr, nullptr, "", "" };
     hp_desc desc = {};
     desc.kind = HP_REQUEST;
+    // As many fields as a head has room for, like the upstreams.
+    desc.max_fields = 16384;
     desc.on_body = [] (void *to, st_str bytes) {
       static_cast<Conn *> (to)->body.append (bytes.ptr, bytes.len);
     };
--- a/packages/gateway/uc.c
+++ b/packages/gateway/uc.c
@@ -323,6 +323,7 @@
       event_del (conn->timer);
       conn->connected = true;
       nt_set_tcp_options (bufferevent_getfd (conn->bev));
+      nt_limit_buffers (bufferevent_getfd (conn->bev));
       bufferevent_enable (conn->bev, EV_READ | EV_WRITE);
       _uc_write (conn);
       return;
@@ -429,6 +430,13 @@
 _uc_connect (uc_pool *pool, const uc_request *request)
 {
   struct sockaddr_in address;
+  /* The oldest idle one; a caller can make its requests need new ones.  */
+  if (pool->desc.max_connections > 0
+      && pool->conns->len >= pool->desc.max_connections && pool->idle->len > 0)
+    _uc_free_conn (pool->idle->pdata[0]);
+  if (pool->desc.max_connections > 0
+      && pool->conns->len >= pool->desc.max_connections)
+    return NULL;
   _uc_conn *conn = g_new0 (_uc_conn, 1);
   conn->pool = pool;
   conn->number = ++pool->conn_count;
--- a/packages/gateway/uc.h
+++ b/packages/gateway/uc.h
@@ -67,9 +67,11 @@
 typedef struct
 {
   struct event_base *base;
-  st_str id_field;     /* name of the field that echoes the id */
-  uint32_t connect_ms; /* 0 means 400 */
-  uint32_t idle_ms;    /* for upstreams that state no time; 0: 4000 */
+  st_str id_field;          /* name of the field that echoes the id */
+  uint32_t max_connections; /* idle ones are closed for new ones; 0: no
+                               limit */
+  uint32_t connect_ms;      /* 0 means 400 */
+  uint32_t idle_ms;         /* for upstreams that state no time; 0: 4000 */
 } uc_desc;
 
 /* Where an exchange takes place.  */
--- a/packages/http/hp.c
+++ b/packages/http/hp.c
@@ -9,12 +9,17 @@
 /* Most bytes parsed in one step.  */
 #define _HP_STEP_BYTES 16384
 
+/* Fields that a reader has room for after hp_next; more are allocated.  */
+#define _HP_FIELDS_KEPT 32
+/* Text of a head that a reader has room for after hp_next.  */
+#define _HP_TEXT_KEPT 2048
+
 typedef struct
 {
-  size_t name_at;
-  size_t name_len;
-  size_t value_at;
-  size_t value_len;
+  uint32_t name_at;
+  uint32_t name_len;
+  uint32_t value_at;
+  uint32_t value_len;
 } _hp_span;
 
 struct hp_reader
@@ -23,8 +28,9 @@
   http_parser parser;
   GString *text; /* target, names and values */
   size_t target_len;
-  _hp_span spans[HP_FIELDS_MAX];
-  hp_field fields[HP_FIELDS_MAX];
+  _hp_span *spans;
+  hp_field *fields; /* once the head is complete */
+  size_t capacity;  /* of both */
   size_t count;
   bool in_value;
   bool too_large;
@@ -48,6 +54,15 @@
   return 0;
 }
 
+static void
+_hp_set_capacity (hp_reader *r, size_t capacity)
+{
+  r->capacity = capacity;
+  r->spans = g_renew (_hp_span, r->spans, capacity);
+  g_free (r->fields);
+  r->fields = NULL;
+}
+
 static int
 _hp_on_begin (http_parser *p)
 {
@@ -72,19 +87,22 @@
     return 0; /* trailer fields are dropped */
   if (r->in_value || r->count == 0)
     {
-      if (r->count == HP_FIELDS_MAX)
+      if (r->count == r->desc.max_fields)
         {
           r->too_large = true;
           return 1;
         }
-      r->spans[r->count] = (_hp_span){ .name_at = r->text->len };
+      if (r->count == r->capacity)
+        _hp_set_capacity (r, r->capacity == 0 ? _HP_FIELDS_KEPT
+                                              : 2 * r->capacity);
+      r->spans[r->count] = (_hp_span){ .name_at = (uint32_t)r->text->len };
       r->count++;
       r->in_value = false;
     }
   for (size_t i = 0; i < len; i++)
     if (!g_ascii_isgraph (at[i]))
       return 1;
-  r->spans[r->count - 1].name_len += len;
+  r->spans[r->count - 1].name_len += (uint32_t)len;
   return _hp_add (r, at, len);
 }
 
@@ -96,12 +114,12 @@
     return 0;
   _hp_span *span = &r->spans[r->count - 1];
   if (!r->in_value)
-    span->value_at = r->text->len;
+    span->value_at = (uint32_t)r->text->len;
   r->in_value = true;
   for (size_t i = 0; i < len; i++)
     if (at[i] == 0 || at[i] == '\r' || at[i] == '\n')
       return 1;
-  span->value_len += len;
+  span->value_len += (uint32_t)len;
   return _hp_add (r, at, len);
 }
 
@@ -110,6 +128,8 @@
 {
   hp_reader *r = p->data;
   r->head_done = true;
+  if (r->fields == NULL)
+    r->fields = g_new (hp_field, r->capacity + 1);
   for (size_t i = 0; i < r->count; i++)
     {
       const _hp_span *s = &r->spans[i];
@@ -176,6 +196,8 @@
   r->desc = *desc;
   if (r->desc.max_head_bytes == 0)
     r->desc.max_head_bytes = _HP_DEFAULT_HEAD_BYTES;
+  if (r->desc.max_fields == 0)
+    r->desc.max_fields = HP_FIELDS_MAX;
   r->text = g_string_sized_new (512);
   http_parser_init (&r->parser,
                     desc->kind == HP_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
@@ -190,6 +212,8 @@
   if (r == NULL)
     return;
   g_string_free (r->text, TRUE);
+  g_free (r->spans);
+  g_free (r->fields);
   g_free (r);
 }
 
@@ -259,9 +283,8 @@
 {
   http_parser_init (&r->parser,
                     r->desc.kind == HP_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
-  g_string_truncate (r->text, 0);
+  hp_release_fields (r);
   r->target_len = 0;
-  r->count = 0;
   r->in_value = false;
   r->started = false;
   r->head_done = false;
@@ -270,6 +293,36 @@
   r->head = (hp_head){ 0 };
 }
 
+/* Releases the text and the fields of the head, so that a long request that is
+   being processed does not keep them.  The rest of the head stays valid.  */
+void
+hp_release_fields (hp_reader *r)
+{
+  if (r->text->allocated_len > _HP_TEXT_KEPT)
+    {
+      g_string_free (r->text, TRUE);
+      r->text = g_string_sized_new (512);
+    }
+  else
+    g_string_truncate (r->text, 0);
+  if (r->capacity > _HP_FIELDS_KEPT)
+    _hp_set_capacity (r, _HP_FIELDS_KEPT);
+  r->count = 0;
+  r->head.target = (st_str){ "", 0 };
+  r->head.field_count = 0;
+  r->head.fields = r->fields;
+}
+
+/* Bytes of memory that R takes.  */
+size_t
+hp_query_memory (const hp_reader *r)
+{
+  return sizeof *r + r->text->allocated_len
+         + r->capacity
+               * (sizeof *r->spans
+                  + (r->fields != NULL ? sizeof *r->fields : 0));
+}
+
 /* States whether the next messages have a body, whatever their heads say.  */
 void
 hp_expect_no_body (hp_reader *r, bool no_body)
--- a/packages/http/hp.h
+++ b/packages/http/hp.h
@@ -28,7 +28,8 @@
 
 #include <event2/buffer.h>
 
-/* Most fields of one message; more are HP_TOO_LARGE.  */
+/* Most fields of a message unless the user sets another number; more are
+   HP_TOO_LARGE.  */
 #define HP_FIELDS_MAX 96
 
 typedef enum
@@ -72,6 +73,7 @@
 {
   hp_kind kind;
   size_t max_head_bytes; /* 0 means 16 KiB */
+  size_t max_fields;     /* 0 means HP_FIELDS_MAX */
   void (*on_body) (void *user, st_str bytes);
   void *user;
 } hp_desc;
@@ -90,6 +92,8 @@
   void hp_next (hp_reader *r);
   void hp_expect_no_body (hp_reader *r, bool no_body);
   bool hp_query_started (const hp_reader *r);
+  void hp_release_fields (hp_reader *r);
+  size_t hp_query_memory (const hp_reader *r);
   const hp_head *hp_query_head (const hp_reader *r);
   bool hp_get (const hp_head *head, st_str name, st_str *value);
   bool hp_name_equal (st_str a, st_str b);
--- a/packages/http/nt.c
+++ b/packages/http/nt.c
@@ -13,6 +13,11 @@
 #define _NT_KEEPALIVE_INTERVAL_S 1
 #define _NT_KEEPALIVE_PROBES 2
 
+/* Bytes of a connection that the system stores in each direction, which it
+   doubles for its own structures.  A round trip between regions takes 16 ms,
+   so one connection carries 4 MB a second.  */
+#define _NT_BUFFER_BYTES (64 * 1024)
+
 /* Reads "IP:PORT" with an IPv4 address; port 0 lets the system choose.  */
 bool
 nt_parse_address (st_str text, struct sockaddr_in *out)
@@ -52,6 +57,17 @@
               sizeof user_timeout_ms);
 }
 
+/* Bounds what the system stores for FD, or for the connections of a listener
+   FD: by default it is megabytes for each peer that does not read, and for
+   each that is not read.  */
+void
+nt_limit_buffers (evutil_socket_t fd)
+{
+  int bytes = _NT_BUFFER_BYTES;
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+  setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+}
+
 /* Makes the close of FD reset the connection, so that the other side cannot
    take what it received for a complete message.  */
 void
--- a/packages/http/nt.h
+++ b/packages/http/nt.h
@@ -18,6 +18,7 @@
 
   bool nt_parse_address (st_str text, struct sockaddr_in *out);
   void nt_set_tcp_options (evutil_socket_t fd);
+  void nt_limit_buffers (evutil_socket_t fd);
   void nt_reset_on_close (evutil_socket_t fd);
 
 #ifdef __cplusplus
--- a/packages/peers/pe.c
+++ b/packages/peers/pe.c
@@ -17,6 +17,8 @@
 #define _PE_OUTPUT_MAX_BYTES (4u * 1024 * 1024)
 #define _PE_CONNECTIONS_MAX 4096
 #define _PE_HELLO_MS 5000
+/* Longest HELLO; a connection that has not sent it may not store more.  */
+#define _PE_HELLO_MAX_BYTES 4096
 #define _PE_IDLE_MS 15000
 #define _PE_RETRY_MS 50
 #define _PE_RETRY_MAX_MS 1000
@@ -490,6 +492,7 @@
   conn->ready = true;
   if (!first)
     return;
+  bufferevent_setwatermark (conn->bev, EV_READ, 0, FR_FRAME_MAX_BYTES);
   if (conn->peer == NULL)
     {
       conn->peer = _pe_get_peer (pe, hello->name);
@@ -576,6 +579,12 @@
       er_error err = { 0 };
       ms_message m;
       result = fr_decode (in, &frame, &err);
+      if (result == FR_MORE && !conn->ready && !conn->outgoing
+          && evbuffer_get_length (in) >= _PE_HELLO_MAX_BYTES)
+        {
+          _pe_close_with_error (conn, "no_hello", "HELLO is too long");
+          break;
+        }
       if (result == FR_MORE)
         break;
       if (result != FR_FRAME)
@@ -615,6 +624,27 @@
   _pe_close (conn);
 }
 
+/* Closes the accepted connection that has not sent HELLO for longest; false
+   when there is none.  */
+static bool
+_pe_close_unidentified (pe_task *pe)
+{
+  _pe_conn *oldest = NULL;
+  for (guint i = 0; i < pe->conns->len; i++)
+    {
+      _pe_conn *conn = pe->conns->pdata[i];
+      if (!conn->ready && !conn->outgoing && !conn->closing
+          && (oldest == NULL || conn->opened_us < oldest->opened_us))
+        oldest = conn;
+    }
+  if (oldest == NULL)
+    return false;
+  _pe_count (pe, "peer_errors_total", "error",
+             ST_LIT ("too_many_connections"));
+  _pe_close (oldest);
+  return true;
+}
+
 static void
 _pe_on_accept (struct evconnlistener *listener, evutil_socket_t fd,
                struct sockaddr *address, int size, void *arg)
@@ -623,7 +653,8 @@
   (void)listener;
   (void)address;
   (void)size;
-  if (pe->conns->len >= pe->desc.max_connections)
+  if (pe->conns->len >= pe->desc.max_connections
+      && !_pe_close_unidentified (pe))
     {
       _pe_count (pe, "peer_errors_total", "error",
                  ST_LIT ("too_many_connections"));
@@ -637,6 +668,7 @@
       return;
     }
   _pe_set_no_delay (fd);
+  bufferevent_setwatermark (conn->bev, EV_READ, 0, _PE_HELLO_MAX_BYTES);
   bufferevent_enable (conn->bev, EV_READ | EV_WRITE);
   _pe_send_hello (conn);
 }
