Close sockets of evicted connections at once

Cause: bufferevent_free closes its socket in a later round of the loop, so a round that accepts hundreds of connections exceeded the descriptors (256 of 256 once, in a build with the address sanitizer). Change: nt_close closes the socket first. The sanitizer keeps freed memory, so the crowds' bound on memory is not checked in its builds.

--- a/packages/gateway/gw_accept.c
+++ b/packages/gateway/gw_accept.c
@@ -67,7 +67,7 @@
   if (conn->index < gw->conns->len)
     ((_gw_conn *)gw->conns->pdata[conn->index])->index = conn->index;
   event_free (conn->timer);
-  bufferevent_free (conn->bev);
+  nt_close (conn->bev);
   hp_destroy (conn->reader);
   g_string_free (conn->body, TRUE);
   g_free (conn);
--- a/packages/gateway/uc.c
+++ b/packages/gateway/uc.c
@@ -76,7 +76,7 @@
   g_ptr_array_remove_fast (pool->conns, conn);
   g_ptr_array_remove (pool->idle, conn);
   event_free (conn->timer);
-  bufferevent_free (conn->bev);
+  nt_close (conn->bev);
   hp_destroy (conn->reader);
   g_free (conn->carried);
   g_free (conn);
--- a/packages/http/hl.c
+++ b/packages/http/hl.c
@@ -48,7 +48,7 @@
   if (conn->index < conns->len)
     ((_hl_conn *)conns->pdata[conn->index])->index = conn->index;
   event_free (conn->timer);
-  bufferevent_free (conn->bev);
+  nt_close (conn->bev);
   hp_destroy (conn->reader);
   g_free (conn);
 }
--- a/packages/http/nt.c
+++ b/packages/http/nt.c
@@ -68,6 +68,21 @@
   setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
 }
 
+/* Releases BEV and closes its socket now: bufferevent_free would close it in a
+   later round of the loop, after any number of connections were accepted.  */
+void
+nt_close (struct bufferevent *bev)
+{
+  evutil_socket_t fd = bufferevent_getfd (bev);
+  bufferevent_disable (bev, EV_READ | EV_WRITE);
+  if (fd >= 0)
+    {
+      bufferevent_setfd (bev, -1);
+      evutil_closesocket (fd);
+    }
+  bufferevent_free (bev);
+}
+
 /* Makes the close of FD reset the connection, so that the other side cannot
    take what it received for a complete message.  */
 void
--- a/packages/http/nt.h
+++ b/packages/http/nt.h
@@ -8,6 +8,8 @@
 
 #include "st.h"
 
+#include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/util.h>
 #include <netinet/in.h>
 
@@ -19,6 +21,7 @@
   bool nt_parse_address (st_str text, struct sockaddr_in *out);
   void nt_set_tcp_options (evutil_socket_t fd);
   void nt_limit_buffers (evutil_socket_t fd);
+  void nt_close (struct bufferevent *bev);
   void nt_reset_on_close (evutil_socket_t fd);
 
 #ifdef __cplusplus
