Send second copies of slow requests that may be repeated

Cause: one slow answer of an upstream that pauses is waited for while others are idle; the operators accept some extra work for it. Change: hc_ decides when a request is slow (quantile of its route), whether a copy helps and how many there may be; gw_copy sends it to another upstream as a request that shares the caller, forwards the first whole response, cancels the other. Only idempotent routes; counted in quotas, the retry budget and attempts. Off unless copies.share is set.

--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -139,6 +139,8 @@
   gw->teams = g_ptr_array_new_with_free_func (g_free);
   gw->route_callers
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  gw->route_times
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   gw->conns = g_ptr_array_new ();
   gw->body_waiting = g_ptr_array_new ();
   gw->limits = desc->limits != NULL ? desc->limits : lm_make (&(lm_desc){ 0 });
@@ -211,6 +213,7 @@
   g_ptr_array_free (gw->services, TRUE);
   g_ptr_array_free (gw->teams, TRUE);
   g_hash_table_destroy (gw->route_callers);
+  g_hash_table_destroy (gw->route_times);
   g_ptr_array_free (gw->conns, TRUE);
   g_ptr_array_free (gw->body_waiting, TRUE);
   _gw_destroy_group (&gw->group);
--- a/packages/gateway/gw.h
+++ b/packages/gateway/gw.h
@@ -22,6 +22,7 @@
 
 #include "ck.h"
 #include "er.h"
+#include "hc.h"
 #include "lm.h"
 #include "mt.h"
 #include "rc.h"
@@ -96,6 +97,7 @@
   st_str peer_listen; /* IP:PORT for the other VMs; "": runs alone */
   const gw_names *names;
   gw_bounds bounds;
+  hc_desc copies; /* of slow requests; zero: none */
   uint64_t seed;
   /* The document that the adapters of the VMs exchange, in their own format:
      query_document returns the one for a VM whose configuration was written at
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -146,6 +146,8 @@
   g_string_free (head, TRUE);
   _gw_log_dispatch (r, up, own_running);
   _gw_load_changed (gw);
+  if (r->exchange != NULL)
+    _gw_plan_copy (r);
   if (r->exchange == NULL)
     {
       _gw_end_exchange (r, UT_UNREACHABLE);
@@ -224,6 +226,8 @@
 void
 _gw_retry (_gw_request *r, bool arrived, bool may_have_run, const char *reason)
 {
+  if (_gw_leave_pair (r, arrived, may_have_run))
+    return;
   _gw_record_attempt (r, arrived, may_have_run);
   const char *denied = _gw_claim_retry (r, r->runs, r->delivered_count);
   _gw_log_retry (r, may_have_run, reason, denied);
@@ -387,6 +391,8 @@
   bool means_not_run = r->status == 429 || r->status == 503 || r->status == 408
                        || r->status == 421;
   _gw_end_exchange (r, UT_FAILED);
+  if (_gw_leave_pair (r, true, true))
+    return;
   const char *denied
       = _gw_claim_retry (r, r->runs + 1, r->delivered_count + 1);
   if (denied != NULL && is_error_status && !means_not_run)
@@ -423,6 +429,7 @@
     }
   _gw_record_service_time (r);
   _gw_end_exchange (r, UT_SERVED);
+  _gw_win_copy (r);
   _gw_forward_response (r);
 }
 
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -76,7 +76,10 @@
   uint64_t attempt_events;   /* of the attempt */
   size_t stored_bytes;       /* of response_body, in the sum of all */
   struct event *timer;
-  struct _gw_request *next; /* in the queue */
+  struct event *copy_timer;    /* NULL until it is needed */
+  struct _gw_request *copy;    /* second copy of this request */
+  struct _gw_request *copy_of; /* this one is the copy of it */
+  struct _gw_request *next;    /* in the queue */
   uint32_t index;
   _gw_state state;
   uint32_t max_output_tokens;
@@ -141,6 +144,7 @@
   st_name name;
   _gw_queue queue;
   bu_retries retries;
+  bu_retries copies; /* second copies */
   double service_us; /* mean time in a slot; 0: none yet */
   vr_rollout rollout;
 } _gw_service;
@@ -249,6 +253,7 @@
   GPtrArray *services;       /* of _gw_service */
   GPtrArray *teams;          /* of _gw_team */
   GArray *regions;           /* that routes and teams name, of st_name */
+  GHashTable *route_times;   /* hash of a route's name -> hc_route */
   GHashTable *route_callers; /* hash of a route's name -> pt_route */
   GPtrArray *conns;
   _gw_request *requests; /* pool */
@@ -348,6 +353,12 @@
 /* Leave: gw_leave.c.  */
 bool _gw_refuse_while_leaving (_gw_request *r);
 
+/* Second copies: gw_copy.c.  */
+void _gw_plan_copy (_gw_request *r);
+void _gw_win_copy (_gw_request *r);
+void _gw_end_copy (_gw_request *r);
+bool _gw_leave_pair (_gw_request *r, bool arrived, bool may_have_run);
+
 /* Relay: gw_relay.c.  */
 void _gw_relay (_gw_request *r, st_str bytes);
 void _gw_relay_end (_gw_request *r);
--- a/packages/gateway/gw_leave.c
+++ b/packages/gateway/gw_leave.c
@@ -37,7 +37,7 @@
   for (uint32_t i = 0; i < gw->used; i++)
     {
       _gw_request *r = &gw->requests[i];
-      if (r->state != _GW_FREE)
+      if (r->state != _GW_FREE && r->copy_of == NULL)
         _gw_fail (r, 504, "vm_leaving");
     }
 }
--- a/packages/gateway/gw_request.c
+++ b/packages/gateway/gw_request.c
@@ -64,12 +64,15 @@
 _gw_free_request (_gw_request *r)
 {
   gw_task *gw = r->gw;
+  _gw_end_copy (r);
   if (r->conn != NULL && r->conn->request == r)
     r->conn->request = NULL;
   _gw_release_quota (r);
   g_string_truncate (r->response_body, 0);
   _gw_count_stored (r);
   event_free (r->timer);
+  if (r->copy_timer != NULL)
+    event_free (r->copy_timer);
   g_string_free (r->head, TRUE);
   if (r->body != NULL)
     g_bytes_unref (r->body);
--- a/packages/gateway/gw_stall.c
+++ b/packages/gateway/gw_stall.c
@@ -21,7 +21,7 @@
 _gw_is_stalled (const _gw_request *r)
 {
   const gw_task *gw = r->gw;
-  if (r->exchange == NULL || !r->retryable
+  if (r->exchange == NULL || !r->retryable || r->copy_of != NULL
       || r->runs + 1 >= r->route->attempts)
     return false;
   /* The upstream may not be read until the caller has read more.  */
--- a/packages/gateway/tests/support.hh
+++ b/packages/gateway/tests/support.hh
@@ -831,7 +831,7 @@
 
   explicit Gateway (uint32_t upstream_count = 1, double retries = 100,
                     uint32_t window_ms = 10000, double quota_slack = 0,
-                    uint64_t memory_bytes = 0)
+                    uint64_t memory_bytes = 0, double copies = 0)
   {
     names.drop = drop.data ();
     names.drop_count = drop.size ();
@@ -849,6 +849,7 @@
     desc.bounds.retry_window_ms = window_ms;
     desc.bounds.quota_slack = quota_slack;
     desc.memory_bytes = memory_bytes;
+    desc.copies.share = copies;
     desc.seed = 7;
     er_error err = {};
     gw = gw_make (&desc, &err);
