--- a/packages/decide/tests/el_test.cc
+++ b/packages/decide/tests/el_test.cc
@@ -181,4 +181,85 @@
           EXPECT_GT (cold.total, 100u) << vms << " VMs in " << parts;
         }
 }
+
+// Two sides of a partition of 62 VMs, of which 12 are active; each side makes
+// VMs active in place of those that it does not hear.
+class Sides
+{
+public:
+  // SHARE of the VMs is on the second side.
+  explicit Sides (double share, uint64_t seed) : vms_ (62)
+  {
+    std::mt19937_64 random (seed);
+    for (Vm &vm : vms_)
+      vm.second = (double)(random () % 1000) < 1000 * share;
+    for (uint64_t now = second; now < 5 * second; now += 400 * ms)
+      view (now, false);
+  }
+  // What all sides may spend together, of the quotas.
+  double
+  sum (uint64_t from, uint64_t to, bool cut)
+  {
+    double most = 0;
+    for (uint64_t now = from; now < to; now += 400 * ms)
+      {
+        view (now, cut);
+        double part[2] = { 0, 0 };
+        for (const Vm &vm : vms_)
+          part[vm.second]
+              = std::max (part[vm.second], 1 - el_silent_part (&vm.fleet));
+        most = std::max (most, cut ? part[0] + part[1]
+                                   : std::max (part[0], part[1]));
+      }
+    return most;
+  }
+
+private:
+  struct Vm
+  {
+    el_fleet fleet = {};
+    bool second = false;
+  };
+  std::vector<Vm> vms_;
+
+  void
+  view (uint64_t now, bool cut)
+  {
+    for (size_t i = 0; i < vms_.size (); i++)
+      {
+        std::vector<uint64_t> others;
+        uint32_t active = 0;
+        bool self = false;
+        for (size_t j = 0; j < vms_.size (); j++)
+          if (!cut || vms_[j].second == vms_[i].second)
+            {
+              if (active++ >= 12)
+                el_forget_vm (&vms_[i].fleet, 1000 + j);
+              else if (j == i)
+                self = true;
+              else
+                others.push_back (1000 + j);
+            }
+        el_update_fleet (&vms_[i].fleet, self, others.data (),
+                         (uint32_t)others.size (), now);
+      }
+  }
+};
+
+// Guards against a side that takes the part of the other one because it has
+// made VMs active in its place, and against parts that stay withheld after the
+// partition.
+TEST (El, TheSidesOfAPartitionDivideTheQuotas)
+{
+  for (double share : { 0.1, 0.35, 0.5, 0.8 })
+    for (uint64_t seed = 1; seed <= 10; seed++)
+      {
+        Sides sides (share, seed);
+        EXPECT_DOUBLE_EQ (sides.sum (5 * second, 6 * second, false), 1);
+        double together = sides.sum (6 * second, 18 * second, true);
+        EXPECT_LE (together, 1.001) << share << ", seed " << seed;
+        EXPECT_GE (together, 0.9) << share << ", seed " << seed;
+        EXPECT_DOUBLE_EQ (sides.sum (19 * second, 21 * second, false), 1);
+      }
+}
 } // namespace
--- a/packages/gateway/tests/support.hh
+++ b/packages/gateway/tests/support.hh
@@ -223,6 +223,7 @@
   std::map<std::string, uint32_t> runs_of; // by request id
   std::map<std::string, size_t> length_of; // of its body
   uint64_t last_arrival_us = 0;
+  std::deque<uint64_t> arrivals_us; // of the last second
   std::string last_arrival;
   uint32_t connections = 0;
   uint32_t closed_by_peer = 0;
@@ -378,6 +379,9 @@
   {
     ck_clock clock = {};
     last_arrival_us = ck_now_us (&clock);
+    arrivals_us.push_back (last_arrival_us);
+    while (arrivals_us.front () + 1000000 <= last_arrival_us)
+      arrivals_us.pop_front ();
     last_arrival = field (c, names.id.c_str ());
     if (!record_requests)
       return;
