--- a/packages/gateway/gw_copy.c
+++ b/packages/gateway/gw_copy.c
@@ -171,7 +171,8 @@
   g_string_append_len (copy->head, r->head->str, (gssize)r->head->len);
   g_string_append_len (copy->prompt_parts, r->prompt_parts->str,
                        (gssize)r->prompt_parts->len);
-  _gw_bind_regions (copy, r->regions_config);
+  copy->regions_config = rc_ref (r->regions_config);
+  copy->region_mask = r->region_mask;
   if (copy->demand.tried_count < GQ_TRIED_MAX)
     copy->demand.tried[copy->demand.tried_count++] = r->upstream;
   copy->copy_of = r;
--- a/packages/gateway/gw_identify.c
+++ b/packages/gateway/gw_identify.c
@@ -290,7 +290,7 @@
   r->demand.engine = r->engine;
   r->body = g_string_free_to_bytes (conn->body);
   conn->body = g_string_new (NULL);
-  _gw_bind_regions (r, gw->config);
+  _gw_set_regions (r, gw->config, route, team);
   _gw_set_times (r, deadline);
   _gw_set_demand (r, usage, resume_after);
   g_string_append_len (r->prompt_parts, parts.ptr, (gssize)parts.len);
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -372,7 +372,8 @@
 void _gw_on_unsent_empty (_gw_request *r);
 
 /* Regions and cold upstreams: gw_regions.c.  */
-void _gw_bind_regions (_gw_request *r, rc_config *config);
+void _gw_set_regions (_gw_request *r, rc_config *config, const rc_route *route,
+                      const rc_team *team);
 void _gw_bind_all_regions (gw_task *gw);
 bool _gw_refuse_without_region (_gw_request *r);
 void _gw_set_cold_limits (gw_task *gw);
--- a/packages/gateway/gw_regions.c
+++ b/packages/gateway/gw_regions.c
@@ -32,17 +32,12 @@
   return mask;
 }
 
-/* Sets the regions in which R may be served to those of CONFIG.  A route or a
-   team that CONFIG does not have keeps those that it had.  */
+/* Sets the regions in which R may be served to those of ROUTE and of TEAM,
+   which may be NULL, both of CONFIG.  */
 void
-_gw_bind_regions (_gw_request *r, rc_config *config)
+_gw_set_regions (_gw_request *r, rc_config *config, const rc_route *route,
+                 const rc_team *team)
 {
-  const rc_route *route
-      = rc_find_route (config, r->route->host, r->route->prefix);
-  const rc_team *team
-      = r->team != NULL ? rc_find_team (config, r->team->name) : NULL;
-  if (route == NULL || (team == NULL && r->team != NULL))
-    return;
   rc_ref (config);
   rc_unref (r->regions_config);
   r->regions_config = config;
@@ -52,6 +47,20 @@
                    & _gw_region_mask (r->gw, r->demand.regions[1]);
 }
 
+/* Applies the regions of a new configuration to R.  A route or a team that it
+   does not have keeps those that it had.  */
+static void
+_gw_rebind_regions (_gw_request *r)
+{
+  rc_config *config = r->gw->config;
+  const rc_route *route
+      = rc_find_route (config, r->route->host, r->route->prefix);
+  const rc_team *team
+      = r->team != NULL ? rc_find_team (config, r->team->name) : NULL;
+  if (route != NULL && (team != NULL || r->team == NULL))
+    _gw_set_regions (r, config, route, team);
+}
+
 /* Applies the regions of a new configuration to the requests that are open, so
    that waiting ones and their next attempts keep to them.  */
 void
@@ -59,7 +68,7 @@
 {
   for (uint32_t i = 0; i < gw->used; i++)
     if (gw->requests[i].state != _GW_FREE && gw->requests[i].route != NULL)
-      _gw_bind_regions (&gw->requests[i], gw->config);
+      _gw_rebind_regions (&gw->requests[i]);
 }
 
 /* Refuses R where no region is left in which it may be served; true when it
--- a/packages/gateway/gw_silent.c
+++ b/packages/gateway/gw_silent.c
@@ -101,6 +101,8 @@
   uint32_t count = 0;
   uint32_t direct = 0;
   uint32_t others = 0;
+  if (gw->peers == NULL)
+    return; /* it runs alone and has all */
   for (guint i = 0; i < gw->active_vms->len && count < EL_VMS_MAX; i++)
     {
       const _gw_active_vm *vm
