Check a configuration before it is sent

dotterelbendctl config check FILE [--against FILE]: rk_ finds entries that can never match and limits that contradict each other, and compares two versions; pl_check reads the files and finds members of another type, by the decoder of the gateway. 20,000 routes are checked and compared in a test; not done: the version in force read from the store (--live).

--- a/packages/ctl/ctl_main.c
+++ b/packages/ctl/ctl_main.c
@@ -1,5 +1,6 @@
 /* dotterelbendctl: command-line tool for operators.  */
 #include "ct.h"
+#include "pl_check.h"
 
 #include <argp.h>
 #include <sodium.h>
@@ -14,6 +15,8 @@
       "Commands:\n"
       "  validate FILE             check a settings file or VM "
       "configuration\n"
+      "  config check FILE         check a configuration of the users' "
+      "platform\n"
       "  get [PATH]                settings at and below PATH, as YAML\n"
       "  explain [PATH] [KEY]      effective values and the level that sets "
       "them\n"
@@ -32,6 +35,7 @@
       "\n"
       "Examples:\n"
       "  dotterelbendctl validate settings.yaml\n"
+      "  dotterelbendctl config check new.json --against now.json\n"
       "  dotterelbendctl --address 10.0.0.7:7001 get team/night\n"
       "  dotterelbendctl explain team/night/service/draft deadline_ms\n"
       "  dotterelbendctl set team/night deadline_ms 5s\n"
@@ -56,6 +60,7 @@
   { "path", 'p', "PATH", 0, "diff, apply: only at and below PATH", 0 },
   { "dry-run", 'n', NULL, 0, "apply, set: print what would change", 0 },
   { "count", 'c', "N", 0, "watch: stop after N versions", 0 },
+  { "against", 'g', "FILE", 0, "config check: the version in force", 0 },
   { "json", 'j', NULL, 0, "print JSON", 0 },
   { 0 },
 };
@@ -70,6 +75,7 @@
   const char *token_file;
   const char *operator_name;
   const char *path;
+  const char *against;
   uint64_t watch_count;
   bool dry_run;
   bool json;
@@ -96,6 +102,9 @@
     case 'p':
       args->path = arg;
       return 0;
+    case 'g':
+      args->against = arg;
+      return 0;
     case 'n':
       args->dry_run = true;
       return 0;
@@ -526,6 +535,7 @@
 typedef enum
 {
   _CTL_VALIDATE,
+  _CTL_CONFIG,
   _CTL_REFERENCE,
   _CTL_GET,
   _CTL_EXPLAIN,
@@ -550,6 +560,7 @@
   bool offline;
 } _ctl_commands[_CTL_COMMANDS] = {
   [_CTL_VALIDATE] = { "validate", 2, 2, true },
+  [_CTL_CONFIG] = { "config", 3, 3, true },
   [_CTL_REFERENCE] = { "settings-reference", 1, 1, true },
   [_CTL_GET] = { "get", 1, 2, false },
   [_CTL_EXPLAIN] = { "explain", 1, 3, false },
@@ -565,6 +576,32 @@
   [_CTL_LOG_LEVEL] = { "log-level", 2, 2, false },
 };
 
+/* Checks the configuration of the platform in a file.  */
+static ct_exit
+_ctl_config (const _ctl_args *args)
+{
+  er_error err = { 0 };
+  if (strcmp (args->words[1], "check") != 0)
+    {
+      er_set (&err, ER_INVALID,
+              "config %s is unknown; write config check FILE", args->words[1]);
+      return _ctl_fail (CT_USAGE, &err);
+    }
+  switch (pl_check_configuration (&(pl_check_desc){ .file = args->words[2],
+                                                    .against = args->against,
+                                                    .json = args->json,
+                                                    .out = stdout }))
+    {
+    case PL_CHECK_OK:
+      return CT_OK;
+    case PL_CHECK_ERRORS:
+      return CT_REFUSED;
+    case PL_CHECK_UNREADABLE:
+      return CT_USAGE;
+    }
+  return CT_USAGE;
+}
+
 static ct_exit
 _ctl_run (const _ctl_args *args, _ctl_command command)
 {
@@ -572,6 +609,8 @@
     {
     case _CTL_VALIDATE:
       return ct_validate (args->words[1], stdout);
+    case _CTL_CONFIG:
+      return _ctl_config (args);
     case _CTL_REFERENCE:
       {
         char *text = sx_print_reference ();
--- a/packages/gateway/rc.c
+++ b/packages/gateway/rc.c
@@ -230,6 +230,26 @@
   return NULL;
 }
 
+/* The route with INDEX, from 0; NULL past the last one.  */
+const rc_route *
+rc_query_route (const rc_config *c, uint32_t index)
+{
+  return index < c->routes->len ? c->routes->pdata[index] : NULL;
+}
+
+/* Number of keys that are assigned to TEAM.  */
+uint32_t
+rc_count_keys (const rc_config *c, const rc_team *team)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t count = 0;
+  g_hash_table_iter_init (&iter, c->keys);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += value == team;
+  return count;
+}
+
 /* The service with INDEX, from 0; NULL past the last one.  */
 const rc_service *
 rc_query_service (const rc_config *c, uint32_t index)
--- a/packages/gateway/rc.h
+++ b/packages/gateway/rc.h
@@ -111,6 +111,8 @@
   const rc_route *rc_match (const rc_config *c, st_str host, st_str path);
   const rc_route *rc_find_route (const rc_config *c, st_str host,
                                  st_str prefix);
+  const rc_route *rc_query_route (const rc_config *c, uint32_t index);
+  uint32_t rc_count_keys (const rc_config *c, const rc_team *team);
   const rc_service *rc_query_service (const rc_config *c, uint32_t index);
   const rc_service *rc_find_service (const rc_config *c, st_str name);
   const rc_team *rc_find_team (const rc_config *c, st_str name);
