--- a/packages/decide/el.c
+++ b/packages/decide/el.c
@@ -1,6 +1,6 @@
 #include "el.h"
 
-/* Interval of the allowance where an upstream bears at least one request a
+/* Interval of the budget where an upstream bears at least one request a
    second.  It is longer than a second by the time that requests may differ in
    on their way.  */
 #define _EL_INTERVAL_US 1050000
@@ -156,7 +156,7 @@
 }
 
 /* Earliest time at which a process that has started at STARTED_US may send to
-   a cold upstream: the one before it has the allowance of its last second.  */
+   a cold upstream: the one before it has the budget of its last second.  */
 uint64_t
 el_first_send_us (uint64_t started_us)
 {
--- a/packages/decide/el.h
+++ b/packages/decide/el.h
@@ -41,7 +41,7 @@
 /* Most requests that one VM sends to a cold upstream in an interval.  */
 #define EL_SENDS_MAX 32
 
-/* Most VMs that share the allowance of a cold upstream.  */
+/* Most VMs that share the budget of a cold upstream.  */
 #define EL_VMS_MAX 256
 /* A VM that was active keeps its part for this long, and where those that are
    missing are not the minority, for the second time.  */
@@ -74,7 +74,7 @@
   uint64_t active_us; /* last seen as active */
 } el_vm;
 
-/* The other VMs that share the allowance of cold upstreams.  */
+/* The other VMs that share the budget of cold upstreams.  */
 typedef struct
 {
   el_vm vms[EL_VMS_MAX];
--- a/packages/decide/tests/el_test.cc
+++ b/packages/decide/tests/el_test.cc
@@ -1,4 +1,4 @@
-// el_test.cc -- home regions and the allowance of cold upstreams, on a paused
+// el_test.cc -- home regions and the budget of cold upstreams, on a paused
 // clock.
 #include "el.h"
 
--- a/packages/decide/tests/gq_test.cc
+++ b/packages/decide/tests/gq_test.cc
@@ -122,7 +122,7 @@
       while (fleet.choose (demand (2)) == "a" && sent < 50)
         {
           ut_on_sent (fleet.t, a, 0);
-          ut_use_cold_allowance (fleet.t, a, second);
+          ut_use_cold_budget (fleet.t, a, second);
           sent++;
         }
       EXPECT_EQ (sent, 3u);
--- a/packages/decide/ut.c
+++ b/packages/decide/ut.c
@@ -59,7 +59,7 @@
   uint32_t evacuated_count;
   _ut_cold_limit cold_limits[UT_COLD_SERVICES_MAX];
   uint32_t cold_limit_count;
-  el_fleet fleet; /* that shares the allowance of cold upstreams */
+  el_fleet fleet; /* that shares the budget of cold upstreams */
   uint64_t first_put_us;
   _ut_slot *slots;
   uint64_t key;    /* of this VM */
@@ -626,7 +626,7 @@
   _ut_update_all_cold (t);
 }
 
-/* Sets the VMs that share the allowance of cold upstreams, as far as this VM
+/* Sets the VMs that share the budget of cold upstreams, as far as this VM
    sees them: itself where ACTIVE, and the COUNT OTHERS, hashes of their
    names.  */
 void
@@ -637,7 +637,7 @@
   _ut_update_all_cold (t);
 }
 
-/* Removes VM, the hash of a name, from those that share the allowance: it has
+/* Removes VM, the hash of a name, from those that share the budget: it has
    left or is on standby.  */
 void
 ut_forget_cold_vm (ut_table *t, uint64_t vm)
@@ -654,7 +654,7 @@
 
 /* Counts a request that is sent to ID, for the time when it may be cold.  */
 void
-ut_use_cold_allowance (ut_table *t, ut_id id, uint64_t now_us)
+ut_use_cold_budget (ut_table *t, ut_id id, uint64_t now_us)
 {
   _ut_slot *slot = _ut_at (t, id);
   if (slot != NULL)
--- a/packages/decide/ut.h
+++ b/packages/decide/ut.h
@@ -26,7 +26,7 @@
      ut_set_evacuated (t, dc, true, now_us);
      ut_set_cold_limit (t, service, 9.8, 3000000);
      ut_set_cold_vms (t, true, others, count, now_us);     // who shares it
-     ut_use_cold_allowance (t, id, now_us);        // with each send
+     ut_use_cold_budget (t, id, now_us);        // with each send
 
    All VMs see a freed slot at about the same time.  Those with waiting
    requests, the contenders, would all fill it, so they divide the slots of an
@@ -185,7 +185,7 @@
                         uint32_t count, uint64_t now_us);
   void ut_forget_cold_vm (ut_table *t, uint64_t vm);
   double ut_query_silent_part (const ut_table *t);
-  void ut_use_cold_allowance (ut_table *t, ut_id id, uint64_t now_us);
+  void ut_use_cold_budget (ut_table *t, ut_id id, uint64_t now_us);
   void ut_set_key (ut_table *t, uint64_t key);
   void ut_set_peer (ut_table *t, uint64_t peer, const ut_report *report,
                     uint64_t now_us);
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -132,7 +132,7 @@
   _gw_count_stored (r);
   uint32_t own_running = up->own_running;
   ut_on_sent (gw->upstreams, to, r->prefill_tokens);
-  ut_use_cold_allowance (gw->upstreams, to, gw->now_us);
+  ut_use_cold_budget (gw->upstreams, to, gw->now_us);
   GString *head = _gw_write_attempt_head (r);
   r->exchange = uc_send (
       gw->pool, &(uc_request){ .address = st_name_str (&up->entry.address),
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -420,6 +420,7 @@
 void _gw_update_fleet (gw_task *gw);
 
 /* The other VMs: gw_peers.c.  */
+_gw_peer *_gw_find_peer (gw_task *gw, uint64_t key);
 bool _gw_shares_quotas (const gw_task *gw, const _gw_peer *p);
 bool _gw_start_peers (gw_task *gw, er_error *err);
 void _gw_load_changed (gw_task *gw);
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -28,7 +28,8 @@
 #define _GW_REPLY ST_LIT ("document")
 #define _GW_CHANGES ST_LIT ("changes")
 
-static _gw_peer *
+/* The VM or sum of VMs that reports under KEY; NULL when none does.  */
+_gw_peer *
 _gw_find_peer (gw_task *gw, uint64_t key)
 {
   for (int i = 0; i < UT_PEERS_MAX; i++)
--- a/packages/gateway/gw_regions.c
+++ b/packages/gateway/gw_regions.c
@@ -1,4 +1,4 @@
-/* Regions: where a request may be served, and the VMs that share the allowance
+/* Regions: where a request may be served, and the VMs that share the budget
    of cold upstreams.  The rules are those of el.h.  */
 #include "gw_internal.h"
 
--- a/packages/gateway/gw_silent.c
+++ b/packages/gateway/gw_silent.c
@@ -69,21 +69,12 @@
                    gw->now_us);
 }
 
-static const _gw_peer *
-_gw_find_reporter (const gw_task *gw, uint64_t key)
-{
-  for (int i = 0; i < UT_PEERS_MAX; i++)
-    if (gw->peer[i].key == key)
-      return &gw->peer[i];
-  return NULL;
-}
-
 /* True when this VM hears the active one VM, which reports to it directly. One
    that has just become active is given time to report.  */
 static bool
-_gw_hears (const gw_task *gw, const _gw_active_vm *vm)
+_gw_hears (gw_task *gw, const _gw_active_vm *vm)
 {
-  const _gw_peer *p = _gw_find_reporter (gw, vm->key);
+  const _gw_peer *p = _gw_find_peer (gw, vm->key);
   if (vm->key == 0 || _gw_is_joining (gw))
     return true;
   if (p == NULL)
--- a/packages/gateway/rk.c
+++ b/packages/gateway/rk.c
@@ -193,9 +193,9 @@
   for (uint32_t i = 0; (team = rc_query_team (c, i)) != NULL; i++)
     _rk_check_team (c, team, out);
   if (limits->head_timeout_ms > limits->idle_timeout_ms)
-    _rk_add (out, RK_WARNING, "limits", ST_LIT ("headerTimeoutMs"),
-             "%u ms is above idleTimeoutMs %u ms", limits->head_timeout_ms,
-             limits->idle_timeout_ms);
+    _rk_add (out, RK_WARNING, "limits", ST_LIT ("head time-out"),
+             "%u ms is above the idle time-out of %u ms",
+             limits->head_timeout_ms, limits->idle_timeout_ms);
   return out;
 }
 
