--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -325,11 +325,13 @@
       reply.u.settings_value.hash = _GW_REPLY;
       reply.u.settings_value.bytes
           = gw->desc.query_document (gw->desc.user, m->u.settings_get.since);
+      pe_result result = PE_UNKNOWN;
+      if (reply.u.settings_value.bytes.len > 0)
+        result = pe_send (gw->peers, sender->incarnation, &reply);
       LO_EVENT ("document_reply", ST_LIT (""), LO_STR ("peer", sender->name),
                 LO_INT ("since", m->u.settings_get.since),
-                LO_INT ("bytes", reply.u.settings_value.bytes.len));
-      if (reply.u.settings_value.bytes.len > 0)
-        pe_send (gw->peers, sender->incarnation, &reply);
+                LO_INT ("bytes", reply.u.settings_value.bytes.len),
+                LO_CSTR ("result", pe_result_name (result)));
     }
   else if (m->type == MS_SETTINGS_VALUE && gw->desc.on_document != NULL
            && m->u.settings_value.bytes.len > 0)
@@ -415,10 +417,12 @@
     own = gw->desc.query_follow_state (gw->desc.user);
   ms_message m = { .type = MS_SETTINGS_GET };
   m.u.settings_get.since = own.config_revision;
-  bool sent
-      = pe_send (gw->peers, st_from_cstr (source->incarnation), &m) == PE_SENT;
+  pe_result result
+      = pe_send (gw->peers, st_from_cstr (source->incarnation), &m);
+  bool sent = result == PE_SENT;
   ft_on_sent (&gw->fetch, source->key, sent, gw->now_us);
   LO_EVENT ("document_fetch", ST_LIT (""), LO_BOOL ("sent", sent),
+            LO_CSTR ("result", pe_result_name (result)),
             LO_STR ("peer", st_name_str (&source->name)),
             LO_INT ("since", own.config_revision),
             LO_INT ("config", gw_query_config_version (gw)),
--- a/packages/peers/pe.c
+++ b/packages/peers/pe.c
@@ -952,6 +952,24 @@
   _pe_run_mb (pe);
 }
 
+/* Name of RESULT for logs.  */
+const char *
+pe_result_name (pe_result result)
+{
+  switch (result)
+    {
+    case PE_SENT:
+      return "sent";
+    case PE_UNKNOWN:
+      return "no_live_member";
+    case PE_DROPPED:
+      return "dropped";
+    case PE_INVALID:
+      return "invalid";
+    }
+  return "invalid";
+}
+
 /* The members, for the queries of mb.h.  */
 const mb_state *
 pe_query_members (const pe_task *pe)
