--- a/packages/gateway/tests/document_test.cc
+++ b/packages/gateway/tests/document_test.cc
@@ -1,6 +1,9 @@
 // Fetches of the document that the adapters of the VMs exchange.
 #include "support.hh"
 
+#include "fr.h"
+#include "ms.h"
+
 using namespace support;
 
 namespace
@@ -23,12 +26,12 @@
   uint32_t fetches = 0; // that a-1 received
   std::string document; // reply of a-1; empty: none
   uint32_t received = 0;
+  std::string addresses[2]
+      = { own_address (free_port ()), own_address (free_port ()) };
 
   Pair ()
   {
     std::string names[2] = { "a-1", "a-2" };
-    std::string addresses[2]
-        = { own_address (free_port ()), own_address (free_port ()) };
     for (int i = 0; i < 2; i++)
       {
         gw_desc desc = {};
@@ -102,4 +105,113 @@
   p.document = "{}";
   EXPECT_TRUE (p.run ([&] { return p.received > 0; }, 5000));
 }
+
+// A VM that a gateway hears but that is no member: it sends HELLO and load
+// reports, and no probes.
+class Stranger
+{
+public:
+  uint32_t fetches = 0; // that it received
+  uint32_t replies = 0;
+
+  Stranger (struct event_base *base, const std::string &address)
+      : decoder_ (ms_make_decoder ()),
+        bev_ (bufferevent_socket_new (base, -1, BEV_OPT_CLOSE_ON_FREE))
+  {
+    struct sockaddr_in sin = {};
+    int len = sizeof sin;
+    evutil_parse_sockaddr_port (address.c_str (), (struct sockaddr *)&sin,
+                                &len);
+    bufferevent_setcb (bev_, on_read, nullptr, nullptr, this);
+    bufferevent_enable (bev_, EV_READ | EV_WRITE);
+    bufferevent_socket_connect (bev_, (struct sockaddr *)&sin, len);
+    ms_message m = {};
+    m.type = MS_HELLO;
+    m.u.hello.name = ST_LIT ("a-9");
+    m.u.hello.incarnation = ST_LIT ("a-9-0123456789abcdef");
+    m.u.hello.region = ST_LIT ("west");
+    m.u.hello.data_center = ST_LIT ("a");
+    m.u.hello.peer_address = ST_LIT ("127.0.0.1:1");
+    m.u.hello.callers_address = ST_LIT ("127.0.0.1:1");
+    m.u.hello.protocol_version = FR_VERSION;
+    send (m);
+  }
+  ~Stranger ()
+  {
+    bufferevent_free (bev_);
+    ms_destroy_decoder (decoder_);
+  }
+  void
+  report (uint64_t version)
+  {
+    ms_message m = {};
+    m.type = MS_LOAD;
+    m.u.load.config_version = version;
+    m.u.load.follows = true;
+    m.u.load.ready = true;
+    send (m);
+  }
+  void
+  fetch ()
+  {
+    ms_message m = {};
+    m.type = MS_SETTINGS_GET;
+    send (m);
+  }
+
+private:
+  ms_decoder *decoder_;
+  struct bufferevent *bev_;
+
+  void
+  send (const ms_message &m)
+  {
+    er_error err = {};
+    EXPECT_TRUE (ms_encode (bufferevent_get_output (bev_), &m, &err))
+        << err.message;
+  }
+  static void
+  on_read (struct bufferevent *bev, void *user)
+  {
+    Stranger *self = static_cast<Stranger *> (user);
+    struct evbuffer *in = bufferevent_get_input (bev);
+    fr_frame frame;
+    er_error err = {};
+    while (fr_decode (in, &frame, &err) == FR_FRAME)
+      {
+        ms_message m = {};
+        if (ms_decode (self->decoder_, &frame, &m, &err))
+          {
+            self->fetches += m.type == MS_SETTINGS_GET;
+            self->replies += m.type == MS_SETTINGS_VALUE;
+          }
+        fr_drain (in, &frame);
+      }
+  }
+};
+
+// Guards against a VM that hears of a newer version and cannot ask for it,
+// because its view of the members lags behind.
+TEST (GwDocument, AVmThatIsHeardButIsNoMemberIsAsked)
+{
+  Pair p;
+  Stranger stranger (p.base, p.addresses[0]);
+  EXPECT_TRUE (p.run (
+      [&] {
+        stranger.report (3);
+        return stranger.fetches > 0;
+      },
+      3000));
+}
+
+// Guards against replies that are dropped because the VM that asks is not, or
+// no longer, a live member in the view of the one that is asked.
+TEST (GwDocument, AVmThatIsNoMemberIsAnswered)
+{
+  Pair p;
+  p.document = "{}";
+  Stranger stranger (p.base, p.addresses[0]);
+  stranger.fetch ();
+  EXPECT_TRUE (p.run ([&] { return stranger.replies > 0; }, 3000));
+}
 }
