Read the store when what other VMs have reported does not arrive

Callers of a VM that does not follow the store were refused with 401 and 404, seconds after the store had acknowledged a configuration that serves them.

Cause: a VM that hears two followers of its group leaves the store to them. It decided so by their reports alone, whether or not its fetches reached them and were answered.

It does not matter why the document did not arrive.

--- a/packages/decide/tests/ft_test.cc
+++ b/packages/decide/tests/ft_test.cc
@@ -48,4 +48,35 @@
       ASSERT_FALSE (ft_may_fetch (&f, now + 299 * Ms));
     }
 }
+
+// Guards against a VM that never notices that it is behind, because a newer
+// version is reported before the one that it lacks is overdue.
+TEST (Ft, AVersionIsOverdueAlsoWhileNewerOnesAreReported)
+{
+  ft_lag lag = {};
+  for (uint64_t ms = 1000; ms < 2500; ms += 250)
+    {
+      ft_update_lag (&lag, 5, 6 + ms / 250, ms * Ms);
+      EXPECT_FALSE (ft_is_overdue (&lag, false, ms * Ms)) << ms;
+    }
+  ft_update_lag (&lag, 5, 20, 2500 * Ms);
+  EXPECT_TRUE (ft_is_overdue (&lag, false, 2500 * Ms));
+}
+
+// Guards against a VM that keeps up with a series of changes and counts as
+// behind all the same, and against one that gives up a reply that is arriving.
+TEST (Ft, AVersionThatArrivesInTimeIsNotOverdue)
+{
+  ft_lag lag = {};
+  for (uint64_t ms = 1000, newest = 7; ms < 20000; ms += 1000, newest++)
+    {
+      ft_update_lag (&lag, newest - 1, newest, ms * Ms);
+      EXPECT_FALSE (ft_is_overdue (&lag, false, ms * Ms)) << ms;
+    }
+  ft_update_lag (&lag, 30, 31, 20000 * Ms);
+  EXPECT_FALSE (ft_is_overdue (&lag, true, 22999 * Ms));
+  EXPECT_TRUE (ft_is_overdue (&lag, true, 23000 * Ms));
+  ft_update_lag (&lag, 31, 31, 23000 * Ms);
+  EXPECT_FALSE (ft_is_overdue (&lag, false, 30000 * Ms));
+}
 }
--- a/packages/gateway/gw.h
+++ b/packages/gateway/gw.h
@@ -171,6 +171,8 @@
   void gw_publish_document (gw_task *gw, st_str document);
   void gw_query_followers (const gw_task *gw, uint32_t *first,
                            uint64_t *newest);
+  uint64_t gw_query_newest_config (const gw_task *gw);
+  bool gw_is_receiving (const gw_task *gw);
   uint32_t gw_query_vm_count (const gw_task *gw);
   void gw_fetch_document (gw_task *gw);
   void gw_leave (gw_task *gw, uint64_t grace_us);
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -453,6 +453,27 @@
     }
 }
 
+/* Newest configuration version that a VM has reported; 0: none has.  */
+uint64_t
+gw_query_newest_config (const gw_task *gw)
+{
+  uint64_t newest = 0;
+  for (int i = 0; i < UT_PEERS_MAX; i++)
+    {
+      const _gw_peer *p = &gw->peer[i];
+      if (p->key != 0 && p->scope == MS_LOAD_VM && p->config_version > newest)
+        newest = p->config_version;
+    }
+  return newest;
+}
+
+/* True while a message of another VM arrives in parts.  */
+bool
+gw_is_receiving (const gw_task *gw)
+{
+  return gw->peers != NULL && pe_is_receiving (gw->peers);
+}
+
 /* Members that are not dead, this VM included.  */
 uint32_t
 gw_query_vm_count (const gw_task *gw)
--- a/packages/peers/pe.c
+++ b/packages/peers/pe.c
@@ -29,6 +29,9 @@
 #define _PE_READ_TIMEOUT_S 300
 #define _PE_PEER_RETENTION_US (60 * CK_S_US)
 #define _PE_BACKLOG 512
+/* A message of which nothing more has arrived for this long is not being
+   received any more.  */
+#define _PE_RECEIVING_US 500000
 
 typedef struct _pe_peer _pe_peer;
 
@@ -43,6 +46,7 @@
   bool closing;
   uint64_t opened_us;
   uint64_t last_used_us;
+  uint64_t last_read_us;
   char incarnation[MS_INCARNATION_MAX + 1]; /* from HELLO */
 } _pe_conn;
 
@@ -573,7 +577,7 @@
   struct evbuffer *in = bufferevent_get_input (bev);
   fr_frame frame;
   fr_result result = FR_MORE;
-  conn->last_used_us = _pe_now (pe);
+  conn->last_used_us = conn->last_read_us = _pe_now (pe);
   while (!conn->closing)
     {
       er_error err = { 0 };
@@ -952,6 +956,21 @@
   _pe_run_mb (pe);
 }
 
+/* True while a part of a message has arrived and more of it is coming.  */
+bool
+pe_is_receiving (const pe_task *pe)
+{
+  uint64_t now_us = _pe_now (pe);
+  for (guint i = 0; i < pe->conns->len; i++)
+    {
+      const _pe_conn *conn = pe->conns->pdata[i];
+      if (!conn->closing && now_us - conn->last_read_us < _PE_RECEIVING_US
+          && evbuffer_get_length (bufferevent_get_input (conn->bev)) > 0)
+        return true;
+    }
+  return false;
+}
+
 /* Name of RESULT for logs.  */
 const char *
 pe_result_name (pe_result result)
--- a/packages/peers/pe.h
+++ b/packages/peers/pe.h
@@ -118,6 +118,7 @@
   void pe_leave (pe_task *pe);
   void pe_rejoin (pe_task *pe, st_str incarnation, uint64_t counter);
   const char *pe_result_name (pe_result result);
+  bool pe_is_receiving (const pe_task *pe);
   const mb_state *pe_query_members (const pe_task *pe);
   st_str pe_query_address (const pe_task *pe);
   pe_counts pe_query_counts (const pe_task *pe);
