Exchange documents with VMs that are connected, member or not

A VM that heard of a newer configuration could not ask for it, and one that asked got no reply, while the membership view of one side had no live incarnation of the other. Reports need no such view: they are taken from any VM that has said HELLO. The views differ for seconds when hundreds of VMs start, when a frozen VM wakes, and after a false declaration of death.

Fetches and replies now go over the connection that is there, and by membership only where there is none. A document is as valid for a VM that others hold dead; other messages still go to live members only.

--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -327,7 +327,7 @@
           = gw->desc.query_document (gw->desc.user, m->u.settings_get.since);
       pe_result result = PE_UNKNOWN;
       if (reply.u.settings_value.bytes.len > 0)
-        result = pe_send (gw->peers, sender->incarnation, &reply);
+        result = pe_send_connected (gw->peers, sender, &reply);
       LO_EVENT ("document_reply", ST_LIT (""), LO_STR ("peer", sender->name),
                 LO_INT ("since", m->u.settings_get.since),
                 LO_INT ("bytes", reply.u.settings_value.bytes.len),
@@ -418,7 +418,10 @@
   ms_message m = { .type = MS_SETTINGS_GET };
   m.u.settings_get.since = own.config_revision;
   pe_result result
-      = pe_send (gw->peers, st_from_cstr (source->incarnation), &m);
+      = pe_send_connected (gw->peers,
+                           &(pe_sender){ st_name_str (&source->name),
+                                         st_from_cstr (source->incarnation) },
+                           &m);
   bool sent = result == PE_SENT;
   ft_on_sent (&gw->fetch, source->key, sent, gw->now_us);
   LO_EVENT ("document_fetch", ST_LIT (""), LO_BOOL ("sent", sent),
--- a/packages/peers/pe.c
+++ b/packages/peers/pe.c
@@ -455,6 +455,22 @@
   return _pe_send_to (pe, r.name, copy, r.peer_address, m);
 }
 
+/* Sends M to the VM of TO over a connection that it uses now, whatever
+   membership says of it: what connects a VM and what gossip knows of it differ
+   for seconds when many VMs start, wake or are declared dead by mistake.
+   Without a connection like pe_send.  For messages that do no harm at a VM
+   that others hold dead, and at its next process.  */
+pe_result
+pe_send_connected (pe_task *pe, const pe_sender *to, const ms_message *m)
+{
+  char address[MS_ADDRESS_MAX + 1];
+  const _pe_peer *peer = _pe_find_peer (pe, to->name);
+  if (peer == NULL || _pe_ready_conn (peer, "") == NULL)
+    return pe_send (pe, to->incarnation, m);
+  g_strlcpy (address, peer->address, sizeof address);
+  return _pe_send_to (pe, to->name, "", st_from_cstr (address), m);
+}
+
 /* Sends M to the current process of the VM NAME.  */
 pe_result
 pe_send_name (pe_task *pe, st_str name, const ms_message *m)
--- a/packages/peers/pe.h
+++ b/packages/peers/pe.h
@@ -114,6 +114,8 @@
   void pe_set_vm_list (pe_task *pe, const mb_vm_entry *entries,
                        uint32_t count);
   pe_result pe_send (pe_task *pe, st_str incarnation, const ms_message *m);
+  pe_result pe_send_connected (pe_task *pe, const pe_sender *to,
+                               const ms_message *m);
   pe_result pe_send_name (pe_task *pe, st_str name, const ms_message *m);
   void pe_leave (pe_task *pe);
   void pe_rejoin (pe_task *pe, st_str incarnation, uint64_t counter);
