Read the head from the store when peers do not answer, in the own interface

The same fault as in the gateway's follower: a VM that is not one of the watchers of its data centre took the settings' head from peers only. While its fetches or their replies were lost, each probe told it of the newer version again, and it stayed at the old one. The head is now read from the store, at most once a second, when a hinted version is overdue (ft_lag).

--- a/packages/decide/sp.c
+++ b/packages/decide/sp.c
@@ -1,5 +1,7 @@
 #include "sp.h"
 
+#include "ft.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -22,6 +24,9 @@
 /* Peers from which a hinted head is fetched before the hint is dropped; the
    next probe renews it.  */
 #define _SP_HEAD_ATTEMPTS_MAX 4
+/* Shortest time between two reads of the head by a VM that does not get it
+   from its peers.  */
+#define _SP_OVERDUE_READ_US 1000000
 /* Peers from which the head is fetched at startup.  */
 #define _SP_STARTUP_PEERS 3
 /* The same on all VMs, so that they agree on the watchers.  */
@@ -57,6 +62,7 @@
   uint64_t *scores;
 
   uint64_t hinted_version; /* newest version that a peer reported */
+  ft_lag lag;              /* behind the versions that peers reported */
   uint64_t fetch_started_us;
 
   uint64_t sequence;        /* of the last store call */
@@ -488,6 +494,9 @@
       vm->read_interval_us = _sp_read_interval_us (vm, head);
       if (head->version > vm->store_version)
         vm->store_version = head->version;
+      /* The next probe renews a hint that came during the read.  */
+      if (head->version < vm->hinted_version)
+        vm->hinted_version = head->version;
       if (head->revision > vm->revision)
         vm->revision = head->revision;
       _sp_schedule_store (vm, now_us, false);
@@ -599,6 +608,10 @@
 static void
 _sp_tick_store (sp_vm *vm, uint64_t now_us)
 {
+  ft_update_lag (&vm->lag, vm->target > vm->version ? vm->target : vm->version,
+                 vm->hinted_version, now_us);
+  bool overdue = ft_is_overdue (&vm->lag, false, now_us)
+                 && now_us >= vm->last_read_us + _SP_OVERDUE_READ_US;
   if (vm->read_pending && now_us >= vm->call_started_us + _SP_STORE_TIMEOUT_US)
     sp_vm_on_head_error (vm, now_us, vm->sequence);
   if (vm->watch_pending
@@ -609,9 +622,10 @@
     }
   if (vm->read_pending || vm->watch_pending || now_us < vm->store_due_us)
     return;
-  bool needs_store = !vm->store_replied || _sp_is_watcher (vm);
+  bool needs_store = !vm->store_replied || _sp_is_watcher (vm) || overdue;
   if (!needs_store)
     return;
+  vm->read_due |= overdue;
   sp_vm_action a = { .kind = vm->read_due ? SP_VM_READ_HEAD : SP_VM_WATCH,
                      .revision = vm->revision,
                      .sequence = vm->sequence + 1 };
--- a/packages/decide/tests/sp_test.cc
+++ b/packages/decide/tests/sp_test.cc
@@ -1213,3 +1213,39 @@
       sp_destroy_change (c);
     }
 }
+
+// Guards against a VM that hears of a change from peers that do not answer its
+// fetches, and never reads the head from the store because others watch it.
+TEST (Sp, AVmWhosePeersDoNotAnswerReadsTheHead)
+{
+  const uint64_t ms = 1000;
+  std::vector<std::string> members;
+  for (int i = 0; i < 10; i++)
+    members.push_back ("vm" + std::to_string (i));
+  for (auto &name : members)
+    {
+      sp_vm *vm = MakeVm (name.c_str (), members);
+      Head h = OneEntry (1, "x");
+      sp_head view = h.View ();
+      sp_source store = {};
+      store.kind = SP_FROM_STORE;
+      sp_vm_tick (vm, 0);
+      Drain (vm);
+      sp_vm_on_head (vm, 0, &store, &view, 0);
+      size_t reads = 0;
+      st_name peer = Name (name == "vm0" ? "vm1" : "vm0");
+      for (uint64_t t = 100 * ms; t < 4000 * ms; t += 100 * ms)
+        {
+          if (t % (500 * ms) == 0)
+            sp_vm_on_hint (vm, t, &peer, 2);
+          sp_vm_tick (vm, t);
+          reads += CountKind (Drain (vm), SP_VM_READ_HEAD);
+        }
+      if (!sp_vm_query_state (vm).watcher)
+        {
+          EXPECT_GE (reads, 1u) << name;
+          EXPECT_LE (reads, 4u) << name;
+        }
+      sp_destroy_vm (vm);
+    }
+}
