End a rollout whose controller cannot reach the store

The states of a rollout were written by the first active VM that reports, and all others left them to it. Where it is cut off from the store and not from its peers, nobody wrote `running`, `completed` or `reverted`. It is the fault of the VMs that waited for followers: a report is no proof of work.

An active VM now writes as a deputy: the running state 1 s after the order, and the decision when 0.3 s are left.

Vr.ADeputyWritesWhatTheControllerDoesNot fails with the rule off and passes with it.

--- a/packages/decide/tests/vr_test.cc
+++ b/packages/decide/tests/vr_test.cc
@@ -51,10 +51,32 @@
 tick (vr_rollout *r, uint64_t now, bool controller = true,
       uint32_t target_slots = 90)
 {
-  vr_inputs in = { controller, target_slots, 100, now };
+  vr_inputs in = { controller, false, target_slots, 100, now };
   return vr_tick (r, &in);
 }
 
+// Guards against a rollout that nobody ends, because the controller cannot
+// reach the store and the others leave it to the controller.
+TEST (Vr, ADeputyWritesWhatTheControllerDoesNot)
+{
+  vr_rollout r = ordered ();
+  for (int i = 0; i < 200; i++)
+    record (&r, true, false, 80 * ms);
+  vr_inputs in = {};
+  in.deputy = true;
+  in.target_slots = 90;
+  in.other_slots = 100;
+  in.now_us = 100 * second + 500 * ms;
+  EXPECT_EQ (vr_tick (&r, &in), VR_NONE) << "the controller has time";
+  in.now_us = 101 * second;
+  EXPECT_EQ (vr_tick (&r, &in), VR_RUNNING);
+  vr_set_status (&r, ST_LIT ("v2"), VR_RUNNING, 6);
+  in.now_us = 112 * second - 400 * ms;
+  EXPECT_EQ (vr_tick (&r, &in), VR_NONE) << "the controller has time";
+  in.now_us = 112 * second - 200 * ms;
+  EXPECT_EQ (vr_tick (&r, &in), VR_COMPLETED);
+}
+
 // Guards against a new version that gets more than a small share before its
 // deadline.
 TEST (Vr, TheNewVersionGetsASmallShare)
--- a/packages/decide/vr.c
+++ b/packages/decide/vr.c
@@ -27,6 +27,11 @@
    and for its way to all VMs.  With the share before, the whole traffic in it
    is under 10% of a rollout of 10 s.  */
 #define _VR_LAST_PHASE_US 600000
+/* The controller may be cut off from the store.  A deputy writes what has not
+   come back by then: the decision, when this much of the last phase is left,
+   and the running state, this long after the order.  */
+#define _VR_DEPUTY_PHASE_US 300000
+#define _VR_DEPUTY_START_US 1000000
 /* Time after which a state is written again if it has not come back.  */
 #define _VR_REWRITE_US 700000
 /* Fewest failures, and fewest standard deviations above the old version's
@@ -437,15 +442,21 @@
   r->few_phase = (double)(in->now_us - r->start_us)
                  > _VR_FEW_FRACTION * (double)(r->end_us - r->start_us);
   bool last_phase = in->now_us + _VR_LAST_PHASE_US >= r->end_us;
+  bool decides
+      = (in->controller && last_phase)
+        || (in->deputy && in->now_us + _VR_DEPUTY_PHASE_US >= r->end_us);
+  bool starts
+      = in->controller
+        || (in->deputy && in->now_us - r->start_us >= _VR_DEPUTY_START_US);
   if (r->found_bad)
     state = VR_REVERTED;
-  else if (in->controller && last_phase)
+  else if (decides)
     state = _vr_is_good (r)
                     && in->target_slots
                            >= _VR_SLOTS_FRACTION * (double)in->other_slots
                 ? VR_COMPLETED
                 : VR_REVERTED;
-  else if (in->controller && r->status_revision < r->order_revision)
+  else if (starts && r->status_revision < r->order_revision)
     state = VR_RUNNING;
   if (state == VR_NONE
       || (r->written_us != 0 && in->now_us - r->written_us < _VR_REWRITE_US
--- a/packages/decide/vr.h
+++ b/packages/decide/vr.h
@@ -166,6 +166,7 @@
 typedef struct
 {
   bool controller;       /* this VM writes the progress */
+  bool deputy;           /* it does so where the controller has not in time */
   uint32_t target_slots; /* of the new version's upstreams */
   uint32_t other_slots;
   uint64_t now_us;
--- a/packages/gateway/gw_rollout.c
+++ b/packages/gateway/gw_rollout.c
@@ -328,8 +328,9 @@
       if (rollout->target.len == 0 || rollout->state != VR_RUNNING
           || gw->desc.write_rollout == NULL || gw->drain.start_us != 0)
         continue;
-      vr_inputs in
-          = { .controller = _gw_is_first_active (gw), .now_us = gw->now_us };
+      vr_inputs in = { .controller = _gw_is_first_active (gw),
+                       .deputy = gw->peers == NULL || gw->group.active,
+                       .now_us = gw->now_us };
       _gw_count_slots (gw, service, &in);
       vr_state state = vr_tick (rollout, &in);
       if (state == VR_NONE)
