--- a/packages/decide/el.h
+++ b/packages/decide/el.h
@@ -55,6 +55,16 @@
   uint32_t count;
 } el_regions;
 
+/* What upstreams and other VMs have stated last of one upstream's limit.  */
+typedef struct
+{
+  bool named; /* it takes PER_S requests a second of all VMs */
+  double per_s;
+  uint64_t stated_us; /* time of the newest statement; 0: there was none */
+  uint32_t share;     /* of this VM, in an interval */
+  uint64_t from_us;   /* the process before may have sent until then */
+} el_limit;
+
 /* What a VM knows of one upstream that may be cold.  */
 typedef struct
 {
--- a/packages/decide/rt.c
+++ b/packages/decide/rt.c
@@ -101,11 +101,9 @@
   return rt->saved_permille / _RT_PERMILLE_PER_RETRY;
 }
 
-/* Reads TEXT, the value of a Retry-After field in seconds, whole or with a
-   fraction, at most MAX_US.  False for a date and anything else that is not a
-   positive number.  */
-bool
-rt_parse_retry_after (st_str text, uint64_t max_us, uint64_t *out_us)
+/* Reads TEXT, a decimal number without a sign or an exponent.  */
+static bool
+_rt_parse_decimal (st_str text, double *out)
 {
   char copy[32];
   if (text.len == 0 || text.len >= sizeof copy)
@@ -116,9 +114,27 @@
   memcpy (copy, text.ptr, text.len);
   copy[text.len] = 0;
   char *end;
-  double us = g_ascii_strtod (copy, &end) * 1e6;
-  if (end != copy + text.len || !isfinite (us) || us < 1)
+  *out = g_ascii_strtod (copy, &end);
+  return end == copy + text.len && isfinite (*out);
+}
+
+/* Reads TEXT, the value of a Retry-After field in seconds, whole or with a
+   fraction, at most MAX_US.  False for a date and anything else that is not a
+   positive number.  */
+bool
+rt_parse_retry_after (st_str text, uint64_t max_us, uint64_t *out_us)
+{
+  double s;
+  if (!_rt_parse_decimal (text, &s) || s * 1e6 < 1)
     return false;
-  *out_us = us < (double)max_us ? (uint64_t)us : max_us;
+  *out_us = s * 1e6 < (double)max_us ? (uint64_t)(s * 1e6) : max_us;
   return true;
 }
+
+/* Reads TEXT, a number of requests a second, whole or with a fraction.  False
+   for anything else; 0 is a rate.  */
+bool
+rt_parse_rate (st_str text, double *per_s)
+{
+  return _rt_parse_decimal (text, per_s);
+}
--- a/packages/decide/rt.h
+++ b/packages/decide/rt.h
@@ -12,7 +12,8 @@
        refuse with rt_retry_after_ms (rt, backlog, per_second);
      rt_destroy (rt);
 
-   rt_parse_retry_after reads the Retry-After of a response.  */
+   rt_parse_retry_after reads the Retry-After of a response, rt_parse_rate a
+   limit that an upstream names in it.  */
 #ifndef RT_H
 #define RT_H
 
@@ -50,6 +51,7 @@
                               double per_second);
   uint32_t rt_query_tokens (const rt_budget *rt);
   bool rt_parse_retry_after (st_str text, uint64_t max_us, uint64_t *out_us);
+  bool rt_parse_rate (st_str text, double *per_s);
 
 #ifdef __cplusplus
 }
--- a/packages/decide/tests/limits_test.cc
+++ b/packages/decide/tests/limits_test.cc
@@ -416,4 +416,16 @@
     EXPECT_FALSE (rt_parse_retry_after (st_from_cstr (text), max_us, &us))
         << text;
 }
+
+// Guards against a limit that is not the number in the field.
+TEST (Rt, ReadsRates)
+{
+  double per_s = -1;
+  EXPECT_TRUE (rt_parse_rate (ST_LIT ("1.6"), &per_s));
+  EXPECT_DOUBLE_EQ (per_s, 1.6);
+  EXPECT_TRUE (rt_parse_rate (ST_LIT ("0"), &per_s));
+  EXPECT_DOUBLE_EQ (per_s, 0);
+  for (const char *text : { "", "-1", "abc", "1/s", "1e3", "inf", "nan", "." })
+    EXPECT_FALSE (rt_parse_rate (st_from_cstr (text), &per_s)) << text;
+}
 }
--- a/packages/decide/ut.c
+++ b/packages/decide/ut.c
@@ -565,6 +565,25 @@
   slot->up.entry.leaving = true;
 }
 
+/* Records what ID stated at STATED_US: where NAMED that it takes PER_S
+   requests a second from all VMs together, else that it has no limit.  True
+   when that is new; an older statement than the last one has no effect.  */
+bool
+ut_state_limit (ut_table *t, ut_id id, bool named, double per_s,
+                uint64_t stated_us)
+{
+  _ut_slot *slot = _ut_at (t, id);
+  el_limit *limit = slot != NULL ? &slot->up.limit : NULL;
+  if (limit == NULL || stated_us <= limit->stated_us
+      || (!named && limit->stated_us == 0))
+    return false;
+  bool changed = named != limit->named || (named && per_s != limit->per_s);
+  limit->named = named;
+  limit->per_s = per_s;
+  limit->stated_us = stated_us;
+  return changed;
+}
+
 /* Starts or ends the evacuation of DATA_CENTER.  After its end the upstreams
    there count as cold for the time of a cold start: they have been idle, and
    an entry that says so may arrive later than the order.  False when too many
--- a/packages/decide/ut.h
+++ b/packages/decide/ut.h
@@ -10,6 +10,7 @@
      ut_on_end (t, id, 0, UT_SERVED, now_us);
      ut_set_leaving (t, id);                  // it states that it leaves
      ut_pause (t, id, until_us);              // it asks for a pause
+     ut_state_limit (t, id, true, 1.5, now_us); // it names a limit
      ut_set_peer (t, peer, &report, now_us);  // load report of another VM
 
    Ids carry a generation: no call finds an upstream that has been removed.
@@ -134,6 +135,7 @@
   uint64_t pause_until_us; /* not used at all */
   bool said_leaving;       /* in a response; the entry need not say so */
   bool evacuated;          /* its data centre is */
+  el_limit limit;
   el_cold cold;
 } ut_upstream;
 
@@ -177,6 +179,8 @@
   void ut_avoid (ut_table *t, ut_id id, uint64_t until_us);
   void ut_pause (ut_table *t, ut_id id, uint64_t until_us);
   void ut_set_leaving (ut_table *t, ut_id id);
+  bool ut_state_limit (ut_table *t, ut_id id, bool named, double per_s,
+                       uint64_t stated_us);
   bool ut_set_evacuated (ut_table *t, st_str data_center, bool evacuated,
                          uint64_t now_us);
   void ut_set_cold_limit (ut_table *t, st_str service, double per_s,
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -260,8 +260,38 @@
             1);
 }
 
-/* Adopts what R's upstream states of itself in HEAD: that it leaves, or that
-   it wants no requests for a while.  */
+/* Adopts the limit that HEAD, of a response to R, names or no longer names.
+   The upstream is sure to have a limit no more when it leaves it out of a
+   response to a request that was sent after it last named one.  */
+static void
+_gw_read_limit (const _gw_request *r, const hp_head *head)
+{
+  gw_task *gw = r->gw;
+  st_str value;
+  double per_s = 0;
+  bool named = hp_get (head, gw->desc.names->limit, &value);
+  if (head->status == 421)
+    return; /* another process responds at this address */
+  if (named && !rt_parse_rate (value, &per_s))
+    {
+      LO_EVENT ("upstream_limit_malformed", st_name_str (&r->id),
+                LO_STR ("upstream", st_name_str (&r->upstream_id)),
+                LO_STR ("value", value));
+      return;
+    }
+  if (!ut_state_limit (gw->upstreams, r->upstream, named, per_s,
+                       named ? gw->now_us : r->sent_us))
+    return;
+  LO_EVENT ("upstream_limit", st_name_str (&r->id),
+            LO_STR ("upstream", st_name_str (&r->upstream_id)),
+            LO_STR ("per_s", named ? value : ST_LIT ("none")),
+            LO_INT ("status", head->status));
+  _gw_count_statement (gw, "gateway_upstream_limits_total",
+                       st_name_str (&r->service));
+}
+
+/* Adopts what R's upstream states of itself in HEAD: that it leaves, that it
+   takes so many requests a second, or that it wants none for a while.  */
 static void
 _gw_read_statements (const _gw_request *r, const hp_head *head)
 {
@@ -279,6 +309,7 @@
                            st_name_str (&r->service));
       ut_set_leaving (gw->upstreams, r->upstream);
     }
+  _gw_read_limit (r, head);
   if (head->status != 503 || !hp_get (head, ST_LIT ("Retry-After"), &value)
       || !rt_parse_retry_after (value, _GW_PAUSE_MAX_US, &pause_us))
     return;
--- a/packages/gateway/tests/support.hh
+++ b/packages/gateway/tests/support.hh
@@ -126,6 +126,7 @@
   names.signature = ST_LIT ("X-Sign");
   names.not_run = ST_LIT ("X-Not-Run");
   names.leaving = ST_LIT ("X-Leaving");
+  names.limit = ST_LIT ("X-Limit");
   names.token_usage = ST_LIT ("X-Tokens");
   names.prompt_parts = ST_LIT ("X-Parts");
   names.resume_after = ST_LIT ("Last-Event-Id");
