Test the limit that an upstream names, red

Nine VMs before an upstream that takes one request a second: 89 requests in 4 s, 401 where it is the only one; 11 are allowed.

--- a/packages/gateway/tests/support.hh
+++ b/packages/gateway/tests/support.hh
@@ -210,6 +210,7 @@
   std::deque<Behaviour> behaviours;
   Behaviour default_behaviour = Respond;
   std::string pause_s = "1";
+  std::string limit; // requests a second that all responses name; "": none
   std::string raw; // a response, or the start of one; "@" is the request's id
   FieldNames names;
   bool record_requests = true;
@@ -420,6 +421,7 @@
     return "HTTP/1.1 " + std::to_string (status) + " X\r\n" + names.id + ": "
            + (id.empty () ? field (c, names.id.c_str ()) : id) + "\r\n"
            + (is_signed ? names.sign + ": s1\r\n" : "") + more
+           + (limit.empty () ? "" : "X-Limit: " + limit + "\r\n")
            + "Content-Length: " + std::to_string (body.size ()) + "\r\n\r\n"
            + body;
   }
