Keep all VMs together to the limit that an upstream names

An upstream in need that took one request a second got as many as before it said so: `Server-Limit` was decoded, but no decision used it.

The limit is now divided between the VMs as the budget of cold upstreams is: the requests of 4 s are each assigned to one VM of the remembered fleet (el_limit_share), so nothing has to be asked before a request is sent, and a VM that is cut off, frozen or killed keeps its part. All attempts count: retries, copies, resumed streams, kept connections. A VM reports the limits that upstreams have told it with its load, so that VMs that start or may not send there know them; aggregators add those of their group. A limit ends with a response that leaves it out, to a request that was sent after it was last named, with a new process, or after a minute without any statement. While nobody has stated it for 2 s, a VM with budget prefers this upstream for one request, to see whether it still holds. Slots that the limit closes are no slots to the queue; where no other upstream is left a request waits for the next budget or is refused, with a Retry-After past it.

TheLimitEndsWhenItIsNoLongerNamed is replaced by TheLimitEndsAtAllVmsWhenItIsNoLongerNamed, with a single upstream: it counted requests at one of two, which the VMs may rightly not prefer after the end. El.AllVmsTogetherKeepToANamedLimit has partitions and restarts at 2 to 195 VMs, limits of 0.2 to 60 a second.

--- a/packages/decide/el.h
+++ b/packages/decide/el.h
@@ -17,7 +17,18 @@
    than some requests a second from all VMs together.  Each of these requests
    is assigned to one VM, so no message is needed for it:
 
-     if (el_cold_allows (&cold, now_us)) { send; el_on_sent (&cold, now_us); }
+     if (el_cold_allows (&cold, &sends, now_us))
+       { send; el_on_sent (&sends, now_us); }
+
+   Limits.  An upstream in need names in its responses how many requests a
+   second it takes from all VMs together.  They are assigned to VMs likewise,
+   over 4 s, so that several VMs have a part in a limit of one a second.  What
+   one VM learns the others learn from its reports.
+
+     limit.share = el_limit_share (&fleet, own, upstream, limit.per_s);
+     if (el_limit_allows (&limit, &sends, now_us)) send
+
+   The load pattern it answers is an upstream that each of many VMs finds free.
 
    A VM that is cut off, frozen or killed keeps what is assigned to it: the
    fleet remembers the VMs that were active.  A VM that sees no majority of
@@ -38,7 +49,8 @@
 
 #include "st.h"
 
-/* Most requests that one VM sends to a cold upstream in an interval.  */
+/* Most requests that one VM sends to a cold or limited upstream in an
+   interval.  */
 #define EL_SENDS_MAX 32
 
 /* Most VMs that share the budget of a cold upstream.  */
@@ -55,28 +67,44 @@
   uint32_t count;
 } el_regions;
 
-/* What upstreams and other VMs have stated last of one upstream's limit.  */
+/* From whom a VM has a statement.  It passes on what it has from the upstream
+   itself, and in a sum what it has from the VMs of the sum: passed on by all,
+   a statement would come back and never grow old.  */
+typedef enum
+{
+  EL_FROM_UPSTREAM = 0,
+  EL_FROM_VM,
+  EL_FROM_SUM
+} el_origin;
+
+/* What an upstream has stated last of its limit.  */
 typedef struct
 {
   bool named; /* it takes PER_S requests a second of all VMs */
   double per_s;
   uint64_t stated_us; /* time of the newest statement; 0: there was none */
-  uint32_t share;     /* of this VM, in an interval */
-  uint64_t from_us;   /* the process before may have sent until then */
+  el_origin origin;
+  uint32_t share;   /* of this VM, in an interval */
+  uint64_t from_us; /* the process before may have sent until then */
 } el_limit;
 
 /* What a VM knows of one upstream that may be cold.  */
 typedef struct
 {
-  double per_s;        /* of all VMs together while it is cold; 0: no limit */
-  uint32_t share;      /* of this VM, in an interval */
-  uint64_t until_us;   /* as the upstream states */
-  uint64_t held_us;    /* cold until then, whatever it states */
-  uint64_t from_us;    /* the process before may have sent until then */
-  uint32_t sent_count; /* so far */
-  uint64_t sent_us[EL_SENDS_MAX]; /* the newest sends */
+  double per_s;      /* of all VMs together while it is cold; 0: no limit */
+  uint32_t share;    /* of this VM, in an interval */
+  uint64_t until_us; /* as the upstream states */
+  uint64_t held_us;  /* cold until then, whatever it states */
+  uint64_t from_us;  /* the process before may have sent until then */
 } el_cold;
 
+/* The newest requests that this VM has sent to an upstream.  */
+typedef struct
+{
+  uint32_t count; /* so far */
+  uint64_t us[EL_SENDS_MAX];
+} el_sends;
+
 typedef struct
 {
   uint64_t vm;        /* hash of its name */
@@ -108,9 +136,18 @@
   uint32_t el_share (const el_fleet *fleet, uint64_t self, uint64_t upstream,
                      double per_s);
   uint64_t el_first_send_us (uint64_t started_us);
+  uint64_t el_first_limited_us (uint64_t started_us);
   bool el_is_cold (const el_cold *cold, uint64_t now_us);
-  bool el_cold_allows (const el_cold *cold, uint64_t now_us);
-  void el_on_sent (el_cold *cold, uint64_t now_us);
+  bool el_cold_allows (const el_cold *cold, const el_sends *sends,
+                       uint64_t now_us);
+  uint32_t el_limit_share (const el_fleet *fleet, uint64_t self,
+                           uint64_t upstream, double per_s);
+  bool el_limit_allows (const el_limit *limit, const el_sends *sends,
+                        uint64_t now_us);
+  uint64_t el_limit_wait_us (const el_limit *limit, const el_sends *sends,
+                             uint64_t now_us);
+  bool el_limit_needs_check (const el_limit *limit, uint64_t now_us);
+  void el_on_sent (el_sends *sends, uint64_t now_us);
 
 #ifdef __cplusplus
 }
--- a/packages/decide/gq.c
+++ b/packages/decide/gq.c
@@ -85,7 +85,7 @@
 }
 
 /* True when UP may get DEMAND, a new request to SERVICE, as far as it is not
-   for the rate at which a cold upstream gets requests.  */
+   for the rate at which a cold or limited upstream gets requests.  */
 bool
 gq_usable (const ut_upstream *up, st_str service, const gq_demand *demand,
            uint64_t now_us)
@@ -107,7 +107,8 @@
              uint64_t now_us)
 {
   return gq_usable (up, service, demand, now_us)
-         && el_cold_allows (&up->cold, now_us);
+         && el_cold_allows (&up->cold, &up->sends, now_us)
+         && el_limit_allows (&up->limit, &up->sends, now_us);
 }
 
 static bool
@@ -246,16 +247,19 @@
         {
           const ut_upstream *up = ut_query (t, id);
           if (!gq_usable (up, service, demand, now_us)
+              || !el_limit_allows (&up->limit, &up->sends, now_us)
               || !_gq_is_candidate (candidates, up, _gq_was_tried (demand, id),
                                     now_us))
             continue;
           any_candidate = true;
-          if (!el_cold_allows (&up->cold, now_us)
+          if (!el_cold_allows (&up->cold, &up->sends, now_us)
               || !_gq_has_room (t, id, demand, &contenders))
             continue;
           random = random * 1664525u + 1013904223u;
           double cost = _gq_cost (t, id, up, demand, now_us)
                         * (1.0 + 0.1 * (random >> 16) / 65536.0);
+          if (el_limit_needs_check (&up->limit, now_us))
+            cost = 0;
           if (best.generation == 0 || cost < best_cost)
             {
               best = id;
--- a/packages/decide/tests/el_test.cc
+++ b/packages/decide/tests/el_test.cc
@@ -38,28 +38,30 @@
 TEST (El, OnlyColdUpstreamsAreLimited)
 {
   el_cold cold = {};
+  el_sends sends = {};
   cold.per_s = per_s;
   cold.until_us = 3 * second;
-  EXPECT_FALSE (el_cold_allows (&cold, second)); // no share
-  EXPECT_TRUE (el_cold_allows (&cold, 3 * second));
+  EXPECT_FALSE (el_cold_allows (&cold, &sends, second)); // no share
+  EXPECT_TRUE (el_cold_allows (&cold, &sends, 3 * second));
   cold.held_us = 5 * second;
-  EXPECT_FALSE (el_cold_allows (&cold, 4 * second));
+  EXPECT_FALSE (el_cold_allows (&cold, &sends, 4 * second));
   cold.per_s = 0;
-  EXPECT_TRUE (el_cold_allows (&cold, second));
+  EXPECT_TRUE (el_cold_allows (&cold, &sends, second));
 }
 
 // Guards against a share that can be used twice within a second.
 TEST (El, AShareIsUsedOnceInAnInterval)
 {
   el_cold cold = {};
+  el_sends sends = {};
   cold.per_s = per_s;
   cold.until_us = UINT64_MAX;
   cold.share = 3;
   std::vector<uint64_t> sent;
   for (uint64_t now = second; now < 60 * second; now += 7 * ms)
-    if (el_cold_allows (&cold, now))
+    if (el_cold_allows (&cold, &sends, now))
       {
-        el_on_sent (&cold, now);
+        el_on_sent (&sends, now);
         sent.push_back (now);
       }
   EXPECT_GT (sent.size (), 150u);
@@ -67,24 +69,27 @@
     EXPECT_GT (sent[i] - sent[i - 3], second);
 }
 
-// VMs that all send to one cold upstream whenever they may, while the network
-// between them is cut and processes restart.
+// VMs that all send to one cold or limited upstream whenever they may, while
+// the network between them is cut and processes restart.
 class Cold
 {
 public:
-  Cold (uint32_t vms, uint32_t active, uint64_t seed)
-      : random_ (seed), active_ (active), vms_ (vms)
+  // LIMIT_PER_S: the limit that the upstream names; 0: it is cold.
+  Cold (uint32_t vms, uint32_t active, uint64_t seed, double limit_per_s = 0)
+      : random_ (seed), active_ (active), limit_per_s_ (limit_per_s),
+        vms_ (vms)
   {
     for (Vm &vm : vms_)
       {
         vm.cold.per_s = per_s;
         vm.cold.until_us = UINT64_MAX;
+        vm.limit.named = true;
       }
   }
-  // Returns the most requests in any second.  PARTS: sides of the partition;
+  // Returns the most requests in any SPAN.  PARTS: sides of the partition;
   // as many as VMs: each VM is alone.
   size_t
-  run (uint32_t parts)
+  run (uint32_t parts, uint64_t span = second)
   {
     std::vector<uint64_t> sent;
     for (uint64_t now = second; now < 50 * second; now += 10 * ms)
@@ -94,16 +99,16 @@
         if (now % (100 * ms) == 0)
           restart_one (now);
         for (Vm &vm : vms_)
-          if (el_cold_allows (&vm.cold, now))
+          if (allows (vm, now))
             {
-              el_on_sent (&vm.cold, now);
+              el_on_sent (&vm.sends, now);
               sent.push_back (now);
             }
       }
     size_t most = 0, from = 0;
     for (size_t i = 0; i < sent.size (); i++)
       {
-        while (sent[i] - sent[from] >= second)
+        while (sent[i] - sent[from] >= span)
           from++;
         most = std::max (most, i - from + 1);
       }
@@ -117,13 +122,23 @@
   {
     el_fleet fleet = {};
     el_cold cold = {};
+    el_limit limit = {};
+    el_sends sends = {};
     uint64_t started_us = 0;
     bool fresh = true;
   };
   std::mt19937_64 random_;
   uint32_t active_;
+  double limit_per_s_;
   std::vector<Vm> vms_;
 
+  bool
+  allows (const Vm &vm, uint64_t now) const
+  {
+    return limit_per_s_ > 0 ? el_limit_allows (&vm.limit, &vm.sends, now)
+                            : el_cold_allows (&vm.cold, &vm.sends, now);
+  }
+
   // Each VM sees those of its side; the first ones of a side are active.  A
   // process that has just started sees the list of the store.
   void
@@ -149,6 +164,11 @@
         el_update_fleet (&vm.fleet, self, others.data (),
                          (uint32_t)others.size (), now);
         vm.cold.share = el_share (&vm.fleet, 1000 + i, 77, per_s);
+        vm.limit.named = true;
+        vm.limit.per_s = limit_per_s_;
+        vm.limit.stated_us = now;
+        vm.limit.share
+            = el_limit_share (&vm.fleet, 1000 + i, 77, limit_per_s_);
       }
   }
   void
@@ -162,6 +182,8 @@
     vm.cold.per_s = cold.per_s;
     vm.cold.until_us = cold.until_us;
     vm.cold.from_us = el_first_send_us (now);
+    vm.limit.named = true;
+    vm.limit.from_us = el_first_limited_us (now);
     // Without a view it has no configuration and sends nothing.
   }
 };
@@ -262,4 +284,40 @@
         EXPECT_DOUBLE_EQ (sides.sum (19 * second, 21 * second, false), 1);
       }
 }
+// Guards against an upstream that gets more than the limit that it named from
+// all VMs together, while these are cut off from each other and restart.
+TEST (El, AllVmsTogetherKeepToANamedLimit)
+{
+  for (double limit : { 0.2, 1.0, 1.6, 10.0, 60.0 })
+    for (uint32_t vms : { 2u, 9u, 195u })
+      for (uint64_t seed = 1; seed <= 3; seed++)
+        for (uint32_t parts : { 1u, 2u, vms })
+          {
+            Cold limited (vms, 12, seed, limit);
+            EXPECT_LE ((double)limited.run (parts, 4 * second),
+                       1.5 * 4 * limit + 5)
+                << limit << " a second, " << vms << " VMs, " << parts
+                << " parts, seed " << seed;
+          }
+}
+
+// Guards against a limit that is kept for ever after the last response that
+// named it, and one that is too small for any request.
+TEST (El, ALimitThatNobodyStatesEnds)
+{
+  el_fleet fleet = {};
+  el_limit limit = {};
+  el_sends sends = {};
+  fleet.has_part = true;
+  limit.named = true;
+  limit.stated_us = second;
+  EXPECT_FALSE (el_limit_allows (&limit, &sends, second)); // no share
+  EXPECT_EQ (el_limit_wait_us (&limit, &sends, second), UINT64_MAX);
+  limit.share = el_limit_share (&fleet, 1, 77, 0);
+  EXPECT_EQ (limit.share, 1u);
+  el_on_sent (&sends, second);
+  EXPECT_EQ (el_limit_wait_us (&limit, &sends, second), 10 * second);
+  limit.share = 0;
+  EXPECT_TRUE (el_limit_allows (&limit, &sends, 61 * second));
+}
 } // namespace
--- a/packages/decide/tests/gq_test.cc
+++ b/packages/decide/tests/gq_test.cc
@@ -122,13 +122,47 @@
       while (fleet.choose (demand (2)) == "a" && sent < 50)
         {
           ut_on_sent (fleet.t, a, 0);
-          ut_use_cold_budget (fleet.t, a, second);
+          ut_count_send (fleet.t, a, second);
           sent++;
         }
       EXPECT_EQ (sent, 3u);
     }
 }
 
+// Guards against an upstream that gets more requests than the limit that it
+// named, and one whose limit has ended unseen because it is not preferred.
+TEST (Gq, ALimitedUpstreamGetsItsLimitAndIsCheckedForItsEnd)
+{
+  Fleet fleet;
+  ut_id a = fleet.add ("a", "west-a", "west", 100);
+  ut_id b = fleet.add ("b", "west-a", "west", 100);
+  uint64_t now = 10 * second;
+  el_limit limit = {};
+  limit.named = true;
+  limit.per_s = 1;
+  limit.stated_us = now;
+  EXPECT_TRUE (ut_state_limit (fleet.t, a, &limit));
+  ut_avoid (fleet.t, b, now + second);
+  gq_demand d = demand (2);
+  auto choose = [&] (uint64_t at) {
+    ut_id id = gq_choose_upstream (fleet.t, ST_LIT ("llm"), &d, at, 1);
+    if (id.index == a.index)
+      ut_count_send (fleet.t, a, at);
+    return id.index == a.index;
+  };
+  uint32_t sent = 0;
+  for (int i = 0; i < 50; i++)
+    sent += choose (now);
+  EXPECT_EQ (sent, 4u);
+  for (int i = 0; i < 100; i++)
+    ut_on_end (fleet.t, a, 0, UT_FAILED, now);
+  EXPECT_FALSE (choose (now + 1500000)) << "no budget";
+  EXPECT_TRUE (choose (now + 5 * second)) << "the statement is old";
+  limit.stated_us = now + 5 * second;
+  EXPECT_FALSE (ut_state_limit (fleet.t, a, &limit)) << "it is the same";
+  EXPECT_FALSE (choose (now + 5 * second)) << "it fails most";
+}
+
 // Guards against all requests of a team sharing one rank: drafts were refused
 // while chats ran.
 TEST (Gq, RoutesOfOneTeamKeepTheirOrder)
--- a/packages/decide/ut.c
+++ b/packages/decide/ut.c
@@ -255,6 +255,18 @@
                                up->hash, up->cold.per_s);
 }
 
+/* Sets this VM's share of the limit that UP has named.  */
+static void
+_ut_update_limit (const ut_table *t, ut_upstream *up)
+{
+  if (!up->limit.named)
+    return;
+  up->limit.share
+      = el_limit_share (&t->fleet, ut_hash (st_name_str (&t->desc.vm)),
+                        up->hash, up->limit.per_s);
+  up->limit.from_us = el_first_limited_us (t->first_put_us);
+}
+
 /* Adopts what the entry of UP, the newest, states of its cold start.  */
 static void
 _ut_read_cold (ut_upstream *up, uint64_t now_us)
@@ -565,22 +577,20 @@
   slot->up.entry.leaving = true;
 }
 
-/* Records what ID stated at STATED_US: where NAMED that it takes PER_S
-   requests a second from all VMs together, else that it has no limit.  True
-   when that is new; an older statement than the last one has no effect.  */
+/* Records the STATEMENT of ID about its limit.  True when it changes the
+   limit; an older one than the last has no effect.  */
 bool
-ut_state_limit (ut_table *t, ut_id id, bool named, double per_s,
-                uint64_t stated_us)
+ut_state_limit (ut_table *t, ut_id id, const el_limit *statement)
 {
   _ut_slot *slot = _ut_at (t, id);
   el_limit *limit = slot != NULL ? &slot->up.limit : NULL;
-  if (limit == NULL || stated_us <= limit->stated_us
-      || (!named && limit->stated_us == 0))
+  if (limit == NULL || statement->stated_us <= limit->stated_us
+      || (!statement->named && limit->stated_us == 0))
     return false;
-  bool changed = named != limit->named || (named && per_s != limit->per_s);
-  limit->named = named;
-  limit->per_s = per_s;
-  limit->stated_us = stated_us;
+  bool changed = statement->named != limit->named
+                 || (statement->named && statement->per_s != limit->per_s);
+  *limit = *statement;
+  _ut_update_limit (t, &slot->up);
   return changed;
 }
 
@@ -618,11 +628,14 @@
 }
 
 static void
-_ut_update_all_cold (ut_table *t)
+_ut_update_all_shares (ut_table *t)
 {
   for (uint32_t i = 0; i < t->used; i++)
     if (t->slots[i].generation % 2 == 1)
-      _ut_update_cold (t, &t->slots[i].up);
+      {
+        _ut_update_cold (t, &t->slots[i].up);
+        _ut_update_limit (t, &t->slots[i].up);
+      }
 }
 
 /* Limits the cold upstreams of SERVICE, which are cold for COLD_US after a
@@ -642,10 +655,10 @@
     }
   limit->per_s = per_s;
   limit->cold_us = cold_us;
-  _ut_update_all_cold (t);
+  _ut_update_all_shares (t);
 }
 
-/* Sets the VMs that share the budget of cold upstreams, as far as this VM
+/* Sets the VMs that share the limits of upstreams, as far as this VM
    sees them: itself where ACTIVE, and the COUNT OTHERS, hashes of their
    names.  */
 void
@@ -653,7 +666,7 @@
                  uint32_t count, uint64_t now_us)
 {
   el_update_fleet (&t->fleet, active, others, count, now_us);
-  _ut_update_all_cold (t);
+  _ut_update_all_shares (t);
 }
 
 /* Removes VM, the hash of a name, from those that share the budget: it has
@@ -671,13 +684,14 @@
   return el_silent_part (&t->fleet);
 }
 
-/* Counts a request that is sent to ID, for the time when it may be cold.  */
+/* Counts a request that is sent to ID, for the time when its rate may be
+   limited.  */
 void
-ut_use_cold_budget (ut_table *t, ut_id id, uint64_t now_us)
+ut_count_send (ut_table *t, ut_id id, uint64_t now_us)
 {
   _ut_slot *slot = _ut_at (t, id);
   if (slot != NULL)
-    el_on_sent (&slot->up.cold, now_us);
+    el_on_sent (&slot->up.sends, now_us);
 }
 
 /* Sets the KEY that identifies the reports of this VM to the others.  */
--- a/packages/decide/ut.h
+++ b/packages/decide/ut.h
@@ -10,7 +10,8 @@
      ut_on_end (t, id, 0, UT_SERVED, now_us);
      ut_set_leaving (t, id);                  // it states that it leaves
      ut_pause (t, id, until_us);              // it asks for a pause
-     ut_state_limit (t, id, true, 1.5, now_us); // it names a limit
+     ut_state_limit (t, id, &(el_limit){ .named = true, .per_s = 1.5,
+                                         .stated_us = now_us });
      ut_set_peer (t, peer, &report, now_us);  // load report of another VM
 
    Ids carry a generation: no call finds an upstream that has been removed.
@@ -27,7 +28,7 @@
      ut_set_evacuated (t, dc, true, now_us);
      ut_set_cold_limit (t, service, 9.8, 3000000);
      ut_set_cold_vms (t, true, others, count, now_us);     // who shares it
-     ut_use_cold_budget (t, id, now_us);        // with each send
+     ut_count_send (t, id, now_us);             // with each send
 
    All VMs see a freed slot at about the same time.  Those with waiting
    requests, the contenders, would all fill it, so they divide the slots of an
@@ -137,6 +138,7 @@
   bool evacuated;          /* its data centre is */
   el_limit limit;
   el_cold cold;
+  el_sends sends; /* of this VM */
 } ut_upstream;
 
 typedef struct
@@ -179,8 +181,7 @@
   void ut_avoid (ut_table *t, ut_id id, uint64_t until_us);
   void ut_pause (ut_table *t, ut_id id, uint64_t until_us);
   void ut_set_leaving (ut_table *t, ut_id id);
-  bool ut_state_limit (ut_table *t, ut_id id, bool named, double per_s,
-                       uint64_t stated_us);
+  bool ut_state_limit (ut_table *t, ut_id id, const el_limit *statement);
   bool ut_set_evacuated (ut_table *t, st_str data_center, bool evacuated,
                          uint64_t now_us);
   void ut_set_cold_limit (ut_table *t, st_str service, double per_s,
@@ -189,7 +190,7 @@
                         uint32_t count, uint64_t now_us);
   void ut_forget_cold_vm (ut_table *t, uint64_t vm);
   double ut_query_silent_part (const ut_table *t);
-  void ut_use_cold_budget (ut_table *t, ut_id id, uint64_t now_us);
+  void ut_count_send (ut_table *t, ut_id id, uint64_t now_us);
   void ut_set_key (ut_table *t, uint64_t key);
   void ut_set_peer (ut_table *t, uint64_t peer, const ut_report *report,
                     uint64_t now_us);
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -132,7 +132,7 @@
   _gw_count_stored (r);
   uint32_t own_running = up->own_running;
   ut_on_sent (gw->upstreams, to, r->prefill_tokens);
-  ut_use_cold_budget (gw->upstreams, to, gw->now_us);
+  ut_count_send (gw->upstreams, to, gw->now_us);
   GString *head = _gw_write_attempt_head (r);
   r->exchange = uc_send (
       gw->pool, &(uc_request){ .address = st_name_str (&up->entry.address),
@@ -279,12 +279,15 @@
                 LO_STR ("value", value));
       return;
     }
-  if (!ut_state_limit (gw->upstreams, r->upstream, named, per_s,
-                       named ? gw->now_us : r->sent_us))
+  el_limit statement = { .named = named,
+                         .per_s = per_s,
+                         .stated_us = named ? gw->now_us : r->sent_us };
+  if (!ut_state_limit (gw->upstreams, r->upstream, &statement))
     return;
   LO_EVENT ("upstream_limit", st_name_str (&r->id),
             LO_STR ("upstream", st_name_str (&r->upstream_id)),
-            LO_STR ("per_s", named ? value : ST_LIT ("none")),
+            LO_BOOL ("named", named),
+            LO_INT ("per_s_milli", MIN (per_s * 1000, (double)UINT32_MAX)),
             LO_INT ("status", head->status));
   _gw_count_statement (gw, "gateway_upstream_limits_total",
                        st_name_str (&r->service));
--- a/packages/gateway/gw_load.c
+++ b/packages/gateway/gw_load.c
@@ -8,6 +8,8 @@
    which the groups are rebuilt.  */
 #define _GW_GROUP_INTERVAL_US 200000
 #define _GW_GROUP_BUILD_INTERVAL_US 400000
+/* Time for which a VM reports that an upstream has no limit any more.  */
+#define _GW_LIMIT_END_REPORTED_US 10000000
 
 /* The members that are not dead, this VM first.  */
 typedef struct
@@ -244,6 +246,31 @@
     }
 }
 
+/* Fills LIMITS with what this VM has of the limits of upstreams, as far as it
+   is from ORIGIN or nearer to them; returns their number.  The end of a limit
+   is reported for a while.  */
+static size_t
+_gw_known_limits (const gw_task *gw, el_origin origin,
+                  ms_load_limit limits[MS_LOAD_LIMITS_MAX])
+{
+  size_t count = 0;
+  ut_id id = { 0, 0 };
+  while (count < MS_LOAD_LIMITS_MAX && ut_next (gw->upstreams, &id))
+    {
+      const ut_upstream *up = ut_query (gw->upstreams, id);
+      uint64_t age_us = gw->now_us - up->limit.stated_us;
+      if (up->limit.stated_us == 0 || up->limit.origin > origin
+          || (!up->limit.named && age_us > _GW_LIMIT_END_REPORTED_US))
+        continue;
+      limits[count++] = (ms_load_limit){
+        up->hash, up->limit.named,
+        (uint32_t)MIN (up->limit.per_s * 1000 + 0.5, (double)UINT32_MAX),
+        (uint32_t)MIN (age_us / CK_MS_US + 1, UINT32_MAX)
+      };
+    }
+  return count;
+}
+
 static ms_message
 _gw_load_message (gw_task *gw, ms_load_scope scope)
 {
@@ -273,6 +300,7 @@
   static ms_load_row wire_rows[MS_LOAD_ROWS_MAX];
   ms_load_team teams[_GW_TEAMS_MAX];
   ms_load_rollout rollouts[MS_LOAD_ROLLOUTS_MAX];
+  ms_load_limit limits[MS_LOAD_LIMITS_MAX];
   if (to->len == 0)
     return;
   ms_message m = _gw_load_message (gw, MS_LOAD_VM);
@@ -286,6 +314,8 @@
   m.u.load.rows = wire_rows;
   m.u.load.team_count = _gw_own_teams (gw, teams);
   m.u.load.teams = teams;
+  m.u.load.limit_count = _gw_known_limits (gw, EL_FROM_UPSTREAM, limits);
+  m.u.load.limits = limits;
   _gw_own_waiting (gw, m.u.load.waiting);
   _gw_send_to_all (gw, to, &m);
 }
@@ -338,6 +368,7 @@
   static ut_row own[MS_LOAD_ROWS_MAX];
   static ms_load_row rows[MS_LOAD_ROWS_MAX];
   ms_load_team teams[_GW_TEAMS_MAX];
+  ms_load_limit limits[MS_LOAD_LIMITS_MAX];
   if (to->len == 0)
     return;
   ms_message m = _gw_load_message (gw, scopes[what]);
@@ -369,6 +400,9 @@
   load->rows = rows;
   load->team_count = _gw_sum_teams (gw, what, teams);
   load->teams = teams;
+  load->limit_count = _gw_known_limits (
+      gw, what == _GW_SUM_GROUP ? EL_FROM_VM : EL_FROM_SUM, limits);
+  load->limits = limits;
   _gw_send_to_all (gw, to, &m);
   g_hash_table_destroy (sum);
 }
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -257,6 +257,31 @@
     }
 }
 
+/* Adopts the limits of upstreams that the VM SENDER reports in LOAD.  */
+static void
+_gw_adopt_limits (gw_task *gw, const pe_sender *sender, const ms_load *load)
+{
+  for (size_t i = 0; i < load->limit_count; i++)
+    {
+      const ms_load_limit *row = &load->limits[i];
+      ut_id id = ut_find_hash (gw->upstreams, row->upstream);
+      uint64_t age_us = row->age_ms * CK_MS_US;
+      el_limit statement
+          = { .named = row->named,
+              .per_s = row->per_s_milli / 1000.0,
+              .stated_us = gw->now_us > age_us ? gw->now_us - age_us : 1,
+              .origin = load->scope == MS_LOAD_VM ? EL_FROM_VM : EL_FROM_SUM };
+      if (!ut_state_limit (gw->upstreams, id, &statement))
+        continue;
+      LO_EVENT ("upstream_limit", ST_LIT (""),
+                LO_STR ("upstream",
+                        st_name_str (&ut_query (gw->upstreams, id)->entry.id)),
+                LO_BOOL ("named", row->named),
+                LO_INT ("per_s_milli", row->per_s_milli),
+                LO_STR ("peer", sender->name));
+    }
+}
+
 static void
 _gw_on_load (gw_task *gw, const pe_sender *sender, const ms_load *load)
 {
@@ -302,6 +327,7 @@
     report.waiting_ranks |= p->waiting[rank] > 0 ? 1u << rank : 0;
   ut_set_peer (gw->upstreams, p->key, &report, gw->now_us);
   _gw_count_quotas (gw, p, sender, load, first);
+  _gw_adopt_limits (gw, sender, load);
   if (p->rollout_count > 0)
     _gw_count_rollouts (gw);
   if (load->scope == MS_LOAD_VM
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -118,13 +118,22 @@
                              &r->demand, gw->now_us, _gw_random (gw));
 }
 
-/* True when UP would serve R but for the pause that it asked for.  */
-static bool
-_gw_is_paused (const _gw_request *r, const ut_upstream *up)
+/* Time in microseconds after which UP takes R, which it does not yet because
+   it asked for a pause or because this VM has used its part of the limit that
+   it named; 0 when it takes R now, or not at all.  */
+static uint64_t
+_gw_pause_us (const _gw_request *r, const ut_upstream *up)
 {
-  return up->pause_until_us > r->gw->now_us
-         && gq_usable (up, st_name_str (&r->service), &r->demand,
-                       up->pause_until_us);
+  uint64_t now_us = r->gw->now_us;
+  uint64_t wait_us = el_limit_wait_us (&up->limit, &up->sends, now_us);
+  if (wait_us == UINT64_MAX)
+    return 0;
+  if (up->pause_until_us > now_us + wait_us)
+    wait_us = up->pause_until_us - now_us;
+  return gq_usable (up, st_name_str (&r->service), &r->demand,
+                    now_us + wait_us)
+             ? wait_us
+             : 0;
 }
 
 static gq_backlog
@@ -143,12 +152,12 @@
   while (ut_next (gw->upstreams, &id))
     {
       const ut_upstream *up = ut_query (gw->upstreams, id);
-      if (_gw_is_paused (r, up))
-        {
-          uint64_t left_us = up->pause_until_us - gw->now_us;
-          if (backlog.paused_us == 0 || left_us < backlog.paused_us)
-            backlog.paused_us = left_us;
-        }
+      uint64_t pause_us = _gw_pause_us (r, up);
+      if (pause_us > 0
+          && (backlog.paused_us == 0 || pause_us < backlog.paused_us))
+        backlog.paused_us = pause_us;
+      if (!el_limit_allows (&up->limit, &up->sends, gw->now_us))
+        continue;
       if (gq_usable (up, st_name_str (&r->service), &anywhere, gw->now_us))
         slots_anywhere += up->entry.slots > 0 ? up->entry.slots : 1;
       if (!gq_usable (up, st_name_str (&r->service), &r->demand, gw->now_us))
--- a/packages/gateway/tests/limit_test.cc
+++ b/packages/gateway/tests/limit_test.cc
@@ -222,20 +222,20 @@
   EXPECT_EQ (l.with_status (200) + l.with_status (503), l.sent);
 }
 
-// Guards against a limit that outlasts the need, and against one that is
-// ignored so that it seems to end.
-TEST (GwLimit, TheLimitEndsWhenItIsNoLongerNamed)
+// Guards against a limit that outlasts the need at VMs that may not send, and
+// so do not see that it has ended.
+TEST (GwLimit, TheLimitEndsAtAllVmsWhenItIsNoLongerNamed)
 {
-  Limited l;
+  Limited l (1);
   l.upstreams[0]->limit = "1";
-  l.send_for (3000);
-  uint32_t limited = l.upstreams[0]->runs;
-  l.send_for (2000);
-  EXPECT_LE (l.upstreams[0]->runs - limited, 8u);
+  l.send_for (5000);
+  EXPECT_LE (l.upstreams[0]->runs, AllowedInFourSeconds);
   l.upstreams[0]->limit = "";
-  l.send_for (4500);
+  l.send_for (5000);
   uint32_t before = l.upstreams[0]->runs;
+  uint32_t sent = l.sent;
   l.send_for (2000);
-  EXPECT_GT (l.upstreams[0]->runs - before, 30u);
+  EXPECT_TRUE (l.finish ());
+  EXPECT_GE (l.upstreams[0]->runs - before, l.sent - sent);
 }
 }
--- a/packages/wire/ms.c
+++ b/packages/wire/ms.c
@@ -694,11 +694,25 @@
   _ms_leave_array (io, &saved);
 }
 
+static void
+_ms_io_load_limit (_ms_io *io, void *item)
+{
+  ms_load_limit *m = item;
+  _ms_io saved;
+  if (!_ms_enter_array (io, "limit", 4, &saved))
+    return;
+  _ms_u64 (io, "upstream", &m->upstream, UINT64_MAX);
+  _ms_bool (io, "named", &m->named);
+  _ms_u32 (io, "per_s_milli", &m->per_s_milli, UINT32_MAX);
+  _ms_u32 (io, "age_ms", &m->age_ms, UINT32_MAX);
+  _ms_leave_array (io, &saved);
+}
+
 static void
 _ms_io_load (_ms_io *io, ms_load *m)
 {
   _ms_io saved;
-  if (!_ms_enter_array (io, "body", 11 + MS_LOAD_RANKS, &saved))
+  if (!_ms_enter_array (io, "body", 12 + MS_LOAD_RANKS, &saved))
     return;
   _MS_ENUM (io, "scope", m->scope, MS_LOAD_SCOPES);
   _ms_u64 (io, "cell", &m->cell, UINT64_MAX);
@@ -716,6 +730,8 @@
             _ms_io_load_team);
   _MS_LIST (io, "rollouts", m->rollout_count, m->rollouts,
             MS_LOAD_ROLLOUTS_MAX, _ms_io_load_rollout);
+  _MS_LIST (io, "limits", m->limit_count, m->limits, MS_LOAD_LIMITS_MAX,
+            _ms_io_load_limit);
   _ms_leave_array (io, &saved);
 }
 
--- a/packages/wire/ms.h
+++ b/packages/wire/ms.h
@@ -72,6 +72,7 @@
 #define MS_COUNTS_MAX 128
 #define MS_LOAD_ROWS_MAX 1024
 #define MS_LOAD_RANKS 16
+#define MS_LOAD_LIMITS_MAX 64
 #define MS_LOAD_ROLLOUTS_MAX 32
 #define MS_SUSPECTS_MAX 64
 #define MS_TIERS 5
@@ -369,6 +370,16 @@
   uint32_t other_failed;
 } ms_load_rollout;
 
+/* What an upstream has stated of the requests a second that it takes from all
+   VMs.  */
+typedef struct
+{
+  uint64_t upstream;    /* hash of its id */
+  bool named;           /* false: it has no limit any more */
+  uint32_t per_s_milli; /* thousandths of a request a second */
+  uint32_t age_ms;      /* of the statement */
+} ms_load_limit;
+
 typedef enum
 {
   MS_LOAD_VM = 0,       /* of the sender */
@@ -398,6 +409,8 @@
   const ms_load_team *teams;
   size_t rollout_count;
   const ms_load_rollout *rollouts;
+  size_t limit_count;
+  const ms_load_limit *limits;
 } ms_load;
 
 /* A prompt part whose requests lost an upstream, or were served.  */
