Bound what an upstream may send without end, in the own interface

Operators of similar systems report a worker that sent bytes without end, in a head or a body, until the machine that had called it ran out of memory. The own interface did not: evhttp stores a head, interim responses, chunk extensions and trailers without a limit, and the report of an engine's load was collected whole.

A call now ends as UP_CONNECTION_LOST after 256 KiB in which neither a head nor a part of a body is complete, and after the longest body that its user states: 4 MiB for reports of load, 1 MiB where the body is not used.

--- a/packages/server/cl.c
+++ b/packages/server/cl.c
@@ -16,6 +16,8 @@
 #define _CL_COLLECT_GRANTS_US (500 * CK_MS_US)
 #define _CL_POLL_INTERVAL_US (500 * CK_MS_US)
 #define _CL_POLL_TIMEOUT_MS 1000
+/* Longest report of an engine's load or cache events.  */
+#define _CL_POLL_MAX_BYTES (4 * 1024 * 1024)
 /* A dispatcher resends SLOT_ASK each second and SLOT_HOLD each 5 s.  */
 #define _CL_REQUEST_EXPIRY_US (5 * CK_S_US)
 #define _CL_GRANT_EXPIRY_US (30 * CK_S_US)
@@ -310,6 +312,7 @@
                                       .method = EVHTTP_REQ_GET,
                                       .path = path,
                                       .idle_timeout_ms = _CL_POLL_TIMEOUT_MS,
+                                      .max_body_bytes = _CL_POLL_MAX_BYTES,
                                       .on_data = _cl_on_poll_data,
                                       .on_done = _cl_on_poll_done,
                                       .user = poll });
--- a/packages/server/tests/up_test.cc
+++ b/packages/server/tests/up_test.cc
@@ -4,6 +4,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
+#include <csignal>
 #include <gtest/gtest.h>
 #include <map>
 #include <string>
@@ -17,7 +18,9 @@
   evconnlistener *listener = nullptr;
   std::string response;
   bool close_after = false;
-  bool copies = false; // sends each response again before the next one
+  std::string repeated;  // follows the response again and again, without end
+  size_t sent_bytes = 0; // of REPEATED
+  bool copies = false;   // sends each response again before the next one
   std::map<bufferevent *, std::string> last; // response on a connection
   int accepted = 0;
   std::string received;
@@ -39,6 +42,8 @@
     std::string all = (p->copies ? p->last[bev] : "") + text;
     p->last[bev] = text;
     bufferevent_write (bev, all.data (), all.size ());
+    if (!p->repeated.empty ())
+      bufferevent_setcb (bev, on_read, send_repeated, nullptr, p);
     if (p->close_after && p->response.empty ())
       shutdown (bufferevent_getfd (bev), SHUT_RDWR);
     else if (p->close_after)
@@ -56,6 +61,17 @@
     return head.substr (at, head.find ("\r\n", at) - at);
   }
 
+  static void
+  send_repeated (bufferevent *bev, void *arg)
+  {
+    Upstream *p = static_cast<Upstream *> (arg);
+    std::string many;
+    while (many.size () < 65536)
+      many += p->repeated;
+    p->sent_bytes += many.size ();
+    bufferevent_write (bev, many.data (), many.size ());
+  }
+
   static void
   on_written (bufferevent *bev, void *)
   {
@@ -172,6 +188,7 @@
     desc.path = "/x";
     desc.body = st_from_cstr (body);
     desc.on_data = on_data;
+    desc.max_body_bytes = 1 << 20;
     desc.on_done = on_done;
     desc.user = &result;
     result.id = up_send (pool, &desc);
@@ -182,6 +199,38 @@
   }
 };
 
+// Guards against a faulty upstream that ends this VM: it sends what is no
+// response, without end, and all of it is stored.
+TEST_F (Up, AResponseWithoutEndIsCutOff)
+{
+  signal (SIGPIPE, SIG_IGN);
+  const std::string head = "HTTP/1.1 200 OK\r\nDotterelbend-Call: @\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::pair<std::string, std::string> kinds[] = {
+    { "", "no response " },
+    { head + "X-Long: ", "xxxxxxxxxxxxxxxx" },
+    { head, "X-Field: value\r\n" },
+    { "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n" },
+    { chunked + "4;", "extension=1;" },
+    { chunked + "0\r\n", "X-Trailer: value\r\n" },
+    { chunked, "4\r\nbody\r\n" },
+    { head + "\r\n", "body without a length " },
+  };
+  std::string address = upstream.start (base);
+  for (auto &kind : kinds)
+    {
+      upstream.response = kind.first;
+      upstream.repeated = kind.second;
+      upstream.sent_bytes = 0;
+      result.done = 0;
+      result.last = {};
+      call (address);
+      EXPECT_EQ (result.done, 1) << kind.second;
+      EXPECT_EQ (result.last.end, UP_CONNECTION_LOST) << kind.second;
+      EXPECT_LT (upstream.sent_bytes, 16u << 20) << kind.second;
+    }
+}
+
 // Guards against a refused connection being taken as one that may have run.
 TEST_F (Up, RefusedConnectionIsNotSent)
 {
--- a/packages/server/up.c
+++ b/packages/server/up.c
@@ -18,6 +18,10 @@
    response.  */
 #define _UP_CALL_FIELD "Dotterelbend-Call"
 #define _UP_NUMBER_MAX 24
+/* Most bytes that an upstream may send without a head or a part of a body. */
+#define _UP_UNPARSED_MAX_BYTES (256 * 1024)
+/* Longest body of a call that does not use it.  */
+#define _UP_UNUSED_BODY_MAX_BYTES (1024 * 1024)
 
 typedef struct _up_upstream _up_upstream;
 
@@ -26,7 +30,9 @@
   _up_upstream *upstream;
   struct evhttp_connection *http;
   struct evbuffer_cb_entry *output_cb; /* on bytes to the socket */
-  up_id call;                          /* 0 while idle and after a cancel */
+  struct evbuffer_cb_entry *input_cb;  /* on bytes from it */
+  size_t unparsed_bytes; /* received since the last head or part of a body */
+  up_id call;            /* 0 while idle and after a cancel */
   bool reused;
   uint64_t idle_timeout_ms;
   up_pool *pool;
@@ -49,6 +55,8 @@
   bool echoed;   /* its response has the number */
   bool mismatch; /* a response of another call was received */
   int status;
+  size_t body_bytes;     /* received */
+  size_t max_body_bytes; /* 0: no limit */
   enum evhttp_request_error error;
   bool failed;
   void (*on_head) (void *user, int status, struct evkeyvalq *headers);
@@ -66,6 +74,8 @@
   GHashTable *upstreams; /* "IP:PORT" -> _up_upstream */
   GPtrArray *closing;    /* _up_conn to free outside of its callbacks */
   struct event *close_event;
+  GArray *endless; /* up_id of calls to fail outside of evhttp's callbacks */
+  struct event *endless_event;
 };
 
 static void
@@ -96,6 +106,34 @@
   g_free (upstream);
 }
 
+/* Ends CALL, whose response exceeds a limit.  */
+static void
+_up_fail_too_long (up_pool *pool, const _up_call *call)
+{
+  up_result result = { .end = call->sent ? UP_CONNECTION_LOST : UP_NOT_SENT,
+                       .status = call->status,
+                       .error = "response too long" };
+  void (*on_done) (void *, const up_result *) = call->on_done;
+  void *user = call->user;
+  up_cancel (pool, call->id);
+  on_done (user, &result);
+}
+
+static void
+_up_fail_endless (evutil_socket_t fd, short what, void *arg)
+{
+  up_pool *pool = arg;
+  (void)fd;
+  (void)what;
+  while (pool->endless->len > 0)
+    {
+      up_id id = g_array_index (pool->endless, up_id, 0);
+      g_array_remove_index_fast (pool->endless, 0);
+      if (id_valid (&pool->ids, id))
+        _up_fail_too_long (pool, &pool->calls[id_index (id)]);
+    }
+}
+
 /* Makes a pool without connections.  */
 up_pool *
 up_make (const up_desc *desc)
@@ -116,6 +154,8 @@
                                            _up_upstream_free);
   pool->closing = g_ptr_array_new ();
   pool->close_event = event_new (desc->base, -1, 0, _up_free_closing, pool);
+  pool->endless = g_array_new (FALSE, FALSE, sizeof (up_id));
+  pool->endless_event = event_new (desc->base, -1, 0, _up_fail_endless, pool);
   return pool;
 }
 
@@ -129,6 +169,8 @@
     up_cancel (pool, id_at (&pool->ids, i));
   _up_free_closing (-1, 0, pool);
   event_free (pool->close_event);
+  event_free (pool->endless_event);
+  g_array_free (pool->endless, TRUE);
   g_hash_table_destroy (pool->upstreams);
   g_ptr_array_free (pool->closing, TRUE);
   id_shutdown (&pool->ids);
@@ -208,6 +250,25 @@
   _up_set_timeout (conn, conn->idle_timeout_ms);
 }
 
+/* Fails the call of a connection on which too much arrives that evhttp stores
+   without passing on anything.  */
+static void
+_up_on_input (struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+              void *arg)
+{
+  _up_conn *conn = arg;
+  up_pool *pool = conn->pool;
+  (void)buffer;
+  conn->unparsed_bytes += info->n_added;
+  if (conn->unparsed_bytes <= _UP_UNPARSED_MAX_BYTES || conn->call == 0)
+    return;
+  conn->unparsed_bytes = 0;
+  bufferevent_disable (evhttp_connection_get_bufferevent (conn->http),
+                       EV_READ);
+  g_array_append_val (pool->endless, conn->call);
+  event_active (pool->endless_event, EV_TIMEOUT, 0);
+}
+
 static _up_conn *
 _up_conn_make (up_pool *pool, _up_upstream *upstream)
 {
@@ -221,6 +282,8 @@
   struct bufferevent *bev = evhttp_connection_get_bufferevent (conn->http);
   conn->output_cb
       = evbuffer_add_cb (bufferevent_get_output (bev), _up_on_output, conn);
+  conn->input_cb
+      = evbuffer_add_cb (bufferevent_get_input (bev), _up_on_input, conn);
   return conn;
 }
 
@@ -336,8 +399,19 @@
 static void
 _up_on_chunk (struct evhttp_request *req, void *arg)
 {
-  _up_call *call = _up_call_of_conn (arg);
+  _up_conn *conn = arg;
+  _up_call *call = _up_call_of_conn (conn);
   struct evbuffer *data = evhttp_request_get_input_buffer (req);
+  conn->unparsed_bytes = 0;
+  if (call != NULL)
+    call->body_bytes += evbuffer_get_length (data);
+  if (call != NULL && call->max_body_bytes > 0
+      && call->body_bytes > call->max_body_bytes)
+    {
+      evbuffer_drain (data, evbuffer_get_length (data));
+      _up_fail_too_long (conn->pool, call);
+      return;
+    }
   if (call != NULL && call->on_data != NULL)
     call->on_data (call->user, data);
   else
@@ -369,6 +443,8 @@
       && !_up_is_own_response (call, evhttp_request_get_input_headers (req)))
     return -1;
   call->status = status;
+  if (status >= 200)
+    call->conn->unparsed_bytes = 0;
   if (call->on_head != NULL)
     call->on_head (call->user, call->status,
                    evhttp_request_get_input_headers (req));
@@ -411,12 +487,17 @@
   if (conn == NULL)
     conn = _up_conn_make (pool, upstream);
   conn->reused = reused;
+  conn->unparsed_bytes = 0;
   conn->idle_timeout_ms = desc->idle_timeout_ms > 0
                               ? desc->idle_timeout_ms
                               : pool->desc.idle_timeout_ms;
   _up_call *call = &pool->calls[id_index (id)];
   *call = (_up_call){ .id = id,
                       .conn = conn,
+                      .max_body_bytes
+                      = desc->max_body_bytes > 0 || desc->on_data != NULL
+                            ? desc->max_body_bytes
+                            : _UP_UNUSED_BODY_MAX_BYTES,
                       .on_head = desc->on_head,
                       .on_data = desc->on_data,
                       .on_done = desc->on_done,
--- a/packages/server/up.h
+++ b/packages/server/up.h
@@ -6,6 +6,10 @@
    closed, since a late copy of the response could not be told from the next
    one.  A response with another number ends the call as UP_CONNECTION_LOST.
 
+   A response is not stored here, but for its head: one that goes on for
+   256 KiB without a head or a part of its body, in fields, interim responses,
+   chunk extensions or trailers, ends the call as UP_CONNECTION_LOST.
+
    The end of a call states whether any
    byte of it may have reached the upstream, which decides whether the request
    may be dispatched again.
@@ -61,6 +65,9 @@
   size_t header_count;
   st_str body;              /* copied */
   uint64_t idle_timeout_ms; /* without progress; 0 means that of the pool */
+  /* A longer body ends the call as UP_CONNECTION_LOST.  0 means no limit, or
+     1 MiB without on_data.  */
+  size_t max_body_bytes;
   /* The response head arrived.  May be NULL.  */
   void (*on_head) (void *user, int status, struct evkeyvalq *headers);
   /* A portion of the body arrived; the callee drains DATA.  */
