End the limit of an upstream only by a signed success without it

An error that the upstream, or something before it, sends need not have the field. Any response without it ended the limit for all VMs, and the next requests went to an upstream in need without a bound. Found by reading the change; GwLimit.AnErrorWithoutTheFieldDoesNotEndTheLimit failed before.

--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -262,7 +262,8 @@
 
 /* Adopts the limit that HEAD, of a response to R, names or no longer names.
    The upstream is sure to have a limit no more when it leaves it out of a
-   response to a request that was sent after it last named one.  */
+   signed success to a request that was sent after it last named one; an error
+   need not have the field.  */
 static void
 _gw_read_limit (const _gw_request *r, const hp_head *head)
 {
@@ -270,8 +271,12 @@
   st_str value;
   double per_s = 0;
   bool named = hp_get (head, gw->desc.names->limit, &value);
-  if (head->status == 421)
-    return; /* another process responds at this address */
+  bool ended = !named && head->status < 300
+               && hp_get (head, gw->desc.names->signature, &value)
+               && value.len > 0;
+  /* With 421 another process responds at this address.  */
+  if (head->status == 421 || (!named && !ended))
+    return;
   if (named && !rt_parse_rate (value, &per_s))
     {
       LO_EVENT ("upstream_limit_malformed", st_name_str (&r->id),
--- a/packages/gateway/tests/limit_test.cc
+++ b/packages/gateway/tests/limit_test.cc
@@ -222,6 +222,20 @@
   EXPECT_EQ (l.with_status (200) + l.with_status (503), l.sent);
 }
 
+// Guards against an error, which need not have the field, being taken for the
+// end of the limit.
+TEST (GwLimit, AnErrorWithoutTheFieldDoesNotEndTheLimit)
+{
+  Limited l (1);
+  l.upstreams[0]->limit = "1";
+  l.send_for (4500);
+  l.most_in_4_s ();
+  l.upstreams[0]->limit = "";
+  l.upstreams[0]->default_behaviour = Plain503;
+  l.send_for (4500);
+  EXPECT_LE (l.most_in_4_s (), AllowedInFourSeconds);
+}
+
 // Guards against a limit that outlasts the need at VMs that may not send, and
 // so do not see that it has ended.
 TEST (GwLimit, TheLimitEndsAtAllVmsWhenItIsNoLongerNamed)
