--- a/packages/decide/tests/vr_test.cc
+++ b/packages/decide/tests/vr_test.cc
@@ -77,6 +77,26 @@
   EXPECT_EQ (vr_tick (&r, &in), VR_COMPLETED);
 }
 
+// Guards against a rollout that begins again because the restored store has
+// its order at another revision.
+TEST (Vr, AnOrderThatIsWrittenAgainGoesOn)
+{
+  vr_rollout r = ordered ();
+  vr_set_status (&r, ST_LIT ("v2"), VR_COMPLETED, 9);
+  vr_renew_order (&r, 20);
+  EXPECT_EQ (r.state, VR_COMPLETED);
+  EXPECT_EQ (r.start_us, 100 * second);
+  EXPECT_EQ (tick (&r, 101 * second), VR_NONE);
+  order (&r, "v2", 20, 105 * second);
+  EXPECT_EQ (r.start_us, 100 * second);
+  // A rollout without a stored state gets one.
+  vr_rollout running = ordered ();
+  vr_set_status (&running, ST_LIT ("v2"), VR_RUNNING, 9);
+  EXPECT_EQ (tick (&running, 101 * second), VR_NONE);
+  vr_renew_order (&running, 20);
+  EXPECT_EQ (tick (&running, 102 * second), VR_RUNNING);
+}
+
 // Guards against a new version that gets more than a small share before its
 // deadline.
 TEST (Vr, TheNewVersionGetsASmallShare)
--- a/packages/decide/vr.c
+++ b/packages/decide/vr.c
@@ -94,6 +94,15 @@
   _vr_apply_status (r);
 }
 
+/* Adopts REVISION, at which the order was written again; the rollout goes
+   on.  */
+void
+vr_renew_order (vr_rollout *r, uint64_t revision)
+{
+  if (revision > r->order_revision)
+    r->order_revision = revision;
+}
+
 /* Adopts that the order is AGE_US old where this VM has read it later than
    others, as after a restart.  */
 void
--- a/packages/decide/vr.h
+++ b/packages/decide/vr.h
@@ -180,6 +180,7 @@
   void vr_set_order (vr_rollout *r, const vr_order *order, uint64_t now_us);
   void vr_set_status (vr_rollout *r, st_str target, vr_state state,
                       uint64_t revision);
+  void vr_renew_order (vr_rollout *r, uint64_t revision);
   void vr_set_age (vr_rollout *r, uint64_t age_us, uint64_t now_us);
   vr_choice vr_choose (const vr_rollout *r, uint64_t route, uint32_t draw);
   bool vr_in_load_test (const vr_rollout *r, uint64_t now_us);
--- a/packages/gateway/gw.h
+++ b/packages/gateway/gw.h
@@ -164,6 +164,7 @@
   void gw_set_vms (gw_task *gw, const gw_vm_entry *vms, uint32_t count);
   void gw_set_rollout (gw_task *gw, st_str service, st_str target,
                        uint64_t duration_us, uint64_t revision);
+  void gw_renew_rollout (gw_task *gw, st_str service, uint64_t revision);
   void gw_set_rollout_state (gw_task *gw, st_str service, st_str target,
                              vr_state state, uint64_t revision);
   void gw_set_evacuated (gw_task *gw, st_str data_center, bool evacuated);
--- a/packages/gateway/gw_rollout.c
+++ b/packages/gateway/gw_rollout.c
@@ -46,6 +46,14 @@
                 gw->now_us);
 }
 
+/* Adopts REVISION, at which the order of the rollout of SERVICE was written
+   again without a change.  */
+void
+gw_renew_rollout (gw_task *gw, st_str service, uint64_t revision)
+{
+  vr_renew_order (&_gw_find_service (gw, service)->rollout, revision);
+}
+
 /* Stores the STATE of the rollout of SERVICE to TARGET, which was written at
    REVISION.  */
 void
--- a/packages/wire/fr.h
+++ b/packages/wire/fr.h
@@ -23,7 +23,7 @@
 
 #include <event2/buffer.h>
 
-#define FR_VERSION 6
+#define FR_VERSION 7
 #define FR_HEADER_BYTES 14
 /* Longest frame, header included: a 1 MiB store value and its envelope.  */
 #define FR_FRAME_MAX_BYTES (1024 * 1024 + 64 * 1024)
