review: case 6, a prompt part behind eight others is never quarantined

Cause: of a prompt only the first eight parts are looked at, so a part that crashes workers goes on reaching them; what is in progress there is lost. Change: a script with 9 workers that crash on a part behind ten shared ones, and a claim.

--- a/review/common-2/rig.h
+++ b/review/common-2/rig.h
@@ -12,6 +12,8 @@
 #include <sys/types.h>
 
 #define RIG_ID_MAX 64
+/* Most connections of a worker.  */
+#define RIG_CONNS_MAX 512
 
 /* Settings of a VM, as `limits` and `bounds` of a small site have them.  */
 #define RIG_MEMORY_MB 110
@@ -34,6 +36,7 @@
   char method[16];
   char path[128];
   char id[RIG_ID_MAX];
+  char prompt[512]; /* X-Dotterelbend-Prompt-Prefix */
 } rig_request;
 
 typedef struct rig_worker rig_worker;
@@ -49,7 +52,9 @@
   uint32_t slots;
   rig_respond respond;
   uint16_t port;
+  bool crashed;
   int listener;
+  int conns[RIG_CONNS_MAX]; /* 0: free */
 };
 
 /* What a caller has received of a response.  */
@@ -73,9 +78,11 @@
 
 void rig_start_store (void);
 void rig_put (const char *key, const char *value);
+void rig_remove (const char *key);
 void rig_put_config (const char *routes, const char *services);
 
 void rig_start_worker (rig_worker *worker);
+bool rig_crash_worker (rig_worker *worker);
 bool rig_send_all (int fd, const void *bytes, size_t size);
 bool rig_answer (const rig_worker *worker, int fd, const rig_request *request,
                  size_t size);
