Log which request was at an upstream that was lost

No line said what the lost requests had in common: the path, the body and the team were not in the log.

upstream_lost names the request line, the route, the team, the size of the body and a hash that requests have in common that repeat each other.

--- a/packages/gateway/gw_copy.c
+++ b/packages/gateway/gw_copy.c
@@ -168,6 +168,7 @@
   copy->version_draw = VR_DRAW_OTHERS;
   copy->body = r->body != NULL ? g_bytes_ref (r->body) : NULL;
   copy->prompt = r->prompt;
+  copy->identity = r->identity;
   g_string_append_len (copy->head, r->head->str, (gssize)r->head->len);
   g_string_append_len (copy->prompt_parts, r->prompt_parts->str,
                        (gssize)r->prompt_parts->len);
--- a/packages/gateway/gw_identify.c
+++ b/packages/gateway/gw_identify.c
@@ -187,6 +187,21 @@
     }
 }
 
+/* Hash of what a request has in common with those that repeat it: its route,
+   method, target, team and body.  Ids, deadlines and other fields differ.  */
+static uint64_t
+_gw_hash_identity (const _gw_request *r, const hp_head *head)
+{
+  gsize size;
+  const char *body = g_bytes_get_data (r->body, &size);
+  uint64_t hash = st_hash (r->route->host, 0);
+  hash = st_hash (r->route->prefix, hash);
+  hash = st_hash (head->method, hash);
+  hash = st_hash (head->target, hash);
+  hash = st_hash (r->team != NULL ? r->team->name : ST_LIT (""), hash);
+  return st_hash ((st_str){ body, size }, hash);
+}
+
 /* Sends an error for a request without a known route, key or id.  */
 static void
 _gw_deny (_gw_conn *conn, int status, st_str id, const char *reason)
@@ -295,6 +310,7 @@
   _gw_set_demand (r, usage, resume_after);
   g_string_append_len (r->prompt_parts, parts.ptr, (gssize)parts.len);
   qn_read_prompt (&r->prompt, st_name_str (&r->service), parts);
+  r->identity = _gw_hash_identity (r, head);
   _gw_write_head (r, head);
   hp_release_fields (conn->reader);
   _gw_admit (r);
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -57,6 +57,7 @@
   GBytes *body;
   GString *prompt_parts; /* as the caller sent them; "": none */
   qn_prompt prompt;
+  uint64_t identity;         /* equal for requests that repeat each other */
   rc_config *regions_config; /* whose regions demand.regions are */
   uint64_t region_mask;      /* of these regions */
   double quota;              /* units of the team's quota that it takes */
--- a/packages/gateway/gw_quarantine.c
+++ b/packages/gateway/gw_quarantine.c
@@ -2,6 +2,8 @@
    the rules of qn.h.  */
 #include "gw_internal.h"
 
+#include <inttypes.h>
+
 /* Retry-After of a refused request.  The block outlasts what callers wait, so
    they gain nothing from coming back soon.  */
 #define _GW_QUARANTINE_RETRY_AFTER_US (60 * CK_S_US)
@@ -58,12 +60,34 @@
     _gw_record_prompt_served (r);
 }
 
+/* Logs that R's attempt lost its upstream, and what R asked for: the same
+   request may have lost others, at other VMs.  */
+static void
+_gw_log_lost (const _gw_request *r)
+{
+  char identity[17];
+  size_t line_end;
+  st_str line = { r->head->str, r->head->len };
+  if (st_find_char (line, '\r', &line_end))
+    line.len = line_end;
+  snprintf (identity, sizeof identity, "%016" PRIx64, r->identity);
+  LO_EVENT ("upstream_lost", st_name_str (&r->id),
+            LO_STR ("upstream", st_name_str (&r->upstream_id)),
+            LO_CSTR ("request", identity), LO_STR ("route", r->route->name),
+            LO_STR ("line", line),
+            LO_STR ("team", r->team != NULL ? r->team->name : ST_LIT ("")),
+            LO_INT ("body_bytes", g_bytes_get_size (r->body)),
+            LO_INT ("events", r->attempt_events),
+            LO_INT ("after_ms", (r->gw->now_us - r->sent_us) / CK_MS_US));
+}
+
 /* Records that R's attempt lost its upstream.  */
 void
 _gw_record_prompt_lost (_gw_request *r)
 {
   gw_task *gw = r->gw;
   qn_row rows[QN_PROMPT_PARTS_MAX];
+  _gw_log_lost (r);
   if (r->attempt_events >= _GW_SERVED_EVENTS)
     return;
   uint32_t count
