--- a/packages/gateway/tests/support.hh
+++ b/packages/gateway/tests/support.hh
@@ -231,14 +231,26 @@
   uint32_t closed_by_peer = 0;
   uint16_t port = 0;
   size_t sent_bytes = 0; // of endless responses
+  // True for requests that crash the upstream CRASH_MS after it has begun to
+  // run them; ON_CRASH is called then.
+  std::function<bool (const hp_head *, const std::string &)> crashes_on;
+  std::function<void ()> on_crash;
+  int crash_ms = 60;
 
   explicit Upstream (struct event_base *base)
       : base_ (base),
         listener_ (listen_anywhere (base, on_accept, this, &port))
   {
+    crash_timer_ = evtimer_new (
+        base,
+        [] (evutil_socket_t, short, void *user) {
+          static_cast<Upstream *> (user)->crash ();
+        },
+        this);
   }
   ~Upstream ()
   {
+    event_free (crash_timer_);
     stop ();
     while (!conns_.empty ())
       drop (*conns_.begin ());
@@ -251,6 +263,16 @@
       evconnlistener_free (listener_);
     listener_ = nullptr;
   }
+  // Ends like a process: its connections are closed and new ones refused.
+  void
+  crash ()
+  {
+    stop ();
+    while (!conns_.empty ())
+      drop (*conns_.begin ());
+    if (on_crash)
+      on_crash ();
+  }
   std::string
   address () const
   {
@@ -269,6 +291,7 @@
   };
   struct event_base *base_;
   struct evconnlistener *listener_;
+  struct event *crash_timer_;
   std::set<Conn *> conns_;
   std::set<Pulse *> pulses_;
 
@@ -583,6 +606,13 @@
       }
     if (streams_by_path)
       b = behaviour_for_path (c, b);
+    if (crashes_on && crashes_on (hp_query_head (c->reader), c->body))
+      {
+        struct timeval tv = { 0, crash_ms * 1000 };
+        if (!event_pending (crash_timer_, EV_TIMEOUT, nullptr))
+          event_add (crash_timer_, &tv);
+        b = Silent;
+      }
     if (!c->late_copy.empty ())
       send (c, std::exchange (c->late_copy, ""));
     if (b != Shed && b != ShedPause && b != ShedCopied && b != OtherInstance)
