Quarantine requests that crash upstreams

Cause: the quarantine looked at the parts of prompts only. A request without a prompt left no trace; each VM took the loss for a failure of the upstream and sent the next equal request to another one. The class: a failure that follows the request, while only the health of upstreams and prompt parts is remembered.

Each request is a subject of its own now, named by its route, method, target, team and body. Three upstreams lost without a response in between block it, at all VMs and in the store. Requests that were beside it are told from it by responses and by two trials. A response of the upstream to a later request voids a loss, so that a VM whose own links fail blames nobody. No second copy of a suspect request is sent.

Ruled out: upstreams sick by themselves (the same request is among the lost at each).

--- a/packages/decide/qn.h
+++ b/packages/decide/qn.h
@@ -1,24 +1,37 @@
-/* qn.h -- quarantine of prompt parts that crash upstreams.
+/* qn.h -- quarantine of requests and prompt parts that crash upstreams.
 
-   Used by the gateway.  A part of a prompt may crash each upstream that begins
-   to respond to it.  Such requests are unlike each other and come at any VM;
-   other requests share their team and their remaining parts.  When an upstream
-   is lost, every request that it had not responded to yet is suspect, and so
-   is each part but the last one, which is the request's own.  A suspect part
-   is blocked once requests with it have lost several upstreams and none has
-   been responded to.  A response to one request disproves the suspicion.
+   Used by the gateway.  A request may crash each upstream that begins to run
+   it, and so may a part of a prompt, whatever else its request holds.  Either
+   comes again at any VM.  When an upstream is lost, every request that it had
+   not responded to is suspect: the request as a whole, and each part of its
+   prompt but the last one, which is the request's own.  These are the subjects
+   of a request.
 
-   VMs tell each other about losses, and about responses that disprove one.  A
-   blocked part is published through the store, so that VMs that start learn
-   of it.  A block ends when no request has had the part for a while.
+   A part is blocked once different requests with it have lost several
+   upstreams and none was responded to.  A request is blocked once it has lost
+   several upstreams without a response in between.  Requests that were in
+   progress beside the one that crashed an upstream cannot be told from it at
+   first: a blocked request gets a few trials, in which a VM sends it once
+   more.  A response ends the block.
+
+   A VM that lost its connection to an upstream need not have lost the
+   upstream.  A response to a request that was sent there later, to any VM,
+   voids the loss.
+
+   VMs tell each other about losses, trials, and responses that disprove a
+   loss.  A blocked subject is published through the store, so that VMs that
+   start learn of it.  A block ends when no request has met it for a while.
 
      qn_table *t = qn_make (&(qn_desc){ .seed = seed });
-     qn_prompt prompt;
-     qn_read_prompt (&prompt, ST_LIT ("llm"), ST_LIT ("5c1e:800,91bd:410"));
-     if (qn_query_blocked (t, &prompt, now_us) != NULL) refuse the request
-     count = qn_on_lost (t, &prompt, upstream, now_us, rows);  // send them
-     count = qn_on_served (t, &prompt, now_us, rows);          // send them
-     disproved = qn_on_row (t, &row, now_us);          // from another VM
+     qn_request request;
+     qn_read_request (&request, identity, ST_LIT ("llm"),
+                      ST_LIT ("5c1e:800,91bd:410"));
+     if (qn_query_blocked (t, &request, now_us) != NULL) refuse it
+     if (qn_on_sent (t, &request, now_us, &row)) send the row to the others
+     count = qn_on_lost (t, &request, upstream, now_us, rows);  // send them
+     count = qn_on_served (t, &request, now_us, rows);          // send them
+     if (qn_on_alive (t, upstream, sent_us, now_us, &row)) send the row
+     reply = qn_on_row (t, &row, now_us);          // from another VM
      while (qn_next_change (t, now_us, &change)) publish it
      qn_on_published (t, &change, now_us);        // read from the store  */
 #ifndef QN_H
@@ -27,29 +40,38 @@
 #include "al.h"
 #include "st.h"
 
-/* Most parts of one prompt that are looked at.  */
-#define QN_PROMPT_PARTS_MAX 8
+/* Most subjects of one request: the request itself and parts of its prompt. */
+#define QN_SUBJECTS_MAX 9
 
 typedef struct
 {
-  st_name parts[QN_PROMPT_PARTS_MAX]; /* "SERVICE/ID" */
+  st_name subjects[QN_SUBJECTS_MAX]; /* "=HASH" of a request, else
+                                        "SERVICE/ID" of a part */
   uint32_t count;
-  uint64_t request; /* repeated attempts of a request have the same */
-} qn_prompt;
+  uint64_t prompt; /* hash of all parts */
+} qn_request;
+
+/* What a VM tells the others about a subject.  */
+typedef enum
+{
+  QN_LOST = 0, /* a request with it lost the upstream */
+  QN_SERVED,   /* a request with it was responded to */
+  QN_TRIAL,    /* a trial of it was sent */
+  QN_ALIVE     /* the upstream has responded since its last loss; there is no
+                  subject */
+} qn_row_kind;
 
-/* What a VM tells the others: a request with the part lost the upstream, or
-   was responded to.  */
 typedef struct
 {
-  st_name part;
-  bool served;
-  uint64_t upstream; /* hashes, of a loss */
-  uint64_t request;
+  qn_row_kind kind;
+  st_name subject;
+  uint64_t upstream; /* hash */
+  uint64_t prompt;   /* of QN_LOST */
 } qn_row;
 
 typedef struct
 {
-  st_name part;
+  st_name subject;
   bool blocked;
 } qn_change;
 
@@ -68,17 +90,26 @@
 
   qn_table *qn_make (const qn_desc *desc);
   void qn_destroy (qn_table *t);
-  void qn_read_prompt (qn_prompt *prompt, st_str service, st_str parts);
-  const st_name *qn_query_blocked (qn_table *t, const qn_prompt *prompt,
+  void qn_read_request (qn_request *request, uint64_t identity, st_str service,
+                        st_str parts);
+  bool qn_is_request (const st_name *subject);
+  const st_name *qn_query_blocked (qn_table *t, const qn_request *request,
                                    uint64_t now_us);
-  uint32_t qn_on_lost (qn_table *t, const qn_prompt *prompt, uint64_t upstream,
-                       uint64_t now_us, qn_row rows[QN_PROMPT_PARTS_MAX]);
-  uint32_t qn_on_served (qn_table *t, const qn_prompt *prompt, uint64_t now_us,
-                         qn_row rows[QN_PROMPT_PARTS_MAX]);
+  bool qn_query_suspect (qn_table *t, const qn_request *request,
+                         uint64_t now_us);
+  bool qn_on_sent (qn_table *t, const qn_request *request, uint64_t now_us,
+                   qn_row *row);
+  uint32_t qn_on_lost (qn_table *t, const qn_request *request,
+                       uint64_t upstream, uint64_t now_us,
+                       qn_row rows[QN_SUBJECTS_MAX]);
+  uint32_t qn_on_served (qn_table *t, const qn_request *request,
+                         uint64_t now_us, qn_row rows[QN_SUBJECTS_MAX]);
+  bool qn_on_alive (qn_table *t, uint64_t upstream, uint64_t sent_us,
+                    uint64_t now_us, qn_row *row);
   bool qn_on_row (qn_table *t, const qn_row *row, uint64_t now_us);
   bool qn_next_change (qn_table *t, uint64_t now_us, qn_change *change);
   void qn_on_published (qn_table *t, const qn_change *change, uint64_t now_us);
-  void qn_on_lapsed (qn_table *t, st_str part, uint64_t now_us);
+  void qn_on_lapsed (qn_table *t, st_str subject, uint64_t now_us);
 
 #ifdef __cplusplus
 }
--- a/packages/gateway/gw.h
+++ b/packages/gateway/gw.h
@@ -110,9 +110,9 @@
      state has REVISION (0: there is none).  May be NULL.  */
   void (*write_rollout) (void *user, st_str service, st_str target,
                          vr_state state, uint64_t revision);
-  /* Publishes whether requests with the prompt part PART, "SERVICE/ID", are
-     BLOCKED.  May be NULL.  */
-  void (*write_quarantine) (void *user, st_str part, bool blocked);
+  /* Publishes whether requests with SUBJECT, a name of qn.h, are BLOCKED.  May
+     be NULL.  */
+  void (*write_quarantine) (void *user, st_str subject, bool blocked);
   /* State of the store follower; reported to the other VMs of the group.  */
   gw_follow_state (*query_follow_state) (void *user);
   void *user;
@@ -168,8 +168,8 @@
   void gw_set_rollout_state (gw_task *gw, st_str service, st_str target,
                              vr_state state, uint64_t revision);
   void gw_set_evacuated (gw_task *gw, st_str data_center, bool evacuated);
-  void gw_set_quarantine (gw_task *gw, st_str part, bool blocked);
-  void gw_remove_quarantine (gw_task *gw, st_str part);
+  void gw_set_quarantine (gw_task *gw, st_str subject, bool blocked);
+  void gw_remove_quarantine (gw_task *gw, st_str subject);
   void gw_publish_document (gw_task *gw, st_str document);
   void gw_query_followers (const gw_task *gw, uint32_t *first,
                            uint64_t *newest);
--- a/packages/gateway/gw_copy.c
+++ b/packages/gateway/gw_copy.c
@@ -167,7 +167,6 @@
   copy->budget_counted = true;
   copy->version_draw = VR_DRAW_OTHERS;
   copy->body = r->body != NULL ? g_bytes_ref (r->body) : NULL;
-  copy->prompt = r->prompt;
   copy->identity = r->identity;
   g_string_append_len (copy->head, r->head->str, (gssize)r->head->len);
   g_string_append_len (copy->prompt_parts, r->prompt_parts->str,
@@ -217,7 +216,7 @@
   (void)what;
   _gw_now (gw);
   if (r->state != _GW_SENT || r->exchange == NULL || r->copy != NULL
-      || r->end_us <= gw->now_us)
+      || r->end_us <= gw->now_us || _gw_is_suspect (r))
     return;
   ut_id to = _gw_choose_for_copy (r);
   const ut_upstream *up = ut_query (gw->upstreams, to);
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -112,6 +112,7 @@
     bu_count_request (&_gw_service_of (r)->retries, &terms, gw->now_us);
   r->budget_counted = true;
   _gw_charge_quota (r);
+  _gw_record_sent (r);
   _gw_count_version (r, up);
   /* After a failed attempt it may wait again, as on time or as late.  */
   r->demand.rank = gq_queue_rank (&r->demand, GQ_WAIT);
@@ -162,7 +163,7 @@
   gw_task *gw = r->gw;
   _gw_record_version (r, outcome);
   if (outcome == UT_SERVED)
-    _gw_record_prompt_served (r);
+    _gw_record_served (r);
   ut_on_end (gw->upstreams, r->upstream, r->prefill_tokens, outcome,
              gw->now_us);
   r->prefill_tokens = 0;
@@ -336,6 +337,8 @@
   const gw_names *names = r->gw->desc.names;
   st_str value;
   _gw_read_statements (r, head);
+  if (head->status != 421)
+    _gw_record_alive (r);
   r->status = head->status;
   r->is_signed = hp_get (head, names->signature, &value) && value.len > 0;
   r->not_run = head->status == 421 || hp_get (head, names->not_run, &value);
@@ -477,7 +480,7 @@
 {
   bool connection_lost = event->sent && r->status == 0;
   if (event->sent && event->connection_lost)
-    _gw_record_prompt_lost (r);
+    _gw_record_lost (r);
   if (event->over_limit)
     _gw_on_limit_exceeded (r, event->reason);
   /* The idle connections of an upstream that has ended are useless, and a
--- a/packages/gateway/gw_identify.c
+++ b/packages/gateway/gw_identify.c
@@ -188,7 +188,8 @@
 }
 
 /* Hash of what a request has in common with those that repeat it: its route,
-   method, target, team and body.  Ids, deadlines and other fields differ.  */
+   method, target, team and body, and without a body the parts of its prompt.
+   Ids, deadlines and other fields differ.  */
 static uint64_t
 _gw_hash_identity (const _gw_request *r, const hp_head *head)
 {
@@ -199,6 +200,9 @@
   hash = st_hash (head->method, hash);
   hash = st_hash (head->target, hash);
   hash = st_hash (r->team != NULL ? r->team->name : ST_LIT (""), hash);
+  if (size == 0)
+    return st_hash ((st_str){ r->prompt_parts->str, r->prompt_parts->len },
+                    hash);
   return st_hash ((st_str){ body, size }, hash);
 }
 
@@ -309,7 +313,6 @@
   _gw_set_times (r, deadline);
   _gw_set_demand (r, usage, resume_after);
   g_string_append_len (r->prompt_parts, parts.ptr, (gssize)parts.len);
-  qn_read_prompt (&r->prompt, st_name_str (&r->service), parts);
   r->identity = _gw_hash_identity (r, head);
   _gw_write_head (r, head);
   hp_release_fields (conn->reader);
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -55,8 +55,7 @@
   const rc_team *team; /* NULL on public routes */
   GString *head;       /* request line and fields common to all attempts */
   GBytes *body;
-  GString *prompt_parts; /* as the caller sent them; "": none */
-  qn_prompt prompt;
+  GString *prompt_parts;     /* as the caller sent them; "": none */
   uint64_t identity;         /* equal for requests that repeat each other */
   rc_config *regions_config; /* whose regions demand.regions are */
   uint64_t region_mask;      /* of these regions */
@@ -391,8 +390,11 @@
 
 /* Quarantine: gw_quarantine.c.  */
 bool _gw_refuse_quarantined (_gw_request *r);
-void _gw_record_prompt_served (_gw_request *r);
-void _gw_record_prompt_lost (_gw_request *r);
+bool _gw_is_suspect (const _gw_request *r);
+void _gw_record_sent (const _gw_request *r);
+void _gw_record_served (const _gw_request *r);
+void _gw_record_alive (const _gw_request *r);
+void _gw_record_lost (const _gw_request *r);
 void _gw_record_event (_gw_request *r);
 void _gw_on_suspects (gw_task *gw, const ms_suspects *suspects);
 void _gw_publish_quarantine (gw_task *gw);
--- a/packages/gateway/gw_quarantine.c
+++ b/packages/gateway/gw_quarantine.c
@@ -1,5 +1,5 @@
-/* Quarantine: refuses requests with a prompt part that crashes upstreams, by
-   the rules of qn.h.  */
+/* Quarantine: refuses requests that crash upstreams, or have a prompt part
+   that does, by the rules of qn.h.  */
 #include "gw_internal.h"
 
 #include <inttypes.h>
@@ -11,44 +11,111 @@
    and still runs.  */
 #define _GW_SERVED_EVENTS 2
 
+static qn_request
+_gw_read_subjects (const _gw_request *r)
+{
+  qn_request request;
+  qn_read_request (&request, r->identity, st_name_str (&r->service),
+                   (st_str){ r->prompt_parts->str, r->prompt_parts->len });
+  return request;
+}
+
+static ms_suspect
+_gw_make_suspect (const qn_row *row)
+{
+  st_str subject = st_name_str (&row->subject);
+  switch (row->kind)
+    {
+    case QN_LOST:
+      return (ms_suspect){ subject, false, row->upstream, row->prompt };
+    case QN_TRIAL:
+      return (ms_suspect){ subject, false, 0, 0 };
+    case QN_SERVED:
+      return (ms_suspect){ subject, true, 0, 0 };
+    case QN_ALIVE:
+      break;
+    }
+  return (ms_suspect){ ST_LIT ("alive"), true, row->upstream, 0 };
+}
+
+/* Fills ROW from S; false when the name of its subject is too long.  */
+static bool
+_gw_read_suspect (const ms_suspect *s, qn_row *row)
+{
+  *row = (qn_row){ .upstream = s->upstream, .prompt = s->request };
+  if (s->served)
+    row->kind = s->upstream != 0 ? QN_ALIVE : QN_SERVED;
+  else
+    row->kind = s->upstream != 0 ? QN_LOST : QN_TRIAL;
+  return st_name_set (&row->subject, s->part);
+}
+
 static void
 _gw_send_suspects (gw_task *gw, const qn_row *rows, uint32_t count)
 {
-  ms_suspect suspects[QN_PROMPT_PARTS_MAX];
+  ms_suspect suspects[QN_SUBJECTS_MAX];
   ms_message m = { .type = MS_SUSPECTS };
   if (gw->peers == NULL || count == 0)
     return;
   for (uint32_t i = 0; i < count; i++)
-    suspects[i] = (ms_suspect){ st_name_str (&rows[i].part), rows[i].served,
-                                rows[i].upstream, rows[i].request };
+    suspects[i] = _gw_make_suspect (&rows[i]);
   m.u.suspects.rows = suspects;
   m.u.suspects.count = count;
   _gw_send_to_all (gw, gw->group.frequent_recipients, &m);
   _gw_send_to_all (gw, gw->group.infrequent_recipients, &m);
 }
 
-/* Refuses R when its prompt has a blocked part; true when it did.  */
+/* Refuses R when it, or a part of its prompt, is blocked; true when it did. */
 bool
 _gw_refuse_quarantined (_gw_request *r)
 {
   gw_task *gw = r->gw;
-  const st_name *part
-      = qn_query_blocked (gw->quarantine, &r->prompt, gw->now_us);
-  if (part == NULL)
+  qn_request request = _gw_read_subjects (r);
+  const st_name *subject
+      = qn_query_blocked (gw->quarantine, &request, gw->now_us);
+  if (subject == NULL)
     return false;
   LO_EVENT ("quarantined", st_name_str (&r->id),
-            LO_STR ("part", st_name_str (part)), LO_INT ("runs", r->runs));
-  _gw_refuse (r, 503, "quarantined_part", _GW_QUARANTINE_RETRY_AFTER_US);
+            LO_STR ("subject", st_name_str (subject)),
+            LO_INT ("runs", r->runs));
+  _gw_refuse (r, 503,
+              qn_is_request (subject) ? "quarantined_request"
+                                      : "quarantined_part",
+              _GW_QUARANTINE_RETRY_AFTER_US);
   return true;
 }
 
+/* True when requests equal to R have lost an upstream and were not responded
+   to since.  */
+bool
+_gw_is_suspect (const _gw_request *r)
+{
+  qn_request request = _gw_read_subjects (r);
+  return qn_query_suspect (r->gw->quarantine, &request, r->gw->now_us);
+}
+
+/* Records that R is sent to an upstream.  */
+void
+_gw_record_sent (const _gw_request *r)
+{
+  gw_task *gw = r->gw;
+  qn_request request = _gw_read_subjects (r);
+  qn_row row;
+  if (!qn_on_sent (gw->quarantine, &request, gw->now_us, &row))
+    return;
+  LO_EVENT ("quarantine_trial", st_name_str (&r->id),
+            LO_STR ("subject", st_name_str (&row.subject)));
+  _gw_send_suspects (gw, &row, 1);
+}
+
 /* Records that R was responded to.  */
 void
-_gw_record_prompt_served (_gw_request *r)
+_gw_record_served (const _gw_request *r)
 {
   gw_task *gw = r->gw;
-  qn_row rows[QN_PROMPT_PARTS_MAX];
-  uint32_t count = qn_on_served (gw->quarantine, &r->prompt, gw->now_us, rows);
+  qn_row rows[QN_SUBJECTS_MAX];
+  qn_request request = _gw_read_subjects (r);
+  uint32_t count = qn_on_served (gw->quarantine, &request, gw->now_us, rows);
   _gw_send_suspects (gw, rows, count);
 }
 
@@ -57,7 +124,21 @@
 _gw_record_event (_gw_request *r)
 {
   if (++r->attempt_events == _GW_SERVED_EVENTS)
-    _gw_record_prompt_served (r);
+    _gw_record_served (r);
+}
+
+/* Records that the upstream of R has begun to respond, whatever to.  */
+void
+_gw_record_alive (const _gw_request *r)
+{
+  gw_task *gw = r->gw;
+  qn_row row;
+  if (!qn_on_alive (gw->quarantine, ut_hash (st_name_str (&r->upstream_id)),
+                    r->sent_us, gw->now_us, &row))
+    return;
+  LO_EVENT ("upstream_lives", st_name_str (&r->id),
+            LO_STR ("upstream", st_name_str (&r->upstream_id)));
+  _gw_send_suspects (gw, &row, 1);
 }
 
 /* Logs that R's attempt lost its upstream, and what R asked for: the same
@@ -83,20 +164,22 @@
 
 /* Records that R's attempt lost its upstream.  */
 void
-_gw_record_prompt_lost (_gw_request *r)
+_gw_record_lost (const _gw_request *r)
 {
   gw_task *gw = r->gw;
-  qn_row rows[QN_PROMPT_PARTS_MAX];
+  qn_row rows[QN_SUBJECTS_MAX];
   _gw_log_lost (r);
   if (r->attempt_events >= _GW_SERVED_EVENTS)
     return;
+  qn_request request = _gw_read_subjects (r);
   uint32_t count
-      = qn_on_lost (gw->quarantine, &r->prompt,
+      = qn_on_lost (gw->quarantine, &request,
                     ut_hash (st_name_str (&r->upstream_id)), gw->now_us, rows);
   for (uint32_t i = 0; i < count; i++)
-    LO_EVENT ("suspect_part", st_name_str (&r->id),
-              LO_STR ("part", st_name_str (&rows[i].part)),
-              LO_STR ("upstream", st_name_str (&r->upstream_id)));
+    if (rows[i].kind == QN_LOST)
+      LO_EVENT ("suspect", st_name_str (&r->id),
+                LO_STR ("subject", st_name_str (&rows[i].subject)),
+                LO_STR ("upstream", st_name_str (&r->upstream_id)));
   _gw_send_suspects (gw, rows, count);
 }
 
@@ -104,18 +187,16 @@
 void
 _gw_on_suspects (gw_task *gw, const ms_suspects *suspects)
 {
-  qn_row disproved[QN_PROMPT_PARTS_MAX];
+  qn_row disproved[QN_SUBJECTS_MAX];
   uint32_t count = 0;
   for (size_t i = 0; i < suspects->count; i++)
     {
-      const ms_suspect *s = &suspects->rows[i];
-      qn_row row = { .served = s->served,
-                     .upstream = s->upstream,
-                     .request = s->request };
-      if (st_name_set (&row.part, s->part)
+      qn_row row;
+      if (_gw_read_suspect (&suspects->rows[i], &row)
           && qn_on_row (gw->quarantine, &row, gw->now_us)
-          && count < QN_PROMPT_PARTS_MAX)
-        disproved[count++] = (qn_row){ .part = row.part, .served = true };
+          && count < QN_SUBJECTS_MAX)
+        disproved[count++]
+            = (qn_row){ .kind = QN_SERVED, .subject = row.subject };
     }
   _gw_send_suspects (gw, disproved, count);
 }
@@ -130,28 +211,28 @@
   while (qn_next_change (gw->quarantine, gw->now_us, &change))
     {
       LO_EVENT ("quarantine_write", ST_LIT (""),
-                LO_STR ("part", st_name_str (&change.part)),
+                LO_STR ("subject", st_name_str (&change.subject)),
                 LO_BOOL ("blocked", change.blocked));
-      gw->desc.write_quarantine (gw->desc.user, st_name_str (&change.part),
+      gw->desc.write_quarantine (gw->desc.user, st_name_str (&change.subject),
                                  change.blocked);
     }
 }
 
-/* Stores whether the published state of PART, "SERVICE/ID", is BLOCKED.  */
+/* Stores whether the published state of SUBJECT is BLOCKED.  */
 void
-gw_set_quarantine (gw_task *gw, st_str part, bool blocked)
+gw_set_quarantine (gw_task *gw, st_str subject, bool blocked)
 {
   qn_change change = { .blocked = blocked };
-  if (!st_name_set (&change.part, part))
+  if (!st_name_set (&change.subject, subject))
     return;
-  LO_EVENT ("quarantine", ST_LIT (""), LO_STR ("part", part),
+  LO_EVENT ("quarantine", ST_LIT (""), LO_STR ("subject", subject),
             LO_BOOL ("blocked", blocked));
   qn_on_published (gw->quarantine, &change, _gw_now (gw));
 }
 
-/* Records that the published state of PART has lapsed.  */
+/* Records that the published state of SUBJECT has lapsed.  */
 void
-gw_remove_quarantine (gw_task *gw, st_str part)
+gw_remove_quarantine (gw_task *gw, st_str subject)
 {
-  qn_on_lapsed (gw->quarantine, part, _gw_now (gw));
+  qn_on_lapsed (gw->quarantine, subject, _gw_now (gw));
 }
--- a/packages/wire/ms.h
+++ b/packages/wire/ms.h
@@ -413,10 +413,12 @@
   const ms_load_limit *limits;
 } ms_load;
 
-/* A prompt part whose requests lost an upstream, or were served.  */
+/* A request or prompt part that was lost with UPSTREAM or, where UPSTREAM is
+   0, was sent once more; or that was SERVED or, where UPSTREAM is not 0, an
+   upstream that has responded since.  */
 typedef struct
 {
-  st_str part;
+  st_str part; /* not empty */
   bool served;
   uint64_t upstream; /* hashes */
   uint64_t request;
