Look at all parts of a prompt for the quarantine

The same class as the requests that crash upstreams: what is remembered did not name what crashes them.

Up to 255 parts are subjects, and a part whose name would be too long is named by its hash. They are read from the request when they are needed: kept with each of 4,096 requests they would take 16 KB each.

--- a/packages/decide/qn.c
+++ b/packages/decide/qn.c
@@ -1,5 +1,6 @@
 #include "qn.h"
 
+#include <inttypes.h>
 #include <math.h>
 #include <stdio.h>
 #include <string.h>
@@ -144,20 +145,20 @@
 _qn_add_part (qn_request *request, st_str service, st_str id)
 {
   char name[ST_NAME_MAX + 1];
-  size_t len = service.len + 1 + id.len;
-  if (!_qn_is_id (id) || len > ST_NAME_MAX
-      || request->count == QN_SUBJECTS_MAX)
+  if (!_qn_is_id (id) || request->count == QN_SUBJECTS_MAX)
     return;
-  memcpy (name, service.ptr, service.len);
-  name[service.len] = '/';
-  memcpy (name + service.len + 1, id.ptr, id.len);
-  st_name_set (&request->subjects[request->count++], (st_str){ name, len });
+  if (service.len + 1 + id.len > ST_NAME_MAX)
+    snprintf (name, sizeof name, "%016" PRIx64 "/%016" PRIx64,
+              st_hash (service, 0), st_hash (id, 0));
+  else
+    snprintf (name, sizeof name, "%.*s/%.*s", ST_FMT (service), ST_FMT (id));
+  st_name_set (&request->subjects[request->count++], st_from_cstr (name));
 }
 
 /* Reads the subjects of a request to SERVICE.  Requests that repeat each other
    have the same IDENTITY.  PARTS are those of its prompt, "ID:TOKENS,..." in
-   their order; the last one is left out, and so is one whose id is malformed
-   or too long.  */
+   their order; the last one is left out, and so is one whose id is
+   malformed.  */
 void
 qn_read_request (qn_request *request, uint64_t identity, st_str service,
                  st_str parts)
@@ -165,8 +166,10 @@
   char name[ST_NAME_MAX + 1];
   size_t end;
   size_t colon;
-  *request = (qn_request){ .count = 1, .prompt = st_hash (parts, 0) };
-  snprintf (name, sizeof name, "=%016llx", (unsigned long long)identity);
+  /* The names beyond COUNT stay as they are: the array is large.  */
+  request->count = 1;
+  request->prompt = st_hash (parts, 0);
+  snprintf (name, sizeof name, "=%016" PRIx64, identity);
   st_name_set (&request->subjects[0], st_from_cstr (name));
   while (st_find_char (parts, ',', &end))
     {
--- a/packages/decide/qn.h
+++ b/packages/decide/qn.h
@@ -40,13 +40,15 @@
 #include "al.h"
 #include "st.h"
 
-/* Most subjects of one request: the request itself and parts of its prompt. */
-#define QN_SUBJECTS_MAX 9
+/* Most subjects of one request: the request itself and parts of its prompt.
+   Further parts are left out; prompts have a few tens at most.  */
+#define QN_SUBJECTS_MAX 256
 
 typedef struct
 {
   st_name subjects[QN_SUBJECTS_MAX]; /* "=HASH" of a request, else
-                                        "SERVICE/ID" of a part */
+                                        "SERVICE/ID" of a part, or "HASH/HASH"
+                                        where that is too long */
   uint32_t count;
   uint64_t prompt; /* hash of all parts */
 } qn_request;
--- a/packages/decide/tests/qn_test.cc
+++ b/packages/decide/tests/qn_test.cc
@@ -70,9 +70,13 @@
   EXPECT_EQ (prompt ("a:1").count, 1u);
   EXPECT_EQ (
       prompt ("a,b:1,/../x:2,:3," + std::string (80, 'a') + ":1,c:1").count,
-      2u);
+      3u);
   EXPECT_EQ (prompt ("a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1,b:1").count,
-             (uint32_t)QN_SUBJECTS_MAX);
+             11u);
+  std::string many;
+  for (int i = 0; i < 300; i++)
+    many += "a:1,";
+  EXPECT_EQ (prompt (many).count, (uint32_t)QN_SUBJECTS_MAX);
 }
 
 // Guards against blocking a part for one request that is retried, or for one
@@ -199,7 +203,7 @@
   struct Run
   {
     int vm;
-    qn_request prompt;
+    std::shared_ptr<qn_request> prompt;
     uint64_t begin_us, end_us;
     bool bad;
   };
@@ -275,10 +279,11 @@
   arrive (const std::string &parts)
   {
     qn_row rows[QN_SUBJECTS_MAX];
-    Run run = { pick (Vms), prompt (parts), 0, 0, false };
+    Run run = { pick (Vms), std::make_shared<qn_request> (prompt (parts)), 0,
+                0, false };
     run.bad = parts.find ("bad") != std::string::npos;
-    const st_name *part
-        = qn_query_blocked (tables_[(size_t)run.vm].get (), &run.prompt, now_);
+    const st_name *part = qn_query_blocked (tables_[(size_t)run.vm].get (),
+                                            run.prompt.get (), now_);
     if (part != nullptr)
       {
         blocked_parts.insert (part->text);
@@ -290,8 +295,8 @@
         /* It no longer accepts connections; a few were open.  */
         if (chance (0.1))
           tell (run.vm, rows,
-                qn_on_lost (tables_[(size_t)run.vm].get (), &run.prompt, u.id,
-                            now_, rows));
+                qn_on_lost (tables_[(size_t)run.vm].get (), run.prompt.get (),
+                            u.id, now_, rows));
         return;
       }
     if (run.bad && fifth_crash_us_ != 0 && now_ > fifth_crash_us_ + 3 * Second)
@@ -310,8 +315,8 @@
     for (auto &run : u.runs)
       if (run.bad || now_ < run.begin_us + 30 * Ms)
         tell (run.vm, rows,
-              qn_on_lost (tables_[(size_t)run.vm].get (), &run.prompt, u.id,
-                          now_, rows));
+              qn_on_lost (tables_[(size_t)run.vm].get (), run.prompt.get (),
+                          u.id, now_, rows));
     u.runs.clear ();
     u.id = 1000 + next_++;
     u.back_us = now_ + (uint64_t)(2000 + pick (3000)) * Ms;
@@ -331,8 +336,8 @@
             else if (!run.bad && now_ >= run.begin_us + 30 * Ms
                      && now_ < run.begin_us + 40 * Ms)
               tell (run.vm, rows,
-                    qn_on_served (tables_[(size_t)run.vm].get (), &run.prompt,
-                                  now_, rows));
+                    qn_on_served (tables_[(size_t)run.vm].get (),
+                                  run.prompt.get (), now_, rows));
           }
         u.runs.erase (
             std::remove_if (u.runs.begin (), u.runs.end (),
--- a/packages/gateway/gw_quarantine.c
+++ b/packages/gateway/gw_quarantine.c
@@ -11,13 +11,11 @@
    and still runs.  */
 #define _GW_SERVED_EVENTS 2
 
-static qn_request
-_gw_read_subjects (const _gw_request *r)
+static void
+_gw_read_subjects (const _gw_request *r, qn_request *request)
 {
-  qn_request request;
-  qn_read_request (&request, r->identity, st_name_str (&r->service),
+  qn_read_request (request, r->identity, st_name_str (&r->service),
                    (st_str){ r->prompt_parts->str, r->prompt_parts->len });
-  return request;
 }
 
 static ms_suspect
@@ -53,16 +51,18 @@
 static void
 _gw_send_suspects (gw_task *gw, const qn_row *rows, uint32_t count)
 {
-  ms_suspect suspects[QN_SUBJECTS_MAX];
+  ms_suspect suspects[MS_SUSPECTS_MAX];
   ms_message m = { .type = MS_SUSPECTS };
-  if (gw->peers == NULL || count == 0)
-    return;
-  for (uint32_t i = 0; i < count; i++)
-    suspects[i] = _gw_make_suspect (&rows[i]);
   m.u.suspects.rows = suspects;
-  m.u.suspects.count = count;
-  _gw_send_to_all (gw, gw->group.frequent_recipients, &m);
-  _gw_send_to_all (gw, gw->group.infrequent_recipients, &m);
+  for (uint32_t i = 0; gw->peers != NULL && i < count; i++)
+    {
+      suspects[m.u.suspects.count++] = _gw_make_suspect (&rows[i]);
+      if (m.u.suspects.count < MS_SUSPECTS_MAX && i + 1 < count)
+        continue;
+      _gw_send_to_all (gw, gw->group.frequent_recipients, &m);
+      _gw_send_to_all (gw, gw->group.infrequent_recipients, &m);
+      m.u.suspects.count = 0;
+    }
 }
 
 /* Refuses R when it, or a part of its prompt, is blocked; true when it did. */
@@ -70,7 +70,8 @@
 _gw_refuse_quarantined (_gw_request *r)
 {
   gw_task *gw = r->gw;
-  qn_request request = _gw_read_subjects (r);
+  qn_request request;
+  _gw_read_subjects (r, &request);
   const st_name *subject
       = qn_query_blocked (gw->quarantine, &request, gw->now_us);
   if (subject == NULL)
@@ -90,7 +91,8 @@
 bool
 _gw_is_suspect (const _gw_request *r)
 {
-  qn_request request = _gw_read_subjects (r);
+  qn_request request;
+  _gw_read_subjects (r, &request);
   return qn_query_suspect (r->gw->quarantine, &request, r->gw->now_us);
 }
 
@@ -99,8 +101,9 @@
 _gw_record_sent (const _gw_request *r)
 {
   gw_task *gw = r->gw;
-  qn_request request = _gw_read_subjects (r);
+  qn_request request;
   qn_row row;
+  _gw_read_subjects (r, &request);
   if (!qn_on_sent (gw->quarantine, &request, gw->now_us, &row))
     return;
   LO_EVENT ("quarantine_trial", st_name_str (&r->id),
@@ -114,7 +117,8 @@
 {
   gw_task *gw = r->gw;
   qn_row rows[QN_SUBJECTS_MAX];
-  qn_request request = _gw_read_subjects (r);
+  qn_request request;
+  _gw_read_subjects (r, &request);
   uint32_t count = qn_on_served (gw->quarantine, &request, gw->now_us, rows);
   _gw_send_suspects (gw, rows, count);
 }
@@ -171,7 +175,8 @@
   _gw_log_lost (r);
   if (r->attempt_events >= _GW_SERVED_EVENTS)
     return;
-  qn_request request = _gw_read_subjects (r);
+  qn_request request;
+  _gw_read_subjects (r, &request);
   uint32_t count
       = qn_on_lost (gw->quarantine, &request,
                     ut_hash (st_name_str (&r->upstream_id)), gw->now_us, rows);
--- a/packages/gateway/tests/quarantine_test.cc
+++ b/packages/gateway/tests/quarantine_test.cc
@@ -89,4 +89,33 @@
           200);
     }
 }
+
+// Guards against a part that is not recognised because it stands behind many
+// others or has a long id.
+TEST (GwQuarantine, APartBehindManyOthersIsRefused)
+{
+  std::string before;
+  for (int i = 0; i < 30; i++)
+    before += "c" + std::to_string (i) + ":10,";
+  before += std::string (64, 'a') + ":20,";
+  Gateway g (8);
+  // Those before it are sound.
+  EXPECT_EQ (
+      ask (g, 99, before.substr (0, before.find ("aaa")) + "99:30")->status (),
+      200);
+  for (auto &u : g.upstreams)
+    u->default_behaviour = Reset;
+  for (int i = 0; i < 8; i++)
+    {
+      ask (g, i, before + std::to_string (i) + ":30", "/once/x");
+      g.wait (10);
+    }
+  for (auto &u : g.upstreams)
+    u->default_behaviour = Respond;
+  g.wait (1700);
+  uint32_t runs = total_runs (g);
+  auto c = ask (g, 100, before + "100:30");
+  EXPECT_EQ (c->status (), 503);
+  EXPECT_EQ (total_runs (g), runs);
+}
 }
