Log when no upstream is heard any more

pa_ decides from all attempts whether the path to the upstreams is lost: several that failed or wait, at more than one upstream, and nothing heard for a while, which is longer where responses take longer. path_lost and path_found are logged; nothing else changes yet.

--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -89,6 +89,7 @@
   _gw_now (gw);
   _gw_expire_peers (gw);
   _gw_reserve_unheard (gw);
+  _gw_check_path (gw);
   _gw_end_stalled (gw);
   _gw_tick_rollouts (gw);
   _gw_publish_quarantine (gw);
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -479,6 +479,8 @@
 _gw_on_exchange_failed (_gw_request *r, const uc_event *event)
 {
   bool connection_lost = event->sent && r->status == 0;
+  if (r->status == 0)
+    _gw_on_unheard (r);
   if (event->sent && event->connection_lost)
     _gw_record_lost (r);
   if (event->over_limit)
@@ -498,6 +500,8 @@
 {
   _gw_request *r = user;
   _gw_now (r->gw);
+  if (event->kind != UC_FAILED)
+    _gw_on_heard (r, event->kind == UC_HEAD);
   switch (event->kind)
     {
     case UC_HEAD:
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -13,6 +13,7 @@
 #include "gw.h"
 #include "hp.h"
 #include "lo.h"
+#include "pa.h"
 #include "pe.h"
 #include "pt.h"
 #include "qa.h"
@@ -239,6 +240,7 @@
   _gw_peer peer[UT_PEERS_MAX]; /* VMs, other groups, or their sum */
   GHashTable *seen_peers;      /* keys of VMs that started later */
   qn_table *quarantine;
+  pa_path path;              /* to the upstreams */
   qa_ledger *quota_ledger;   /* what the other VMs admitted */
   bool quotas_started;       /* with their part of a bucket */
   uint32_t started_together; /* VMs that started with this one and reported */
@@ -399,6 +401,11 @@
 void _gw_on_suspects (gw_task *gw, const ms_suspects *suspects);
 void _gw_publish_quarantine (gw_task *gw);
 
+/* Path to the upstreams: gw_path.c.  */
+void _gw_on_heard (const _gw_request *r, bool response_begins);
+void _gw_on_unheard (const _gw_request *r);
+void _gw_check_path (gw_task *gw);
+
 /* Stall: gw_stall.c.  */
 void _gw_end_stalled (gw_task *gw);
 
