Write the end of a request's block only where the block was written

A VM writes the end when it has written the block or has read it. Test: decide.QnRequest.TheEndOfABlockIsWrittenWhereTheBlockWas, red before.

--- a/packages/decide/qn.c
+++ b/packages/decide/qn.c
@@ -63,6 +63,7 @@
   bool blocked;
   bool disproved; /* the end of the block is to be published */
   bool published; /* the store has this state */
+  bool written;   /* or it has the block, or may get it from this VM */
   uint32_t trials;
   uint64_t trial_us; /* time from which the next one may be sent */
   uint64_t publish_us;
@@ -414,10 +415,13 @@
 {
   if (e->disproved)
     return;
-  /* The store has the block, or may get it from another VM.  */
+  /* Another VM may write the block.  That of a request often ends before one
+     has, as an upstream is found to live; the VM that has written it writes
+     its end too.  */
   if (e->blocked)
     *e = (_qn_entry){ .subject = e->subject,
                       .disproved = true,
+                      .written = e->written || !qn_is_request (&e->subject),
                       .publish_us = _qn_publish_time (t, now_us),
                       .used_us = now_us };
   else
@@ -582,9 +586,11 @@
   for (uint32_t i = 0; i < t->used; i++)
     {
       _qn_entry *e = &t->entries[i];
-      if (t->hashes[i] == 0 || !(e->blocked || e->disproved) || e->published
-          || now_us < e->publish_us || _qn_is_expired (e, now_us))
+      if (t->hashes[i] == 0 || !(e->blocked || (e->disproved && e->written))
+          || e->published || now_us < e->publish_us
+          || _qn_is_expired (e, now_us))
         continue;
+      e->written = true;
       e->publish_us = now_us + _QN_REPUBLISH_US;
       *change = (qn_change){ .subject = e->subject, .blocked = e->blocked };
       return true;
@@ -619,6 +625,7 @@
     {
       *e = (_qn_entry){ .subject = *subject,
                         .disproved = true,
+                        .written = true,
                         .publish_us = _qn_publish_time (t, now_us),
                         .used_us = now_us };
       return;
@@ -628,6 +635,7 @@
     e->trials = _QN_TRIALS_MAX;
   e->blocked = true;
   e->published = true;
+  e->written = true;
 }
 
 /* Records that the store no longer has SUBJECT.  A block that requests still
--- a/packages/decide/tests/qn_test.cc
+++ b/packages/decide/tests/qn_test.cc
@@ -522,6 +522,26 @@
   EXPECT_FALSE (request_blocked (t, 1, 500 * Second));
 }
 
+// Guards against writes to the store for a block that ended before any VM
+// wrote it, and against a block that stays there.
+TEST (QnRequest, TheEndOfABlockIsWrittenWhereTheBlockWas)
+{
+  qn_row row;
+  qn_change change = {};
+  Table t = make ();
+  for (uint64_t i = 0; i < 3; i++)
+    lose_request (t, 1, i + 1, Second);
+  ASSERT_TRUE (qn_on_alive (t.get (), 2, Second + Ms, Second + 9 * Ms, &row));
+  EXPECT_FALSE (qn_next_change (t.get (), 9 * Second, &change));
+  /* Another VM has written it in the meantime.  */
+  change.subject = repeated (1).subjects[0];
+  change.blocked = true;
+  qn_on_published (t.get (), &change, 9 * Second);
+  EXPECT_FALSE (request_blocked (t, 1, 9 * Second));
+  ASSERT_TRUE (qn_next_change (t.get (), 10 * Second, &change));
+  EXPECT_FALSE (change.blocked);
+}
+
 // Guards against a block that ends where it is read from the store by a VM
 // that was responded to long ago, and against trials of such a VM.
 TEST (QnRequest, APublishedBlockHoldsAtOtherVms)
