Send requests through another VM while no upstream can be reached

With real processes also the VMs that were well served none where connections hang: they counted what hung at the others as load of the upstreams.

Cause: every upstream is judged alone, and a VM's own connections are the only way to it. A VM without links tried one upstream after the other, 400 ms each, went on saying that it was ready, and reported its hanging requests as load.

While nothing is heard of any upstream (pa_) and another VM reports a path, a VM sends its requests to the less loaded of two such VMs, which treats them like those of its own callers; it is not ready, reports no load at upstreams, and asks one of them for its health until one responds. Requests that were sent and may run once stay where they are; those that were not sent, or may be repeated, are moved within the retry budget. A refusal of the other VM is passed on; what may have run there is unknown here too. Without a VM that has a path nothing changes: the upstreams have failed.

Ruled out: failed upstreams (the other VMs reach them at the same time).

--- a/packages/gateway/gw.c
+++ b/packages/gateway/gw.c
@@ -90,6 +90,7 @@
   _gw_expire_peers (gw);
   _gw_reserve_unheard (gw);
   _gw_check_path (gw);
+  _gw_forward_waiting (gw);
   _gw_end_stalled (gw);
   _gw_tick_rollouts (gw);
   _gw_publish_quarantine (gw);
@@ -345,7 +346,7 @@
 bool
 gw_query_ready (const gw_task *gw)
 {
-  return gw->config != NULL && gw->drain.start_us == 0;
+  return gw->config != NULL && gw->drain.start_us == 0 && !_gw_is_cut_off (gw);
 }
 
 /* Requests since the start, and the requests and caller connections that are
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -56,26 +56,34 @@
   return bu_take_retry (&_gw_service_of (r)->retries, &terms, r->gw->now_us);
 }
 
-static void _gw_on_exchange (void *user, const uc_event *event);
+/* Appends to HEAD the fields of R that differ for each attempt, to wherever it
+   is sent.  LEFT_US is the time that the receiver has.  */
+void
+_gw_write_attempt_fields (const _gw_request *r, GString *head,
+                          uint64_t left_us)
+{
+  const gw_names *names = r->gw->desc.names;
+  uint64_t left_ms = left_us / CK_MS_US;
+  g_string_append_printf (head, "%.*s: %" PRIu64 "\r\n",
+                          ST_FMT (names->deadline_ms),
+                          left_ms > 0 ? left_ms : 1);
+  if (r->has_last_event)
+    g_string_append_printf (head, "%.*s: %" PRIu64 "\r\n",
+                            ST_FMT (names->resume_after), r->last_event);
+}
 
-/* Returns the head of R's request: the common part and the fields that differ
-   for each attempt.  The caller frees it.  */
+/* Returns the head of R's request to an upstream: the common part and the
+   fields that differ for each attempt.  The caller frees it.  */
 static GString *
 _gw_write_attempt_head (const _gw_request *r)
 {
   const gw_names *names = r->gw->desc.names;
-  uint64_t left_us = r->end_us - r->gw->now_us;
-  uint64_t left_ms = left_us / CK_MS_US;
   GString *bytes = g_string_sized_new (r->head->len + 256);
   g_string_append_len (bytes, r->head->str, (gssize)r->head->len);
-  g_string_append_printf (
-      bytes, "%.*s: %" PRIu64 "\r\n%.*s: %.*s\r\n",
-      ST_FMT (names->deadline_ms), left_ms > 0 ? left_ms : 1,
-      ST_FMT (names->expect_instance), ST_FMT (st_name_str (&r->upstream_id)));
-  if (r->has_last_event)
-    g_string_append_printf (bytes, "%.*s: %" PRIu64 "\r\n",
-                            ST_FMT (names->resume_after), r->last_event);
-  g_string_append (bytes, "\r\n");
+  _gw_write_attempt_fields (r, bytes, r->end_us - r->gw->now_us);
+  g_string_append_printf (bytes, "%.*s: %.*s\r\n\r\n",
+                          ST_FMT (names->expect_instance),
+                          ST_FMT (st_name_str (&r->upstream_id)));
   return bytes;
 }
 
@@ -101,6 +109,27 @@
       LO_INT ("connection", place.connection), LO_INT ("use", place.use));
 }
 
+/* Resets the state of R for another attempt.  */
+void
+_gw_start_attempt (_gw_request *r)
+{
+  /* After a failed attempt it may wait again, as on time or as late.  */
+  r->demand.rank = gq_queue_rank (&r->demand, GQ_WAIT);
+  r->demand.waited_as_late = false;
+  r->state = r->events > 0 ? _GW_RELAYING : _GW_SENT;
+  r->sent_us = r->gw->now_us;
+  r->last_event_us = 0;
+  r->attempt_first_us = 0;
+  r->attempt_events = 0;
+  r->attempt_count++;
+  r->status = 0;
+  r->is_stream = false;
+  r->is_resumed = r->events > 0;
+  r->is_forwarded = false;
+  g_string_truncate (r->response_body, 0);
+  _gw_count_stored (r);
+}
+
 /* Sends R to the upstream TO.  */
 void
 _gw_dispatch (_gw_request *r, ut_id to)
@@ -114,23 +143,10 @@
   _gw_charge_quota (r);
   _gw_record_sent (r);
   _gw_count_version (r, up);
-  /* After a failed attempt it may wait again, as on time or as late.  */
-  r->demand.rank = gq_queue_rank (&r->demand, GQ_WAIT);
-  r->demand.waited_as_late = false;
-  r->state = r->events > 0 ? _GW_RELAYING : _GW_SENT;
+  _gw_start_attempt (r);
   r->upstream = to;
   r->upstream_id = up->entry.id;
   r->prefill_tokens = r->demand.prompt_tokens;
-  r->sent_us = gw->now_us;
-  r->last_event_us = 0;
-  r->attempt_first_us = 0;
-  r->attempt_events = 0;
-  r->attempt_count++;
-  r->status = 0;
-  r->is_stream = false;
-  r->is_resumed = r->events > 0;
-  g_string_truncate (r->response_body, 0);
-  _gw_count_stored (r);
   uint32_t own_running = up->own_running;
   ut_on_sent (gw->upstreams, to, r->prefill_tokens);
   ut_count_send (gw->upstreams, to, gw->now_us);
@@ -161,6 +177,8 @@
 _gw_end_exchange (_gw_request *r, ut_outcome outcome)
 {
   gw_task *gw = r->gw;
+  if (r->is_forwarded)
+    _gw_end_forward (r);
   _gw_record_version (r, outcome);
   if (outcome == UT_SERVED)
     _gw_record_served (r);
@@ -336,8 +354,11 @@
 {
   const gw_names *names = r->gw->desc.names;
   st_str value;
-  _gw_read_statements (r, head);
-  if (head->status != 421)
+  if (r->is_forwarded)
+    _gw_on_forward_head (r, head);
+  else
+    _gw_read_statements (r, head);
+  if (!r->is_forwarded && head->status != 421)
     _gw_record_alive (r);
   r->status = head->status;
   r->is_signed = hp_get (head, names->signature, &value) && value.len > 0;
@@ -398,6 +419,8 @@
   gw_task *gw = r->gw;
   _gw_service *service = _gw_service_of (r);
   double took_us = (double)(gw->now_us - r->sent_us);
+  if (r->is_forwarded)
+    return;
   if (service->service_us <= 0)
     service->service_us = took_us;
   service->service_us += _GW_SERVICE_WEIGHT * (took_us - service->service_us);
@@ -453,6 +476,18 @@
 static void
 _gw_on_response (_gw_request *r)
 {
+  /* Of two VMs the one that is next to the upstreams repeats requests.  */
+  if (r->is_forwarded && !r->is_signed)
+    {
+      _gw_on_forward_refused (r);
+      return;
+    }
+  if (r->is_forwarded && r->status >= 500 && r->events == 0)
+    {
+      _gw_end_exchange (r, UT_FAILED);
+      _gw_forward_response (r);
+      return;
+    }
   if (r->not_run)
     {
       _gw_on_not_run (r);
@@ -479,9 +514,9 @@
 _gw_on_exchange_failed (_gw_request *r, const uc_event *event)
 {
   bool connection_lost = event->sent && r->status == 0;
-  if (r->status == 0)
+  if (!r->is_forwarded && r->status == 0)
     _gw_on_unheard (r);
-  if (event->sent && event->connection_lost)
+  if (!r->is_forwarded && event->sent && event->connection_lost)
     _gw_record_lost (r);
   if (event->over_limit)
     _gw_on_limit_exceeded (r, event->reason);
@@ -495,12 +530,13 @@
   _gw_retry (r, event->sent, event->sent, event->reason);
 }
 
-static void
+/* Handles EVENT of the exchange of a request, USER.  */
+void
 _gw_on_exchange (void *user, const uc_event *event)
 {
   _gw_request *r = user;
   _gw_now (r->gw);
-  if (event->kind != UC_FAILED)
+  if (!r->is_forwarded && event->kind != UC_FAILED)
     _gw_on_heard (r, event->kind == UC_HEAD);
   switch (event->kind)
     {
--- a/packages/gateway/gw_identify.c
+++ b/packages/gateway/gw_identify.c
@@ -45,6 +45,7 @@
          && !hp_name_equal (name, names->team)
          && !hp_name_equal (name, names->expect_instance)
          && !hp_name_equal (name, names->resume_after)
+         && !_gw_is_forward_field (name)
          && !hp_list_contains (connection, name);
 }
 
@@ -153,7 +154,8 @@
   uint64_t limit_ms = r->route->timeout_ms > 0 ? r->route->timeout_ms : 30000;
   if (st_parse_u64 (deadline, &ms))
     {
-      r->demand.is_caller_retry = _gw_is_caller_retry (r, ms);
+      if (!r->was_forwarded)
+        r->demand.is_caller_retry = _gw_is_caller_retry (r, ms);
       limit_ms = ms < limit_ms ? ms : limit_ms;
     }
   r->demand.arrived_us = r->gw->now_us;
@@ -309,6 +311,7 @@
   r->demand.engine = r->engine;
   r->body = g_string_free_to_bytes (conn->body);
   conn->body = g_string_new (NULL);
+  _gw_read_forwarded (r, head);
   _gw_set_regions (r, gw->config, route, team);
   _gw_set_times (r, deadline);
   _gw_set_demand (r, usage, resume_after);
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -36,6 +36,8 @@
 #define _GW_REPORT_TIMEOUT_US 1300000
 /* Most teams whose quota use is reported to the other VMs.  */
 #define _GW_TEAMS_MAX 256
+/* Most VMs that a request is forwarded to.  */
+#define _GW_FORWARDS_MAX 2
 
 typedef enum
 {
@@ -57,6 +59,7 @@
   GString *head;       /* request line and fields common to all attempts */
   GBytes *body;
   GString *prompt_parts;     /* as the caller sent them; "": none */
+  GString *key;              /* Authorization; for other VMs only */
   uint64_t identity;         /* equal for requests that repeat each other */
   rc_config *regions_config; /* whose regions demand.regions are */
   uint64_t region_mask;      /* of these regions */
@@ -95,10 +98,16 @@
   st_name service;
   st_name upstream_id;
   bool engine;
-  bool retryable; /* may run more than once */
+  bool is_forwarded;  /* the attempt is at another VM, not an upstream */
+  bool was_forwarded; /* the caller is another VM */
+  uint64_t forwarded_to[_GW_FORWARDS_MAX]; /* keys of VMs */
+  uint32_t forward_count;
+  uint64_t vm_retry_after_us; /* that the other VM asked for */
+  bool retryable;             /* may run more than once */
   bool retry_due; /* its next attempt has yet to be taken from the budget */
   bool budget_counted; /* in the retry budget */
   bool quota_held;     /* and not charged yet */
+  bool quota_due;      /* left to another VM, which did not send it */
   bool has_last_event;
   uint64_t response_length; /* as the head of the response states */
   bool is_signed;           /* the current response has a signature */
@@ -179,6 +188,9 @@
   char incarnation[MS_INCARNATION_MAX + 1];
   uint64_t report_received_us;
   bool ready;
+  bool no_path;       /* it hears no upstream */
+  uint32_t running;   /* its requests at all upstreams */
+  uint32_t forwarded; /* requests of this VM that are there */
   uint64_t config_version;
   bool follows;
   uint64_t store_revision;
@@ -241,6 +253,9 @@
   GHashTable *seen_peers;      /* keys of VMs that started later */
   qn_table *quarantine;
   pa_path path;              /* to the upstreams */
+  uc_exchange *path_probe;   /* NULL: none is in progress */
+  uint64_t path_probe_us;    /* its start */
+  uint32_t forwarded_count;  /* open requests that other VMs have forwarded */
   qa_ledger *quota_ledger;   /* what the other VMs admitted */
   bool quotas_started;       /* with their part of a bucket */
   uint32_t started_together; /* VMs that started with this one and reported */
@@ -345,7 +360,12 @@
 
 /* Dispatch: gw_dispatch.c.  */
 void _gw_dispatch (_gw_request *r, ut_id to);
+void _gw_start_attempt (_gw_request *r);
+void _gw_write_attempt_fields (const _gw_request *r, GString *head,
+                               uint64_t left_us);
+void _gw_on_exchange (void *user, const uc_event *event);
 void _gw_end_exchange (_gw_request *r, ut_outcome outcome);
+void _gw_end_attempt (_gw_request *r, bool sent, const char *reason);
 void _gw_fail_exchange (_gw_request *r, const char *reason);
 void _gw_record_service_time (_gw_request *r);
 bool _gw_take_retry (_gw_request *r);
@@ -402,10 +422,22 @@
 void _gw_publish_quarantine (gw_task *gw);
 
 /* Path to the upstreams: gw_path.c.  */
+bool _gw_is_cut_off (const gw_task *gw);
 void _gw_on_heard (const _gw_request *r, bool response_begins);
 void _gw_on_unheard (const _gw_request *r);
 void _gw_check_path (gw_task *gw);
 
+/* Forward: gw_forward.c.  */
+bool _gw_has_path (const gw_task *gw, const _gw_peer *p);
+bool _gw_is_forward_field (st_str name);
+void _gw_read_forwarded (_gw_request *r, const hp_head *head);
+bool _gw_refuse_forwarded (_gw_request *r);
+bool _gw_forward (_gw_request *r);
+void _gw_forward_waiting (gw_task *gw);
+void _gw_on_forward_head (_gw_request *r, const hp_head *head);
+void _gw_end_forward (_gw_request *r);
+void _gw_on_forward_refused (_gw_request *r);
+
 /* Stall: gw_stall.c.  */
 void _gw_end_stalled (gw_task *gw);
 
--- a/packages/gateway/gw_load.c
+++ b/packages/gateway/gw_load.c
@@ -285,6 +285,7 @@
   m.u.load.store_revision = state.revision;
   m.u.load.config_version = gw_query_config_version (gw);
   m.u.load.ready = gw_query_ready (gw);
+  m.u.load.no_path = gw->path.lost;
   uint64_t since_us = gw->rejoined_us != 0 ? gw->rejoined_us : gw->started_us;
   uint64_t uptime_ms = (gw->now_us - since_us) / CK_MS_US;
   m.u.load.uptime_ms
@@ -307,6 +308,9 @@
   m.u.load.rollout_count = _gw_own_rollouts (gw, rollouts);
   m.u.load.rollouts = rollouts;
   size_t count = ut_query_rows (gw->upstreams, rows, MS_LOAD_ROWS_MAX);
+  /* What hangs in lost connections is no load of the upstreams.  */
+  if (gw->path.lost)
+    count = 0;
   for (size_t i = 0; i < count; i++)
     wire_rows[i] = (ms_load_row){ rows[i].upstream, rows[i].running,
                                   rows[i].prefill_tokens };
--- a/packages/gateway/gw_path.c
+++ b/packages/gateway/gw_path.c
@@ -1,7 +1,10 @@
 /* Path: notices when this VM is partitioned from all upstreams, by the rules
-   of pa.h.  */
+   of pa.h, and asks one of them now and then whether the path is back.  */
 #include "gw_internal.h"
 
+/* A probe without a response is given up after this time.  */
+#define _GW_PROBE_TIMEOUT_US 1000000
+
 static uint32_t
 _gw_count_upstreams (const gw_task *gw)
 {
@@ -12,24 +15,80 @@
   return count;
 }
 
+static uint32_t
+_gw_count_with_path (const gw_task *gw)
+{
+  uint32_t count = 0;
+  for (int i = 0; i < UT_PEERS_MAX; i++)
+    count += _gw_has_path (gw, &gw->peer[i]);
+  return count;
+}
+
+/* True when this VM has no path to the upstreams and another one has; without
+   one the upstreams have failed.  */
+bool
+_gw_is_cut_off (const gw_task *gw)
+{
+  return gw->path.lost && _gw_count_with_path (gw) > 0;
+}
+
+/* Ends the attempts that wait for a response, of requests that have not been
+   sent yet or may run once more, so that other VMs get them.  */
+static void
+_gw_move_unheard (gw_task *gw)
+{
+  for (uint32_t i = 0; i < gw->used && _gw_is_cut_off (gw); i++)
+    {
+      _gw_request *r = &gw->requests[i];
+      if (r->state == _GW_FREE || r->exchange == NULL || r->is_forwarded
+          || r->copy_of != NULL || r->copy != NULL)
+        continue;
+      bool sent = uc_query_sent (r->exchange);
+      if (!sent || (r->retryable && r->runs + 1 < r->route->attempts))
+        _gw_end_attempt (r, sent, "path_lost");
+    }
+}
+
+static void
+_gw_on_path_lost (gw_task *gw)
+{
+  /* Idle connections would hang as well.  */
+  uc_close_idle (gw->pool);
+  _gw_load_changed (gw);
+  _gw_move_unheard (gw);
+  _gw_forward_waiting (gw);
+}
+
+static void
+_gw_end_probe (gw_task *gw)
+{
+  uc_exchange *x = gw->path_probe;
+  gw->path_probe = NULL;
+  if (x != NULL)
+    uc_cancel (x);
+}
+
 static void
 _gw_update_path (gw_task *gw)
 {
-  uint64_t heard_us = gw->path.heard_us;
-  uint64_t changed_us = gw->path.changed_us;
-  uint32_t failed = gw->path.failed;
-  uint32_t silent = gw->path.silent;
+  pa_path before = gw->path;
   uint32_t upstreams = _gw_count_upstreams (gw);
   if (!pa_update (&gw->path, upstreams, gw->now_us))
     return;
   if (gw->path.lost)
-    LO_EVENT ("path_lost", ST_LIT (""),
-              LO_INT ("unheard_ms", (gw->now_us - heard_us) / CK_MS_US),
-              LO_INT ("failed", failed), LO_INT ("silent", silent),
-              LO_INT ("upstreams", upstreams));
-  else
-    LO_EVENT ("path_found", ST_LIT (""),
-              LO_INT ("after_ms", (gw->now_us - changed_us) / CK_MS_US));
+    {
+      LO_EVENT (
+          "path_lost", ST_LIT (""),
+          LO_INT ("unheard_ms", (gw->now_us - before.heard_us) / CK_MS_US),
+          LO_INT ("failed", before.failed), LO_INT ("silent", before.silent),
+          LO_INT ("upstreams", upstreams),
+          LO_INT ("vms_with_path", _gw_count_with_path (gw)));
+      _gw_on_path_lost (gw);
+      return;
+    }
+  LO_EVENT ("path_found", ST_LIT (""),
+            LO_INT ("after_ms", (gw->now_us - before.changed_us) / CK_MS_US));
+  _gw_load_changed (gw);
 }
 
 /* Records bytes of R's upstream, the first ones where RESPONSE_BEGINS.  */
@@ -51,21 +110,94 @@
 {
   pa_on_failed (&r->gw->path, ut_hash (st_name_str (&r->upstream_id)),
                 r->gw->now_us);
-  _gw_update_path (r->gw);
 }
 
-/* Records the attempts that wait for their upstream.  */
+static void
+_gw_on_probe (void *user, const uc_event *event)
+{
+  gw_task *gw = user;
+  _gw_now (gw);
+  switch (event->kind)
+    {
+    case UC_HEAD:
+      /* Whatever it says, it has been heard.  */
+      pa_on_heard (&gw->path, gw->now_us);
+      _gw_update_path (gw);
+      _gw_end_probe (gw);
+      return;
+    case UC_BODY:
+      return;
+    case UC_END:
+    case UC_FAILED:
+      gw->path_probe = NULL;
+      return;
+    }
+}
+
+/* A random upstream that is not leaving; NULL when there is none.  */
+static const ut_upstream *
+_gw_choose_probed (gw_task *gw)
+{
+  const ut_upstream *chosen = NULL;
+  uint32_t seen = 0;
+  ut_id id = { 0, 0 };
+  while (ut_next (gw->upstreams, &id))
+    {
+      const ut_upstream *up = ut_query (gw->upstreams, id);
+      if (!up->entry.leaving && _gw_random (gw) % ++seen == 0)
+        chosen = up;
+    }
+  return chosen;
+}
+
+/* Asks an upstream for its health.  */
+static void
+_gw_probe_path (gw_task *gw)
+{
+  if (gw->path_probe != NULL
+      && gw->now_us - gw->path_probe_us > _GW_PROBE_TIMEOUT_US)
+    _gw_end_probe (gw);
+  if (gw->path_probe != NULL || !pa_probe_due (&gw->path, gw->now_us))
+    return;
+  const ut_upstream *up = _gw_choose_probed (gw);
+  const rc_service *service
+      = up != NULL && gw->config != NULL
+            ? rc_find_service (gw->config, st_name_str (&up->entry.service))
+            : NULL;
+  if (service == NULL)
+    return;
+  st_str path
+      = service->health_path.len > 0 ? service->health_path : ST_LIT ("/");
+  char head[512];
+  int len
+      = snprintf (head, sizeof head, "GET %.*s HTTP/1.1\r\nHost: %.*s\r\n\r\n",
+                  ST_FMT (path), ST_FMT (st_name_str (&up->entry.address)));
+  if (len < 0 || (size_t)len >= sizeof head)
+    return;
+  gw->path_probe_us = gw->now_us;
+  gw->path_probe = uc_send (
+      gw->pool, &(uc_request){ .address = st_name_str (&up->entry.address),
+                               .instance = st_name_str (&up->entry.id),
+                               .head = { head, (size_t)len },
+                               .any_response = true,
+                               .on_event = _gw_on_probe,
+                               .user = gw });
+}
+
+/* Records the attempts that wait for their upstream, and decides whether this
+   VM has a path to any.  */
 void
 _gw_check_path (gw_task *gw)
 {
   for (uint32_t i = 0; i < gw->used; i++)
     {
       const _gw_request *r = &gw->requests[i];
-      if (r->state == _GW_FREE || r->exchange == NULL)
+      if (r->state == _GW_FREE || r->exchange == NULL || r->is_forwarded)
         continue;
       uint64_t since_us = r->last_event_us > 0 ? r->last_event_us : r->sent_us;
       pa_on_silent (&gw->path, ut_hash (st_name_str (&r->upstream_id)),
                     since_us, gw->now_us);
     }
   _gw_update_path (gw);
+  _gw_probe_path (gw);
 }
--- a/packages/gateway/gw_peers.c
+++ b/packages/gateway/gw_peers.c
@@ -104,6 +104,7 @@
   p->vm_group = load->cell;
   p->active = load->active;
   p->ready = load->ready;
+  p->no_path = load->no_path;
   p->config_version = load->config_version;
   p->follows = load->follows;
   p->store_revision = load->store_revision;
@@ -115,9 +116,13 @@
   g_free (p->rows);
   p->row_count = load->row_count;
   p->rows = g_new (ut_row, load->row_count + 1);
+  p->running = 0;
   for (size_t i = 0; i < load->row_count; i++)
-    p->rows[i] = (ut_row){ load->rows[i].upstream, load->rows[i].running,
-                           load->rows[i].unread_tokens };
+    {
+      p->rows[i] = (ut_row){ load->rows[i].upstream, load->rows[i].running,
+                             load->rows[i].unread_tokens };
+      p->running += load->rows[i].running;
+    }
 }
 
 /* True for a while after the start, in which this VM knows other VMs from the
--- a/packages/gateway/gw_queue.c
+++ b/packages/gateway/gw_queue.c
@@ -251,8 +251,9 @@
 static bool
 _gw_is_preemptible (const _gw_request *v, const _gw_request *r)
 {
-  return v->exchange != NULL && v->route->kind == RC_STREAM && v->retryable
-         && v->demand.tier > r->demand.tier && v->runs + 1 < v->route->attempts
+  return v->exchange != NULL && !v->is_forwarded && v->route->kind == RC_STREAM
+         && v->retryable && v->demand.tier > r->demand.tier
+         && v->runs + 1 < v->route->attempts
          && v->attempt_count + 1 < _GW_ATTEMPTS_MAX
          && st_equal (st_name_str (&v->service), st_name_str (&r->service));
 }
@@ -386,26 +387,37 @@
   r->quota_held = false;
 }
 
+/* Holds what R takes of its team's quota, or refuses R and returns false.  */
+static bool
+_gw_hold_quota (_gw_request *r)
+{
+  gw_task *gw = r->gw;
+  uint64_t retry_after_us = 0;
+  r->quota_due = false;
+  r->quota_held
+      = r->team != NULL
+        && bu_hold_quota (&_gw_find_team (gw, r->team->name)->quota, r->quota,
+                          _gw_quota_reserve (r), gw->now_us, &retry_after_us);
+  if (r->team == NULL || r->quota_held)
+    return true;
+  _gw_refuse_for_quota (r, retry_after_us);
+  return false;
+}
+
 /* Admits R, which has been identified: dispatches, queues or refuses it.  */
 void
 _gw_admit (_gw_request *r)
 {
   gw_task *gw = r->gw;
-  uint64_t retry_after_us = 0;
   _gw_service *service = _gw_service_of (r);
   struct timeval left = ck_timeval (r->end_us - gw->now_us);
   event_add (r->timer, &left);
   if (_gw_refuse_while_leaving (r) || _gw_refuse_quarantined (r)
-      || _gw_refuse_without_region (r))
+      || _gw_refuse_without_region (r) || _gw_refuse_forwarded (r)
+      || _gw_forward (r))
+    return;
+  if (!_gw_hold_quota (r))
     return;
-  if (r->team != NULL
-      && !bu_hold_quota (&_gw_find_team (gw, r->team->name)->quota, r->quota,
-                         _gw_quota_reserve (r), gw->now_us, &retry_after_us))
-    {
-      _gw_refuse_for_quota (r, retry_after_us);
-      return;
-    }
-  r->quota_held = r->team != NULL;
   ut_id to = { 0, 0 };
   /* The caller resumes a stream whose earlier connection was lost.  */
   if (r->has_last_event)
@@ -425,7 +437,8 @@
 _gw_requeue (_gw_request *r)
 {
   ut_id to = { 0, 0 };
-  if (_gw_refuse_quarantined (r))
+  if (_gw_refuse_quarantined (r) || (!r->retry_due && _gw_forward (r))
+      || (r->quota_due && !_gw_hold_quota (r)))
     return;
   if (!r->retry_due)
     to = _gw_choose_upstream (r);
--- a/packages/gateway/gw_relay.c
+++ b/packages/gateway/gw_relay.c
@@ -87,15 +87,24 @@
   return true;
 }
 
-/* Ends the current attempt of R as failed for REASON, and retries R.  */
+/* Ends the current attempt of R as failed for REASON, and retries R.  SENT
+   states whether the attempt may have run.  */
 void
-_gw_fail_exchange (_gw_request *r, const char *reason)
+_gw_end_attempt (_gw_request *r, bool sent, const char *reason)
 {
   uc_exchange *x = r->exchange;
   _gw_end_exchange (r, UT_FAILED);
   if (x != NULL)
     uc_cancel (x);
-  _gw_retry (r, true, true, reason);
+  _gw_retry (r, sent, sent, reason);
+}
+
+/* Ends the current attempt of R, which may have run, as failed for REASON, and
+   retries R.  */
+void
+_gw_fail_exchange (_gw_request *r, const char *reason)
+{
+  _gw_end_attempt (r, true, reason);
 }
 
 /* Forwards the complete events in BYTES of a stream, and retains the last
@@ -135,7 +144,8 @@
       || (!r->is_framed && r->last_event_us == 0))
     {
       /* A response without a length that its upstream broke off.  */
-      _gw_record_lost (r);
+      if (!r->is_forwarded)
+        _gw_record_lost (r);
       _gw_fail_exchange (r, "stream_incomplete");
       return;
     }
--- a/packages/gateway/gw_request.c
+++ b/packages/gateway/gw_request.c
@@ -51,6 +51,7 @@
                       .version_draw = _gw_random (gw) };
   r->head = g_string_sized_new (512);
   r->prompt_parts = g_string_new (NULL);
+  r->key = g_string_new (NULL);
   r->response_body = g_string_new (NULL);
   r->response_head = g_string_new (NULL);
   r->timer = evtimer_new (gw->desc.base, _gw_on_deadline, r);
@@ -77,6 +78,8 @@
   if (r->body != NULL)
     g_bytes_unref (r->body);
   g_string_free (r->prompt_parts, TRUE);
+  g_string_free (r->key, TRUE);
+  gw->forwarded_count -= r->was_forwarded;
   g_string_free (r->response_body, TRUE);
   g_string_free (r->response_head, TRUE);
   rc_unref (r->config);
--- a/packages/gateway/rc.h
+++ b/packages/gateway/rc.h
@@ -56,10 +56,11 @@
 typedef struct
 {
   st_str name;
-  bool engine;       /* model engine: tokens, prompts, streams */
-  double cold_per_s; /* requests a second that a cold upstream bears from all
-                        VMs together; 0: no limit */
-  uint32_t cold_ms;  /* how long an upstream is cold after its start */
+  bool engine;        /* model engine: tokens, prompts, streams */
+  st_str health_path; /* at its upstreams; "": none is known */
+  double cold_per_s;  /* requests a second that a cold upstream bears from all
+                         VMs together; 0: no limit */
+  uint32_t cold_ms;   /* how long an upstream is cold after its start */
 } rc_service;
 
 typedef struct
--- a/packages/gateway/uc.c
+++ b/packages/gateway/uc.c
@@ -35,6 +35,7 @@
   st_name request_id;
   GString *head; /* of the request, until it is written */
   GBytes *body;  /* the same; NULL: none */
+  bool any_response;
   bool sent;
   bool head_seen;
   bool skipping; /* the current response belongs to another request */
@@ -202,8 +203,9 @@
   const hp_head *head = hp_query_head (conn->reader);
   uc_exchange *x = conn->exchange;
   if (head->status < 200
-      || !st_equal (_uc_echoed_id (conn->pool, head),
-                    st_name_str (&x->request_id)))
+      || (!x->any_response
+          && !st_equal (_uc_echoed_id (conn->pool, head),
+                        st_name_str (&x->request_id))))
     return _uc_skip_response (conn, head);
   x->skipping = false;
   x->head_seen = true;
@@ -481,6 +483,7 @@
   x->conn = conn;
   x->on_event = request->on_event;
   x->user = request->user;
+  x->any_response = request->any_response;
   st_name_set (&x->request_id, request->request_id);
   x->head = g_string_new_len (request->head.ptr, (gssize)request->head.len);
   x->body = request->body != NULL ? g_bytes_ref (request->body) : NULL;
@@ -498,6 +501,13 @@
                      .use = x->conn->carried_count };
 }
 
+/* True when bytes of X may have reached the upstream.  */
+bool
+uc_query_sent (const uc_exchange *x)
+{
+  return x->sent;
+}
+
 /* Ends X and closes its connection, so that the upstream can stop its work.
    No further events are reported.  May be called from on_event.  */
 void
@@ -538,3 +548,11 @@
         _uc_free_conn (conn);
     }
 }
+
+/* Closes all idle connections.  */
+void
+uc_close_idle (uc_pool *pool)
+{
+  while (pool->idle->len > 0)
+    _uc_free_conn (pool->idle->pdata[pool->idle->len - 1]);
+}
--- a/packages/gateway/uc.h
+++ b/packages/gateway/uc.h
@@ -60,6 +60,7 @@
   st_str head;       /* copied */
   GBytes *body;      /* referenced until it is written; NULL: none */
   bool no_body;      /* the response has none: the method is HEAD */
+  bool any_response; /* it need not echo the id */
   uc_on_event on_event;
   void *user;
 } uc_request;
@@ -90,9 +91,11 @@
   void uc_destroy (uc_pool *pool);
   uc_exchange *uc_send (uc_pool *pool, const uc_request *request);
   uc_place uc_query_place (const uc_exchange *x);
+  bool uc_query_sent (const uc_exchange *x);
   void uc_cancel (uc_exchange *x);
   void uc_set_reading (uc_exchange *x, bool reading);
   void uc_close_instance (uc_pool *pool, st_str instance);
+  void uc_close_idle (uc_pool *pool);
 
 #ifdef __cplusplus
 }
--- a/packages/wire/ms.c
+++ b/packages/wire/ms.c
@@ -712,7 +712,7 @@
 _ms_io_load (_ms_io *io, ms_load *m)
 {
   _ms_io saved;
-  if (!_ms_enter_array (io, "body", 12 + MS_LOAD_RANKS, &saved))
+  if (!_ms_enter_array (io, "body", 13 + MS_LOAD_RANKS, &saved))
     return;
   _MS_ENUM (io, "scope", m->scope, MS_LOAD_SCOPES);
   _ms_u64 (io, "cell", &m->cell, UINT64_MAX);
@@ -721,6 +721,7 @@
   _ms_u64 (io, "store_revision", &m->store_revision, UINT64_MAX);
   _ms_u64 (io, "config_version", &m->config_version, UINT64_MAX);
   _ms_bool (io, "ready", &m->ready);
+  _ms_bool (io, "no_path", &m->no_path);
   _ms_u32 (io, "uptime_ms", &m->uptime_ms, UINT32_MAX);
   for (int rank = 0; rank < MS_LOAD_RANKS; rank++)
     _ms_u32 (io, "waiting", &m->waiting[rank], UINT32_MAX);
--- a/packages/wire/ms.h
+++ b/packages/wire/ms.h
@@ -401,6 +401,7 @@
   uint64_t store_revision; /* up to which the sender has the store */
   uint64_t config_version; /* newest that the sender has; 0: none */
   bool ready;
+  bool no_path;                    /* the sender hears no upstream */
   uint32_t uptime_ms;              /* of the sender */
   uint32_t waiting[MS_LOAD_RANKS]; /* queued requests by rank */
   size_t row_count;
--- a/packages/wire/tests/ms_test.cc
+++ b/packages/wire/tests/ms_test.cc
@@ -170,9 +170,10 @@
                 = { { 13, 17, 1200, 19, 40, 3, 900, 5 } };
             static const ms_load_limit limits[2]
                 = { { 7, true, 1600, 20 }, { 9, false, 0, 4000 } };
-            m.u.load = { MS_LOAD_GROUP, 3,    true,        true, 17,    42,
-                         true,          1500, { 0, 2, 5 }, 2,    rows,  1,
-                         teams,         1,    rollouts,    2,    limits };
+            m.u.load = {
+              MS_LOAD_GROUP, 3, true, true, 17,    42, true,     true, 1500,
+              { 0, 2, 5 },   2, rows, 1,    teams, 1,  rollouts, 2,    limits
+            };
             break;
           }
         case MS_SUSPECTS:
