Spare upstreams that crash of the requests they reject

An upstream may be brittle and state how many rejections a second it bears from all VMs together (Server-Brittle). The field was not read: requests beyond the slots of engines, and those that several VMs send for the same free slot, were rejected until it crashed, and again as soon as it was back.

A VM fills the slots of a brittle upstream that are assigned to it, and one more while a third is free and no other VM waits; after a rejection it sends it nothing for a second, or its part of what the upstream bears. A new upstream of the service is as brittle as the last one was, and gets only what is assigned until the VMs have divided its slots.

--- a/packages/decide/gq.c
+++ b/packages/decide/gq.c
@@ -15,6 +15,12 @@
 /* Slots that must stay free after a VM has taken one beyond its slot share, in
    a deployment whose VMs receive each other's load reports late.  */
 #define _GQ_BORROW_MARGIN 2
+/* Part of the slots of a brittle upstream, as a divisor, that must stay free
+   after a VM has taken one beyond those that no other VM fills.  Several may
+   do so before they hear of each other, and those that find no room count.  */
+#define _GQ_BRITTLE_MARGIN_DIVISOR 3
+/* Time after which the VMs have divided the slots of a new upstream.  */
+#define _GQ_BRITTLE_NEW_US 600000
 /* Assumed time per work unit (a decode step of an engine, a request to a plain
    service) of an upstream that has not been measured yet: that of a fast one,
    so that it gets requests.  */
@@ -126,7 +132,7 @@
    no slot is reserved from it for delayed load reports: with a lower limit it
    would find no room as long as requests of that tier arrive.  */
 static uint32_t
-_gq_limit (const ut_upstream *up, const gq_demand *demand)
+_gq_limit (const ut_upstream *up, const gq_demand *demand, bool brittle)
 {
   uint32_t limit = up->entry.slots > 0 ? up->entry.slots : 1;
   uint32_t tier
@@ -137,7 +143,7 @@
   if (demand->response_started && tier > 0)
     tier--;
   if (!demand->remote_loads_delayed)
-    limit += _gq_extra_requests[tier];
+    limit += brittle ? 0 : _gq_extra_requests[tier];
   else if (demand->tier >= 2 && !demand->response_started)
     reserved = _GQ_RESERVED_SLOTS;
   if (demand->tier > 0 && demand->urgent_elsewhere)
@@ -145,17 +151,44 @@
   return limit > reserved ? limit - reserved : 1;
 }
 
+/* True when the brittle upstream ID, which may have LIMIT requests of all VMs,
+   has room for DEMAND.  A VM fills the slots that no other VM does, and one
+   more where several are free and no other VM waits for any.  */
+static bool
+_gq_brittle_has_room (const ut_table *t, ut_id id, const gq_demand *demand,
+                      uint32_t limit, uint64_t now_us)
+{
+  const ut_upstream *up = ut_query (t, id);
+  uint32_t running = up->own_running + up->peer_running;
+  uint32_t assigned = ut_query_assigned (t, id);
+  if (running >= limit)
+    return false;
+  if (up->own_running < assigned)
+    return true;
+  /* All VMs find a process that has just started without a request.  */
+  if (now_us - up->known_us < _GQ_BRITTLE_NEW_US)
+    return false;
+  if (running == 0)
+    return true;
+  return up->own_running == assigned
+         && running + limit / _GQ_BRITTLE_MARGIN_DIVISOR < limit
+         && ut_query_contenders (t, demand->rank, now_us).count == 0;
+}
+
 /* True when ID has room for DEMAND.  While requests wait at CONTENDERS as
    well, the slots are divided among the VMs.  Where load reports arrive late,
    this VM fills its slot share by its own count, and further slots only while
    several are free, since another VM may be about to fill the last ones.  */
 static bool
 _gq_has_room (const ut_table *t, ut_id id, const gq_demand *demand,
-              const ut_contenders *contenders)
+              const ut_contenders *contenders, uint64_t now_us)
 {
   const ut_upstream *up = ut_query (t, id);
   uint32_t running = up->own_running + up->peer_running;
-  uint32_t limit = _gq_limit (up, demand);
+  bool brittle = ut_query_brittle (t, id) != NULL;
+  uint32_t limit = _gq_limit (up, demand, brittle);
+  if (brittle)
+    return _gq_brittle_has_room (t, id, demand, limit, now_us);
   if (!demand->remote_loads_delayed)
     return running < limit
            && (contenders->count == 0
@@ -253,7 +286,7 @@
             continue;
           any_candidate = true;
           if (!el_cold_allows (&up->cold, &up->sends, now_us)
-              || !_gq_has_room (t, id, demand, &contenders))
+              || !_gq_has_room (t, id, demand, &contenders, now_us))
             continue;
           random = random * 1664525u + 1013904223u;
           double cost = _gq_cost (t, id, up, demand, now_us)
--- a/packages/decide/tests/gq_test.cc
+++ b/packages/decide/tests/gq_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace
 {
@@ -163,6 +164,74 @@
   EXPECT_FALSE (choose (now + 5 * second)) << "it fails most";
 }
 
+// Guards against VMs that together send a brittle upstream more than it has
+// slots for, and against one that stays careful once it is not.
+TEST (Gq, ABrittleUpstreamGetsNoMoreThanItsSlots)
+{
+  Fleet fleet;
+  gq_demand d = demand (0);
+  ut_id a = fleet.add ("a", "west-a", "west", 6);
+  fleet.fill (a, 6);
+  EXPECT_EQ (fleet.choose (d), "a") << "one beyond its slots waits there";
+  ut_brittle statement = { true, 5, second };
+  ASSERT_TRUE (ut_state_brittle (fleet.t, a, &statement));
+  EXPECT_FALSE (ut_state_brittle (fleet.t, a, &statement)) << "no news";
+  EXPECT_EQ (fleet.choose (d), "");
+  /* A process that has just started, as the one before it.  */
+  ut_id b = fleet.add ("b", "west-a", "west", 6);
+  ASSERT_NE (ut_query_brittle (fleet.t, b), nullptr);
+  fleet.fill (b, 6);
+  EXPECT_EQ (fleet.choose (d), "");
+  ut_brittle ended = { false, 0, 2 * second };
+  ASSERT_TRUE (ut_state_brittle (fleet.t, a, &ended));
+  EXPECT_EQ (ut_query_brittle (fleet.t, b), nullptr);
+  EXPECT_EQ (fleet.choose (d), "a");
+}
+
+// Guards against several VMs that fill the same free slots of a brittle
+// upstream before they hear of each other.
+TEST (Gq, VmsDivideTheSlotsOfABrittleUpstream)
+{
+  const uint32_t vms = 7;
+  const uint32_t slots = 6;
+  std::vector<std::string> names;
+  for (uint32_t i = 0; i < vms; i++)
+    names.push_back ("vm-" + std::to_string (i));
+  uint32_t sent = 0;
+  for (uint32_t own = 0; own < vms; own++)
+    {
+      ut_desc desc = {};
+      st_name_set (&desc.vm, st_from_cstr (names[own].c_str ()));
+      ut_table *t = ut_make (&desc);
+      ut_entry e = {};
+      st_name_set (&e.id, ST_LIT ("a"));
+      st_name_set (&e.service, ST_LIT ("llm"));
+      e.slots = slots;
+      ut_id a = ut_put (t, &e, 0);
+      std::vector<st_str> others;
+      for (uint32_t i = 0; i < vms; i++)
+        if (i != own)
+          others.push_back (st_from_cstr (names[i].c_str ()));
+      ut_assign (t, others.data (), vms - 1, false);
+      ut_brittle statement = { true, 5, second };
+      ut_state_brittle (t, a, &statement);
+      /* Two slots are known to be in use, by a VM at which requests wait.  */
+      ut_row row = { ut_hash (ST_LIT ("a")), 2, 0 };
+      ut_report report = { 1, &row, 1 };
+      ut_set_peer (t, 99, &report, second);
+      gq_demand d = demand (0);
+      while (gq_choose_upstream (t, ST_LIT ("llm"), &d, second, 1).generation
+             != 0)
+        {
+          ut_on_sent (t, a, 0);
+          sent++;
+        }
+      ut_destroy (t);
+    }
+  EXPECT_LE (sent, slots);
+  EXPECT_GE (sent, slots / 2);
+}
+
 // Guards against all requests of a team sharing one rank: drafts were refused
 // while chats ran.
 TEST (Gq, RoutesOfOneTeamKeepTheirOrder)
--- a/packages/decide/ut.c
+++ b/packages/decide/ut.c
@@ -34,6 +34,13 @@
   uint32_t generation; /* odd while in use */
 } _ut_slot;
 
+/* The newest statement of any upstream of a service.  */
+typedef struct
+{
+  st_name service;
+  ut_brittle brittle;
+} _ut_brittle_service;
+
 /* Twice the upstreams, so that probe sequences are short; a power of two.  */
 #define _UT_INDEX_SIZE (2 * UT_UPSTREAMS_MAX)
 
@@ -59,10 +66,13 @@
   uint32_t evacuated_count;
   _ut_cold_limit cold_limits[UT_COLD_SERVICES_MAX];
   uint32_t cold_limit_count;
+  _ut_brittle_service brittle_services[UT_BRITTLE_SERVICES_MAX];
+  uint32_t brittle_service_count;
   el_fleet fleet; /* that shares the budget of cold upstreams */
   uint64_t first_put_us;
   _ut_slot *slots;
   uint64_t key;    /* of this VM */
+  bool assigned;   /* slots, to several VMs; else this VM has all */
   uint32_t used;   /* slots ever used */
   uint32_t *index; /* by hash: slot number + 1, 0 for none */
   _ut_report reports[UT_PEERS_MAX];
@@ -307,6 +317,7 @@
   slot->generation++;
   slot->up = (ut_upstream){ .entry = *entry,
                             .hash = ut_hash (st_name_str (&entry->id)),
+                            .known_us = now_us,
                             .order_penalty = _ut_order_penalty (t, entry),
                             .decayed_at_us = now_us };
   slot->up.said_leaving
@@ -434,6 +445,7 @@
 ut_assign (ut_table *t, const st_str *vms, uint32_t count,
            bool same_data_center_only)
 {
+  t->assigned = count > 0;
   for (uint32_t i = 0; i < t->used; i++)
     if (t->slots[i].generation % 2 == 1)
       {
@@ -445,6 +457,16 @@
       }
 }
 
+/* Slots of ID that no other VM fills; all where this VM runs alone.  */
+uint32_t
+ut_query_assigned (const ut_table *t, ut_id id)
+{
+  const _ut_slot *slot = _ut_at (t, id);
+  if (slot == NULL)
+    return 0;
+  return t->assigned ? slot->up.slot_share : slot->up.entry.slots;
+}
+
 /* Counts a request with PREFILL_TOKENS of prompt that is sent to ID.  */
 void
 ut_on_sent (ut_table *t, ut_id id, uint32_t prefill_tokens)
@@ -594,6 +616,58 @@
   return changed;
 }
 
+/* Services beyond UT_BRITTLE_SERVICES_MAX are not remembered, and neither are
+   those none of whose upstreams has ever been brittle.  */
+static void
+_ut_state_brittle_service (ut_table *t, const st_name *service,
+                           const ut_brittle *statement)
+{
+  for (uint32_t i = 0; i < t->brittle_service_count; i++)
+    if (st_equal (st_name_str (&t->brittle_services[i].service),
+                  st_name_str (service)))
+      {
+        t->brittle_services[i].brittle = *statement;
+        return;
+      }
+  if (statement->named && t->brittle_service_count < UT_BRITTLE_SERVICES_MAX)
+    t->brittle_services[t->brittle_service_count++]
+        = (_ut_brittle_service){ *service, *statement };
+}
+
+/* Records the STATEMENT of ID about the rejections that it bears.  True when
+   it changes what was stated; an older one than the last has no effect.  */
+bool
+ut_state_brittle (ut_table *t, ut_id id, const ut_brittle *statement)
+{
+  _ut_slot *slot = _ut_at (t, id);
+  ut_brittle *brittle = slot != NULL ? &slot->up.brittle : NULL;
+  if (brittle == NULL || statement->stated_us <= brittle->stated_us)
+    return false;
+  bool changed = statement->named != brittle->named
+                 || (statement->named && statement->per_s != brittle->per_s);
+  *brittle = *statement;
+  _ut_state_brittle_service (t, &slot->up.entry.service, statement);
+  return changed;
+}
+
+/* What holds for ID, which is brittle; NULL when it is not.  One that has not
+   stated anything yet is as brittle as the last of its service that has: those
+   that have crashed start again while requests wait for them.  */
+const ut_brittle *
+ut_query_brittle (const ut_table *t, ut_id id)
+{
+  const _ut_slot *slot = _ut_at (t, id);
+  if (slot == NULL)
+    return NULL;
+  const ut_brittle *brittle = &slot->up.brittle;
+  for (uint32_t i = 0; brittle->stated_us == 0 && i < t->brittle_service_count;
+       i++)
+    if (st_equal (st_name_str (&t->brittle_services[i].service),
+                  st_name_str (&slot->up.entry.service)))
+      brittle = &t->brittle_services[i].brittle;
+  return brittle->named ? brittle : NULL;
+}
+
 /* Starts or ends the evacuation of DATA_CENTER.  After its end the upstreams
    there count as cold for the time of a cold start: they have been idle, and
    an entry that says so may arrive later than the order.  False when too many
--- a/packages/decide/ut.h
+++ b/packages/decide/ut.h
@@ -12,6 +12,8 @@
      ut_pause (t, id, until_us);              // it asks for a pause
      ut_state_limit (t, id, &(el_limit){ .named = true, .per_s = 1.5,
                                          .stated_us = now_us });
+     ut_state_brittle (t, id, &(ut_brittle){ .named = true, .per_s = 5,
+                                             .stated_us = now_us });
      ut_set_peer (t, peer, &report, now_us);  // load report of another VM
 
    Ids carry a generation: no call finds an upstream that has been removed.
@@ -75,6 +77,8 @@
    for cold upstreams.  */
 #define UT_EVACUATED_MAX 64
 #define UT_COLD_SERVICES_MAX 64
+/* Services whose upstreams are remembered to be brittle.  */
+#define UT_BRITTLE_SERVICES_MAX 64
 
 /* Upstreams that left the table after they had said that they leave, and that
    are remembered.  */
@@ -113,10 +117,19 @@
   uint64_t keys[UT_PEERS_MAX];
 } ut_contenders;
 
+/* What an upstream has stated last of the rejections that it bears.  */
+typedef struct
+{
+  bool named;         /* more than PER_S in a second crash it */
+  double per_s;       /* from all VMs together */
+  uint64_t stated_us; /* time of the newest statement; 0: there was none */
+} ut_brittle;
+
 typedef struct
 {
   ut_entry entry;
   uint64_t hash;
+  uint64_t known_us;    /* when this process was put */
   double order_penalty; /* 0 to 1: position in this VM's own order */
   uint32_t slot_share;  /* slots that this VM fills; see ut_assign */
   uint32_t own_running;
@@ -137,6 +150,7 @@
   bool said_leaving;       /* in a response; the entry need not say so */
   bool evacuated;          /* its data centre is */
   el_limit limit;
+  ut_brittle brittle;
   el_cold cold;
   el_sends sends; /* of this VM */
 } ut_upstream;
@@ -173,6 +187,7 @@
 
   void ut_assign (ut_table *t, const st_str *vms, uint32_t count,
                   bool same_data_center_only);
+  uint32_t ut_query_assigned (const ut_table *t, ut_id id);
   void ut_on_sent (ut_table *t, ut_id id, uint32_t prefill_tokens);
   void ut_on_response_start (ut_table *t, ut_id id, uint32_t prefill_tokens);
   void ut_on_end (ut_table *t, ut_id id, uint32_t prefill_tokens,
@@ -182,6 +197,8 @@
   void ut_pause (ut_table *t, ut_id id, uint64_t until_us);
   void ut_set_leaving (ut_table *t, ut_id id);
   bool ut_state_limit (ut_table *t, ut_id id, const el_limit *statement);
+  bool ut_state_brittle (ut_table *t, ut_id id, const ut_brittle *statement);
+  const ut_brittle *ut_query_brittle (const ut_table *t, ut_id id);
   bool ut_set_evacuated (ut_table *t, st_str data_center, bool evacuated,
                          uint64_t now_us);
   void ut_set_cold_limit (ut_table *t, st_str service, double per_s,
--- a/packages/gateway/gw.h
+++ b/packages/gateway/gw.h
@@ -47,6 +47,7 @@
   st_str not_run;      /* its presence states that the request did not run */
   st_str leaving;      /* its presence states that the upstream leaves */
   st_str limit;        /* requests a second that the upstream takes */
+  st_str brittle;      /* rejections a second that the upstream bears */
   st_str token_usage;  /* "PROMPT,MAX_OUTPUT" */
   st_str prompt_parts; /* "ID:TOKENS,...", in the order of the prompt */
   st_str resume_after; /* id of the last event that the caller received */
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -317,8 +317,57 @@
                        st_name_str (&r->service));
 }
 
+/* Adopts how many rejections a second the upstream bears that sent HEAD, a
+   response to R, or that it is no longer brittle; see _gw_read_limit.  */
+static void
+_gw_read_brittle (const _gw_request *r, const hp_head *head)
+{
+  gw_task *gw = r->gw;
+  st_str value;
+  double per_s = 0;
+  bool named = hp_get (head, gw->desc.names->brittle, &value);
+  bool ended = !named && head->status < 300
+               && hp_get (head, gw->desc.names->signature, &value)
+               && value.len > 0;
+  if (head->status == 421 || (!named && !ended))
+    return;
+  if (named && !rt_parse_rate (value, &per_s))
+    {
+      LO_EVENT ("upstream_brittle_malformed", st_name_str (&r->id),
+                LO_STR ("upstream", st_name_str (&r->upstream_id)),
+                LO_STR ("value", value));
+      return;
+    }
+  ut_brittle statement = { .named = named,
+                           .per_s = per_s,
+                           .stated_us = named ? gw->now_us : r->sent_us };
+  if (!ut_state_brittle (gw->upstreams, r->upstream, &statement))
+    return;
+  LO_EVENT ("upstream_brittle", st_name_str (&r->id),
+            LO_STR ("upstream", st_name_str (&r->upstream_id)),
+            LO_BOOL ("named", named), LO_INT ("per_s", per_s),
+            LO_INT ("status", head->status));
+  _gw_count_statement (gw, "gateway_upstreams_brittle_total",
+                       st_name_str (&r->service));
+}
+
+/* Time in microseconds for which an upstream gets nothing from this VM after
+   it rejected a request: a moment, or its part of the rejections where it
+   bears few from all VMs together.  */
+static uint64_t
+_gw_rejected_pause_us (const gw_task *gw, const ut_brittle *brittle)
+{
+  if (brittle == NULL)
+    return 0;
+  double per_s = brittle->per_s > 1 ? brittle->per_s : 1;
+  uint32_t vms = gw->group.active_count > 0 ? gw->group.active_count : 1;
+  double pause_s = (double)vms / per_s;
+  return (uint64_t)((pause_s > 1 ? pause_s : 1) * CK_S_US);
+}
+
 /* Adopts what R's upstream states of itself in HEAD: that it leaves, that it
-   takes so many requests a second, or that it wants none for a while.  */
+   takes so many requests a second, that it bears few rejections, or that it
+   wants no requests for a while.  */
 static void
 _gw_read_statements (const _gw_request *r, const hp_head *head)
 {
@@ -337,6 +386,7 @@
       ut_set_leaving (gw->upstreams, r->upstream);
     }
   _gw_read_limit (r, head);
+  _gw_read_brittle (r, head);
   if (head->status != 503 || !hp_get (head, ST_LIT ("Retry-After"), &value)
       || !rt_parse_retry_after (value, _GW_PAUSE_MAX_US, &pause_us))
     return;
@@ -438,6 +488,11 @@
       = r->status == 421 ? _GW_OTHER_INSTANCE_AVOID_US : _GW_FULL_AVOID_US;
   if (r->status == 421)
     uc_close_instance (gw->pool, st_name_str (&r->upstream_id));
+  else
+    ut_pause (gw->upstreams, r->upstream,
+              gw->now_us
+                  + _gw_rejected_pause_us (
+                      gw, ut_query_brittle (gw->upstreams, r->upstream)));
   ut_avoid (gw->upstreams, r->upstream, gw->now_us + avoid_us);
   _gw_end_exchange (r, UT_REFUSED);
   _gw_retry (r, true, false,
--- a/packages/gateway/tests/gw_test.cc
+++ b/packages/gateway/tests/gw_test.cc
@@ -1222,4 +1222,32 @@
   EXPECT_EQ (g.up ().runs, 1u);
   close (fd);
 }
+
+// Guards against requests that an upstream has to reject until it crashes: it
+// states how few rejections it bears.
+TEST (Gw, ABrittleUpstreamThatRejectsGetsNothingForAWhile)
+{
+  Gateway g (1);
+  g.up ().brittle = "many";
+  auto c = g.caller ();
+  c->request ("r0", "/again/x");
+  ASSERT_TRUE (g.run ([&] { return c->complete (); }));
+  EXPECT_EQ (c->status (), 200) << "a malformed statement has no effect";
+  g.up ().brittle = "1";
+  auto d = g.caller ();
+  d->request ("r1", "/again/x");
+  ASSERT_TRUE (g.run ([&] { return d->complete (); }));
+  g.up ().default_behaviour = Shed;
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (int i = 0; i < 10; i++)
+    {
+      callers.push_back (g.caller ());
+      callers.back ()->request ("s" + std::to_string (i), "/again/x");
+      g.wait (20);
+    }
+  g.wait (300);
+  EXPECT_EQ (g.up ().heads.size (), 3u) << "one rejection";
+  for (auto &caller : callers)
+    EXPECT_TRUE (caller->status () == 0 || caller->status () == 503);
+}
 } // namespace
--- a/packages/gateway/tests/support.hh
+++ b/packages/gateway/tests/support.hh
@@ -127,6 +127,7 @@
   names.not_run = ST_LIT ("X-Not-Run");
   names.leaving = ST_LIT ("X-Leaving");
   names.limit = ST_LIT ("X-Limit");
+  names.brittle = ST_LIT ("X-Brittle");
   names.token_usage = ST_LIT ("X-Tokens");
   names.prompt_parts = ST_LIT ("X-Parts");
   names.resume_after = ST_LIT ("Last-Event-Id");
@@ -140,6 +141,7 @@
   std::string id = "X-Id";
   std::string sign = "X-Sign";
   std::string not_run = "X-Not-Run";
+  std::string brittle = "X-Brittle";
 };
 
 enum Behaviour
@@ -211,6 +213,12 @@
   Behaviour default_behaviour = Respond;
   std::string pause_s = "1";
   std::string limit; // requests a second that all responses name; "": none
+  // Rejections in a second that all responses name, above which it crashes;
+  // "": none.
+  std::string brittle;
+  uint32_t room = 0; // requests beyond which it rejects; 0: no limit
+  uint32_t rejections = 0;
+  std::deque<uint64_t> rejections_us; // of the last second
   std::string raw; // a response, or the start of one; "@" is the request's id
   FieldNames names;
   bool record_requests = true;
@@ -448,6 +456,7 @@
            + (id.empty () ? field (c, names.id.c_str ()) : id) + "\r\n"
            + (is_signed ? names.sign + ": s1\r\n" : "") + more
            + (limit.empty () ? "" : "X-Limit: " + limit + "\r\n")
+           + (brittle.empty () ? "" : names.brittle + ": " + brittle + "\r\n")
            + "Content-Length: " + std::to_string (body.size ()) + "\r\n\r\n"
            + body;
   }
@@ -574,6 +583,23 @@
       return true;
     });
   }
+  // Rejects the request of C for want of room; false when that was too much.
+  bool
+  reject (Conn *c)
+  {
+    ck_clock clock = {};
+    uint64_t now = ck_now_us (&clock);
+    respond (c, 503, "", false, "", names.not_run + ": 1\r\n");
+    rejections++;
+    rejections_us.push_back (now);
+    while (rejections_us.front () + 1000000 <= now)
+      rejections_us.pop_front ();
+    if (brittle.empty ()
+        || rejections_us.size () <= strtoul (brittle.c_str (), nullptr, 10))
+      return true;
+    crash ();
+    return false;
+  }
   void
   finish (Conn *c, bool reset = false)
   {
@@ -613,6 +639,8 @@
           event_add (crash_timer_, &tv);
         b = Silent;
       }
+    if (room > 0 && open >= room)
+      return reject (c);
     if (!c->late_copy.empty ())
       send (c, std::exchange (c->late_copy, ""));
     if (b != Shed && b != ShedPause && b != ShedCopied && b != OtherInstance)
