Do not take the only upstream for lost while it is silent for a second

A sound upstream may be silent for a second or so. Where it is the only one a VM counted its path as lost after 0.6 s and sent requests that may be repeated once more through another VM. Silence of a single upstream counts after 2.5 s.

Test: decide.Pa.TheOnlyUpstreamMayBeSilentForLonger, red before. With several upstreams: platform.Partition.ASilentUpstreamIsNoPartition.

--- a/packages/decide/pa.c
+++ b/packages/decide/pa.c
@@ -11,6 +11,9 @@
    responses take to begin.  An upstream that is sound may be silent for a
    second, but not several at the same time.  */
 #define _PA_SILENT_US 600000
+/* A sound upstream may be silent for a second or so; where there is only one,
+   silence counts from here on.  */
+#define _PA_SILENT_LONG_US 2500000
 /* Weight of the newest response in the time that responses take, as a
    divisor.  */
 #define _PA_WAIT_DIVISOR 8
@@ -50,6 +53,7 @@
   p->heard_us = now_us;
   p->failed = 0;
   p->silent = 0;
+  p->silent_long = 0;
   p->upstream_count = 0;
 }
 
@@ -74,6 +78,7 @@
   if (p->heard_us == 0)
     p->heard_us = since_us;
   p->silent++;
+  p->silent_long += now_us - since_us >= _PA_SILENT_LONG_US;
   _pa_add_upstream (p, upstream);
 }
 
@@ -88,14 +93,15 @@
   bool unheard
       = p->heard_us != 0
         && now_us - p->heard_us >= _pa_max (_PA_UNHEARD_US, p->wait_us);
+  uint32_t silent = upstream_count > 1 ? p->silent : p->silent_long;
   bool was_lost = p->lost;
-  if (unheard && upstream_count > 0
-      && p->failed + p->silent >= _PA_ATTEMPTS_MIN
+  if (unheard && upstream_count > 0 && p->failed + silent >= _PA_ATTEMPTS_MIN
       && p->upstream_count >= least)
     p->lost = true;
   else if (p->failed == 0 && p->silent == 0 && !unheard)
     p->lost = false;
   p->silent = 0;
+  p->silent_long = 0;
   if (p->lost != was_lost)
     p->changed_us = now_us;
   return p->lost != was_lost;
--- a/packages/decide/pa.h
+++ b/packages/decide/pa.h
@@ -29,11 +29,12 @@
 typedef struct
 {
   bool lost;
-  uint64_t changed_us; /* when LOST was set or cleared; 0: never */
-  uint64_t heard_us;   /* last bytes; 0: none yet */
-  uint64_t wait_us;    /* until a response begins, a moving average */
-  uint32_t failed;     /* attempts since then without any bytes */
-  uint32_t silent;     /* attempts that wait, since the last update */
+  uint64_t changed_us;  /* when LOST was set or cleared; 0: never */
+  uint64_t heard_us;    /* last bytes; 0: none yet */
+  uint64_t wait_us;     /* until a response begins, a moving average */
+  uint32_t failed;      /* attempts since then without any bytes */
+  uint32_t silent;      /* attempts that wait, since the last update */
+  uint32_t silent_long; /* of these, for longer than a sound one is silent */
   uint64_t upstreams[PA_UPSTREAMS_MAX]; /* of both, hashes */
   uint32_t upstream_count;
   uint64_t probe_us; /* last probe */
--- a/packages/decide/tests/pa_test.cc
+++ b/packages/decide/tests/pa_test.cc
@@ -54,6 +54,21 @@
   EXPECT_TRUE (pa_update (&p, 1, Start + 2000 * Ms)) << "the only one";
 }
 
+// Guards against taking the only upstream, which is silent for a second, for a
+// partition: its requests would be sent once more.
+TEST (Pa, TheOnlyUpstreamMayBeSilentForLonger)
+{
+  pa_path p = {};
+  pa_on_heard (&p, Start);
+  for (uint64_t at = Start; at <= Start + 2600 * Ms; at += 50 * Ms)
+    {
+      for (int i = 0; i < 9; i++)
+        pa_on_silent (&p, 1, Start, at);
+      pa_update (&p, 1, at);
+      EXPECT_EQ (p.lost, at >= Start + 2500 * Ms) << at - Start;
+    }
+}
+
 // Guards against taking a slow link for a partition: bytes still come.
 TEST (Pa, ASlowLinkIsNotLost)
 {
