Take a response without a valid status for malformed

Reported on other systems (MIXED): an upstream in trouble sent an answer whose status was 000, and the caller got it. Here 000 and 099 were skipped like interim responses, so that the caller waited until its deadline, and 600 and 999 were passed on as answers.

A status outside 100 to 599 makes the response malformed: the request counts as one that may have run, and is repeated where that is allowed.

--- a/packages/gateway/tests/gw_test.cc
+++ b/packages/gateway/tests/gw_test.cc
@@ -1250,4 +1250,26 @@
   for (auto &caller : callers)
     EXPECT_TRUE (caller->status () == 0 || caller->status () == 503);
 }
+
+// Guards against a response whose status is none, which a caller would get as
+// an answer, or wait for until its deadline.
+TEST (Gw, AResponseWithoutAValidStatusIsMalformed)
+{
+  for (const char *status : { "000", "099", "600", "999" })
+    {
+      Gateway g (2);
+      for (auto &u : g.upstreams)
+        {
+          u->behaviours = { Head };
+          u->raw = "HTTP/1.1 " + std::string (status)
+                   + " X\r\nX-Id: @\r\nX-Sign: s1\r\nContent-Length: 3\r\n"
+                     "\r\nabc";
+        }
+      auto c = g.caller ();
+      c->request ("r1", "/once/x");
+      EXPECT_TRUE (g.run ([&] { return c->complete () || c->closed; }, 300))
+          << status;
+      EXPECT_EQ (c->status (), 502) << status << "\n" << c->received;
+    }
+}
 } // namespace
--- a/packages/http/hp.c
+++ b/packages/http/hp.c
@@ -11,6 +11,11 @@
 
 /* Fields that a reader has room for after hp_next; more are allocated.  */
 #define _HP_FIELDS_KEPT 32
+/* Statuses that a response may have.  */
+#define _HP_STATUS_MIN 100
+#define _HP_STATUS_MAX 599
+/* What makes the parser fail at the end of a head; 0 to 2 have meanings.  */
+#define _HP_PARSER_FAIL 3
 /* Text of a head that a reader has room for after hp_next.  */
 #define _HP_TEXT_KEPT 2048
 
@@ -127,6 +132,9 @@
 _hp_on_head (http_parser *p)
 {
   hp_reader *r = p->data;
+  if (r->desc.kind == HP_RESPONSE
+      && (p->status_code < _HP_STATUS_MIN || p->status_code > _HP_STATUS_MAX))
+    return _HP_PARSER_FAIL;
   r->head_done = true;
   if (r->fields == NULL)
     r->fields = g_new (hp_field, r->capacity + 1);
--- a/packages/http/hp.h
+++ b/packages/http/hp.h
@@ -18,9 +18,10 @@
    hp_expect_no_body is for the response to a HEAD request, whose length is not
    that of a body that follows.
 
-   Messages with both a length and a transfer coding, with two lengths, unknown
-   transfer codings or control characters in names are HP_BAD, so that no two
-   readers disagree on the end of a message.  */
+   Responses with a status that is none, such as 000, are HP_BAD, and so are
+   messages with both a length and a transfer coding, with two lengths, unknown
+   transfer codings or control characters in names, so that no two readers
+   disagree on the end of a message.  */
 #ifndef HP_H
 #define HP_H
 
