Do not take a response that ends during the upload for complete

A reset, or a close with the body unread, was not taken for the end here. Where the upstream ends its side first and resets then, it was: the end of the connection arrives before the reset. A success without a length that ends while bytes of the request are unwritten is incomplete now, whatever follows.

Test: gateway.Gw.AResponseCutOffDuringTheUploadIsNotComplete; before, bodies of 1 and 4 MB were answered with 200 and the part in the four cases of that order. What remains: a request that fits the buffers of the system counts as written.

--- a/packages/gateway/tests/gw_test.cc
+++ b/packages/gateway/tests/gw_test.cc
@@ -1251,6 +1251,34 @@
     EXPECT_TRUE (caller->status () == 0 || caller->status () == 503);
 }
 
+// Sends a request with a body of SIZE bytes to an upstream that responds and
+// ends the connection before it has read it; true when the caller can take
+// what it gets for a complete success.
+bool
+is_complete_after (Behaviour behaviour, size_t size, int early_ms)
+{
+  Gateway g (1);
+  g.up ().behaviours = { behaviour };
+  g.up ().early_ms = early_ms;
+  auto c = g.caller ();
+  c->request ("r1", "/once/x", "", std::string (size, 'b'));
+  EXPECT_TRUE (g.run ([&] { return c->complete () || c->closed; }));
+  return c->status () == 200 && !c->was_reset;
+}
+
+// Guards against a part of a response that is taken for all of it: it has no
+// length, and its connection is reset while the request is still being
+// written.
+TEST (Gw, AResponseCutOffDuringTheUploadIsNotComplete)
+{
+  for (size_t size : { 1000000, 4000000 })
+    for (Behaviour b : { EarlyReset, EarlyClose, EarlyShutdown })
+      for (int early_ms : { 0, 30 })
+        EXPECT_FALSE (is_complete_after (b, size, early_ms))
+            << size << " bytes, behaviour " << b << ", after " << early_ms
+            << " ms";
+}
+
 // Guards against a response whose status is none, which a caller would get as
 // an answer, or wait for until its deadline.
 TEST (Gw, AResponseWithoutAValidStatusIsMalformed)
--- a/packages/gateway/tests/support.hh
+++ b/packages/gateway/tests/support.hh
@@ -175,6 +175,9 @@
   Unframed,        // no length, ends with the connection
   UnframedReset,   // no length, ends with a reset
   Early,           // responds before the body is read
+  EarlyReset,      // the same without a length, and resets the connection
+  EarlyClose,      // or closes it, with the body unread
+  EarlyShutdown,   // or ends its side first, and resets it then
   Encoded,         // a content encoding
   Stream,          // events 1 to 6, or from the one after Last-Event-Id
   StreamTruncated, // two events and half of one, then the connection ends
@@ -244,6 +247,7 @@
   std::function<bool (const hp_head *, const std::string &)> crashes_on;
   std::function<void ()> on_crash;
   int crash_ms = 60;
+  int early_ms = 30; // 0: EarlyReset resets at once
 
   explicit Upstream (struct event_base *base)
       : base_ (base),
@@ -395,6 +399,14 @@
                                    + self->field (c, self->names.id.c_str ()),
                                true);
               }
+            else if (!self->behaviours.empty ()
+                     && (self->behaviours.front () == EarlyReset
+                         || self->behaviours.front () == EarlyClose
+                         || self->behaviours.front () == EarlyShutdown))
+              {
+                self->respond_early (c);
+                return;
+              }
             continue;
           }
         if (result != HP_END)
@@ -653,6 +665,9 @@
       {
       case Respond:
       case Early:
+      case EarlyReset:
+      case EarlyClose:
+      case EarlyShutdown:
         respond (c, 200, "body of " + field (c, names.id.c_str ()), true);
         return true;
       case Unsigned:
@@ -783,6 +798,27 @@
       }
     return true;
   }
+  // Sends a part of a response without a length before the body of the request
+  // is read, and ends the connection.
+  void
+  respond_early (Conn *c)
+  {
+    Behaviour b = behaviours.front ();
+    behaviours.pop_front ();
+    note (c);
+    runs++;
+    runs_of[field (c, names.id.c_str ())]++;
+    bufferevent_disable (c->bev, EV_READ);
+    send (c, "HTTP/1.1 200 OK\r\n" + names.id + ": "
+                 + field (c, names.id.c_str ()) + "\r\n" + names.sign
+                 + ": s1\r\n\r\npart of a body");
+    if (b == EarlyShutdown)
+      shutdown (bufferevent_getfd (c->bev), SHUT_WR);
+    if (b == EarlyShutdown || (b == EarlyReset && early_ms > 0))
+      reset_soon (c);
+    else
+      finish (c, b == EarlyReset);
+  }
   // Resets C after 30 ms, when the gateway has read the bytes before.
   void
   reset_soon (Conn *c)
--- a/packages/gateway/uc.c
+++ b/packages/gateway/uc.c
@@ -335,9 +335,13 @@
       _uc_free_conn (conn);
       return;
     }
+  /* Who ends the connection while a request is being written has not read it;
+     a reset that follows cannot be waited for.  */
+  bool unwritten = evbuffer_get_length (bufferevent_get_output (conn->bev)) > 0
+                   && hp_query_head (conn->reader)->status < 300;
   if (!conn->connected)
     _uc_fail (conn, "connect_failed");
-  else if ((what & BEV_EVENT_EOF) && !conn->exchange->skipping
+  else if ((what & BEV_EVENT_EOF) && !unwritten && !conn->exchange->skipping
            && hp_finish (conn->reader) == HP_END && conn->exchange->head_seen)
     _uc_finish (conn, &(uc_event){ .kind = UC_END }, false);
   else
