Count the crashes of an upstream that starts under the same id

An upstream may start again under the id that it had. Losses of a request were counted once for each id, so that a request which crashes one upstream of a small service again and again was never blocked.

A loss at the same upstream two seconds later, the least time in which one is back, is another crash. Losses of a request are counted without its prompt, so that equal requests with different prompts do not count one crash several times.

Tests: decide.QnRequest.CrashesOfOneUpstreamThatStartsAgainBlockIt, red before, and OneCrashCountsOnceWhateverThePrompts, which passed before too and guards the new count.

--- a/packages/decide/qn.c
+++ b/packages/decide/qn.c
@@ -55,6 +55,7 @@
 {
   uint64_t upstream;
   uint64_t prompt;
+  uint64_t at_us;
 } _qn_loss;
 
 typedef struct
@@ -381,14 +382,23 @@
 static bool
 _qn_is_bad (const qn_table *t, const _qn_entry *e)
 {
-  uint32_t upstreams = _qn_count_distinct (e, true);
   if (qn_is_request (&e->subject))
-    return upstreams >= _QN_REQUEST_UPSTREAMS_MIN;
+    return e->loss_count >= _QN_REQUEST_UPSTREAMS_MIN;
+  uint32_t upstreams = _qn_count_distinct (e, true);
   return upstreams >= _QN_UPSTREAMS_MIN
          && _qn_count_distinct (e, false) >= _QN_REQUESTS_MIN
          && pow (t->loss_share, upstreams) <= _QN_CHANCE_MAX;
 }
 
+/* True when a loss of the request SUBJECT at the upstream of LOSS is that of
+   another process, which has started under the same id since.  */
+static bool
+_qn_is_next_process (const st_name *subject, const _qn_loss *loss,
+                     uint64_t now_us)
+{
+  return qn_is_request (subject) && now_us - loss->at_us >= _QN_BACK_US;
+}
+
 static void
 _qn_add_loss (qn_table *t, const st_name *subject, uint64_t upstream,
               uint64_t prompt, uint64_t now_us)
@@ -398,10 +408,11 @@
     *e = (_qn_entry){ .subject = e->subject };
   e->used_us = now_us;
   for (uint32_t i = 0; i < e->loss_count; i++)
-    if (e->losses[i].upstream == upstream && e->losses[i].prompt == prompt)
+    if (e->losses[i].upstream == upstream && e->losses[i].prompt == prompt
+        && !_qn_is_next_process (subject, &e->losses[i], now_us))
       return;
   if (e->loss_count < _QN_LOSSES_MAX)
-    e->losses[e->loss_count++] = (_qn_loss){ upstream, prompt };
+    e->losses[e->loss_count++] = (_qn_loss){ upstream, prompt, now_us };
   if (e->blocked || !_qn_is_bad (t, e))
     return;
   e->blocked = true;
@@ -460,11 +471,13 @@
             rows[count++] = (qn_row){ .kind = QN_SERVED, .subject = *subject };
           continue;
         }
-      _qn_add_loss (t, subject, upstream, request->prompt, now_us);
+      /* Requests that are equal but for their prompt count once.  */
+      uint64_t prompt = qn_is_request (subject) ? 0 : request->prompt;
+      _qn_add_loss (t, subject, upstream, prompt, now_us);
       rows[count++] = (qn_row){ .kind = QN_LOST,
                                 .subject = *subject,
                                 .upstream = upstream,
-                                .prompt = request->prompt };
+                                .prompt = prompt };
     }
   return count;
 }
--- a/packages/decide/tests/qn_test.cc
+++ b/packages/decide/tests/qn_test.cc
@@ -425,6 +425,38 @@
   EXPECT_FALSE (request_blocked (t, 2, Second));
 }
 
+// Guards against counting one crash several times, for requests that are equal
+// but for the parts of their prompts.
+TEST (QnRequest, OneCrashCountsOnceWhateverThePrompts)
+{
+  qn_row rows[QN_SUBJECTS_MAX];
+  Table t = make ();
+  for (int i = 0; i < 9; i++)
+    {
+      qn_request r;
+      std::string parts = std::to_string (i) + ":9,x:1";
+      qn_read_request (&r, 1, ST_LIT ("orders"),
+                       { parts.data (), parts.size () });
+      qn_on_lost (t.get (), &r, 1, Second, rows);
+    }
+  EXPECT_FALSE (request_blocked (t, 1, Second));
+}
+
+// Guards against a request that crashes one upstream again and again, which
+// starts under the same id each time.
+TEST (QnRequest, CrashesOfOneUpstreamThatStartsAgainBlockIt)
+{
+  Table t = make ();
+  for (uint64_t i = 0; i < 3; i++)
+    {
+      uint64_t at = (1 + 3 * i) * Second;
+      EXPECT_FALSE (request_blocked (t, 1, at));
+      for (int vm = 0; vm < 4; vm++)
+        lose_request (t, 1, 1, at + (uint64_t)vm * 100 * Ms);
+    }
+  EXPECT_TRUE (request_blocked (t, 1, 8 * Second));
+}
+
 // Guards against a block of a request that was sound before the first loss,
 // or is served in between: it was beside another one.
 TEST (QnRequest, AResponseOutweighsWhatWasLostBefore)
