Probe a lost path without a request where its health path is not known

A VM that hears no upstream asks one for its health; without a path in the configuration it sent GET /, which an upstream may take for a request.

It only connects then; with a path the stand-ins answer it as the health check that it is.

--- a/packages/gateway/gw_path.c
+++ b/packages/gateway/gw_path.c
@@ -4,6 +4,8 @@
 
 /* A probe without a response is given up after this time.  */
 #define _GW_PROBE_TIMEOUT_US 1000000
+/* Longest head of a probe.  */
+#define _GW_PROBE_HEAD_BYTES 512
 
 static uint32_t
 _gw_count_upstreams (const gw_task *gw)
@@ -128,6 +130,11 @@
     case UC_BODY:
       return;
     case UC_END:
+      /* It has accepted the connection.  */
+      gw->path_probe = NULL;
+      pa_on_heard (&gw->path, gw->now_us);
+      _gw_update_path (gw);
+      return;
     case UC_FAILED:
       gw->path_probe = NULL;
       return;
@@ -150,7 +157,8 @@
   return chosen;
 }
 
-/* Asks an upstream for its health.  */
+/* Asks an upstream for its health, or only connects to it where the path for
+   that is not known.  */
 static void
 _gw_probe_path (gw_task *gw)
 {
@@ -160,20 +168,19 @@
   if (gw->path_probe != NULL || !pa_probe_due (&gw->path, gw->now_us))
     return;
   const ut_upstream *up = _gw_choose_probed (gw);
-  const rc_service *service
-      = up != NULL && gw->config != NULL
-            ? rc_find_service (gw->config, st_name_str (&up->entry.service))
-            : NULL;
-  if (service == NULL)
+  if (up == NULL || gw->config == NULL)
     return;
-  st_str path
-      = service->health_path.len > 0 ? service->health_path : ST_LIT ("/");
-  char head[512];
-  int len
-      = snprintf (head, sizeof head, "GET %.*s HTTP/1.1\r\nHost: %.*s\r\n\r\n",
-                  ST_FMT (path), ST_FMT (st_name_str (&up->entry.address)));
+  const rc_service *service
+      = rc_find_service (gw->config, st_name_str (&up->entry.service));
+  char head[_GW_PROBE_HEAD_BYTES] = "";
+  int len = 0;
+  if (service != NULL && service->health_path.len > 0)
+    len = snprintf (head, sizeof head,
+                    "GET %.*s HTTP/1.1\r\nHost: %.*s\r\n\r\n",
+                    ST_FMT (service->health_path),
+                    ST_FMT (st_name_str (&up->entry.address)));
   if (len < 0 || (size_t)len >= sizeof head)
-    return;
+    len = 0;
   gw->path_probe_us = gw->now_us;
   gw->path_probe = uc_send (
       gw->pool, &(uc_request){ .address = st_name_str (&up->entry.address),
--- a/packages/gateway/tests/gw_test.cc
+++ b/packages/gateway/tests/gw_test.cc
@@ -1300,4 +1300,31 @@
       EXPECT_EQ (c->status (), 502) << status << "\n" << c->received;
     }
 }
+
+// Guards against a probe of the path that an upstream runs as a request: where
+// the path for its health is not known, it is only connected to.
+TEST (Gw, ALostPathIsProbedWithoutARequest)
+{
+  Gateway g (2);
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (auto &u : g.upstreams)
+    u->default_behaviour = Reset;
+  for (int i = 0; i < 8; i++)
+    {
+      callers.push_back (g.caller ());
+      callers.back ()->request ("r" + std::to_string (i), "/once/x");
+      g.wait (20);
+    }
+  uint32_t connections = 0;
+  for (auto &u : g.upstreams)
+    connections += u->connections;
+  g.wait (1500);
+  uint32_t probed = 0;
+  for (auto &u : g.upstreams)
+    {
+      probed += u->connections;
+      EXPECT_EQ (u->runs_of.count (""), 0u);
+    }
+  EXPECT_GT (probed, connections);
+}
 } // namespace
--- a/packages/gateway/tests/support.hh
+++ b/packages/gateway/tests/support.hh
@@ -651,6 +651,11 @@
           event_add (crash_timer_, &tv);
         b = Silent;
       }
+    if (st_equal (hp_query_head (c->reader)->target, ST_LIT ("/healthz")))
+      {
+        respond (c, 200, "", false);
+        return true;
+      }
     if (room > 0 && open >= room)
       return reject (c);
     if (!c->late_copy.empty ())
--- a/packages/gateway/uc.c
+++ b/packages/gateway/uc.c
@@ -327,7 +327,10 @@
       nt_set_tcp_options (bufferevent_getfd (conn->bev));
       nt_limit_buffers (bufferevent_getfd (conn->bev));
       bufferevent_enable (conn->bev, EV_READ | EV_WRITE);
-      _uc_write (conn);
+      if (conn->exchange->head->len > 0)
+        _uc_write (conn);
+      else
+        _uc_finish (conn, &(uc_event){ .kind = UC_END }, false);
       return;
     }
   if (conn->exchange == NULL)
@@ -475,7 +478,9 @@
 uc_send (uc_pool *pool, const uc_request *request)
 {
   uint64_t id = st_hash (request->request_id, 0);
-  _uc_conn *conn = _uc_take_idle (pool, request->instance, id);
+  _uc_conn *conn = request->head.len > 0
+                       ? _uc_take_idle (pool, request->instance, id)
+                       : NULL;
   if (conn == NULL)
     conn = _uc_connect (pool, request);
   if (conn == NULL)
--- a/packages/gateway/uc.h
+++ b/packages/gateway/uc.h
@@ -57,7 +57,7 @@
   st_str address;    /* IP:PORT */
   st_str instance;   /* idle connections are pooled by it */
   st_str request_id; /* the response must echo it */
-  st_str head;       /* copied */
+  st_str head;       /* copied; "": only connects, UC_END then */
   GBytes *body;      /* referenced until it is written; NULL: none */
   bool no_body;      /* the response has none: the method is HEAD */
   bool any_response; /* it need not echo the id */
