--- a/packages/decide/qn.c
+++ b/packages/decide/qn.c
@@ -10,8 +10,8 @@
    with it the requests that wait there, some of them again after a retry.  */
 #define _QN_UPSTREAMS_MIN 4
 #define _QN_REQUESTS_MIN 3
-/* Upstreams that a request must have lost before it is blocked: as many as one
-   request may crash in a deployment without a bound on what follows.  */
+/* Upstreams that a request must have lost before it is blocked.  Deployments
+   bound how often it may be sent after it has crashed three.  */
 #define _QN_REQUEST_UPSTREAMS_MIN 3
 /* Greatest probability that as many requests as have the part were lost by
    chance, from the share of all requests that are lost.  */
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -279,73 +279,84 @@
             1);
 }
 
-/* Adopts the limit that HEAD, of a response to R, names or no longer names.
-   The upstream is sure to have a limit no more when it leaves it out of a
-   signed success to a request that was sent after it last named one; an error
-   need not have the field.  */
-static void
-_gw_read_limit (const _gw_request *r, const hp_head *head)
+/* A rate that an upstream names in its responses, or no longer names.  */
+typedef struct
 {
-  gw_task *gw = r->gw;
+  bool named;
+  double per_s;
+  uint64_t stated_us;
+} _gw_rate;
+
+/* Reads the rate that HEAD, of a response to R, states in FIELD; false when it
+   states nothing.  The upstream is sure to have none no more when it leaves
+   the field out of a signed success to a request that was sent after it last
+   named one; an error need not have the field.  */
+static bool
+_gw_read_rate (const _gw_request *r, const hp_head *head, st_str field,
+               _gw_rate *rate)
+{
+  const gw_task *gw = r->gw;
   st_str value;
-  double per_s = 0;
-  bool named = hp_get (head, gw->desc.names->limit, &value);
-  bool ended = !named && head->status < 300
-               && hp_get (head, gw->desc.names->signature, &value)
-               && value.len > 0;
+  *rate = (_gw_rate){ .named = hp_get (head, field, &value),
+                      .stated_us = gw->now_us };
   /* With 421 another process responds at this address.  */
-  if (head->status == 421 || (!named && !ended))
-    return;
-  if (named && !rt_parse_rate (value, &per_s))
+  if (head->status == 421)
+    return false;
+  if (rate->named && !rt_parse_rate (value, &rate->per_s))
     {
-      LO_EVENT ("upstream_limit_malformed", st_name_str (&r->id),
+      LO_EVENT ("upstream_rate_malformed", st_name_str (&r->id),
                 LO_STR ("upstream", st_name_str (&r->upstream_id)),
-                LO_STR ("value", value));
-      return;
+                LO_STR ("field", field), LO_STR ("value", value));
+      return false;
     }
-  el_limit statement = { .named = named,
-                         .per_s = per_s,
-                         .stated_us = named ? gw->now_us : r->sent_us };
+  if (rate->named)
+    return true;
+  rate->stated_us = r->sent_us;
+  return head->status < 300 && hp_get (head, gw->desc.names->signature, &value)
+         && value.len > 0;
+}
+
+/* Adopts the limit that HEAD, of a response to R, names or no longer names. */
+static void
+_gw_read_limit (const _gw_request *r, const hp_head *head)
+{
+  gw_task *gw = r->gw;
+  _gw_rate rate;
+  if (!_gw_read_rate (r, head, gw->desc.names->limit, &rate))
+    return;
+  el_limit statement = { .named = rate.named,
+                         .per_s = rate.per_s,
+                         .stated_us = rate.stated_us };
   if (!ut_state_limit (gw->upstreams, r->upstream, &statement))
     return;
-  LO_EVENT ("upstream_limit", st_name_str (&r->id),
-            LO_STR ("upstream", st_name_str (&r->upstream_id)),
-            LO_BOOL ("named", named),
-            LO_INT ("per_s_milli", MIN (per_s * 1000, (double)UINT32_MAX)),
-            LO_INT ("status", head->status));
+  LO_EVENT (
+      "upstream_limit", st_name_str (&r->id),
+      LO_STR ("upstream", st_name_str (&r->upstream_id)),
+      LO_BOOL ("named", rate.named),
+      LO_INT ("per_s_milli", MIN (rate.per_s * 1000, (double)UINT32_MAX)),
+      LO_INT ("status", head->status));
   _gw_count_statement (gw, "gateway_upstream_limits_total",
                        st_name_str (&r->service));
 }
 
 /* Adopts how many rejections a second the upstream bears that sent HEAD, a
-   response to R, or that it is no longer brittle; see _gw_read_limit.  */
+   response to R, or that it is no longer brittle.  */
 static void
 _gw_read_brittle (const _gw_request *r, const hp_head *head)
 {
   gw_task *gw = r->gw;
-  st_str value;
-  double per_s = 0;
-  bool named = hp_get (head, gw->desc.names->brittle, &value);
-  bool ended = !named && head->status < 300
-               && hp_get (head, gw->desc.names->signature, &value)
-               && value.len > 0;
-  if (head->status == 421 || (!named && !ended))
+  _gw_rate rate;
+  if (!_gw_read_rate (r, head, gw->desc.names->brittle, &rate))
     return;
-  if (named && !rt_parse_rate (value, &per_s))
-    {
-      LO_EVENT ("upstream_brittle_malformed", st_name_str (&r->id),
-                LO_STR ("upstream", st_name_str (&r->upstream_id)),
-                LO_STR ("value", value));
-      return;
-    }
-  ut_brittle statement = { .named = named,
-                           .per_s = per_s,
-                           .stated_us = named ? gw->now_us : r->sent_us };
+  ut_brittle statement = { .named = rate.named,
+                           .per_s = rate.per_s,
+                           .stated_us = rate.stated_us };
   if (!ut_state_brittle (gw->upstreams, r->upstream, &statement))
     return;
   LO_EVENT ("upstream_brittle", st_name_str (&r->id),
             LO_STR ("upstream", st_name_str (&r->upstream_id)),
-            LO_BOOL ("named", named), LO_INT ("per_s", per_s),
+            LO_BOOL ("named", rate.named),
+            LO_INT ("per_s", MIN (rate.per_s, (double)UINT32_MAX)),
             LO_INT ("status", head->status));
   _gw_count_statement (gw, "gateway_upstreams_brittle_total",
                        st_name_str (&r->service));
--- a/packages/gateway/gw_forward.c
+++ b/packages/gateway/gw_forward.c
@@ -75,57 +75,54 @@
   return false;
 }
 
-/* The VM with a path that R is forwarded to: the less loaded of two that are
-   drawn at random, so that VMs with the same reports do not all choose the
-   same one.  NULL when there is none; else RECORD is its member.  */
+/* Load of P, the VM of RECORD, in requests.  */
+static uint32_t
+_gw_vm_cost (const gw_task *gw, const _gw_peer *p, const mb_record *record)
+{
+  uint32_t cost = p->running + p->forwarded;
+  if (!st_equal (record->region, gw->desc.region))
+    cost += _GW_OTHER_REGION_REQUESTS;
+  return cost;
+}
+
+/* A random VM with a path that R has not been forwarded to, other than EXCEPT;
+   NULL when there is none, else RECORD is its member.  */
 static _gw_peer *
-_gw_choose_vm (_gw_request *r, mb_record *record)
+_gw_draw_vm (_gw_request *r, const _gw_peer *except, mb_record *record)
 {
   gw_task *gw = r->gw;
-  _gw_peer *best = NULL;
-  uint32_t best_cost = 0;
-  uint32_t best_draw = 0;
-  uint32_t next_draw = 0;
+  _gw_peer *drawn = NULL;
+  uint32_t seen = 0;
   uint32_t cursor = 0;
   mb_record member;
-  _gw_peer *next = NULL;
-  mb_record next_record = { 0 };
-  /* The two with the highest draws.  */
   while (mb_query_member (pe_query_members (gw->peers), &cursor, &member))
     {
       _gw_peer *p = _gw_find_peer (gw, ut_hash (member.incarnation));
-      if (member.state != MB_ALIVE || p == NULL || !_gw_has_path (gw, p)
-          || _gw_was_forwarded_to (r, p->key))
+      if (member.state != MB_ALIVE || p == NULL || p == except
+          || !_gw_has_path (gw, p) || _gw_was_forwarded_to (r, p->key)
+          || _gw_random (gw) % ++seen != 0)
         continue;
-      uint32_t draw = _gw_random (gw) | 1;
-      if (draw > best_draw)
-        {
-          next = best;
-          next_record = *record;
-          next_draw = best_draw;
-          best = p;
-          *record = member;
-          best_draw = draw;
-        }
-      else if (draw > next_draw)
-        {
-          next = p;
-          next_record = member;
-          next_draw = draw;
-        }
+      drawn = p;
+      *record = member;
     }
-  if (next == NULL)
-    return best;
-  best_cost = best->running + best->forwarded;
-  uint32_t next_cost = next->running + next->forwarded;
-  if (!st_equal (record->region, gw->desc.region))
-    best_cost += _GW_OTHER_REGION_REQUESTS;
-  if (!st_equal (next_record.region, gw->desc.region))
-    next_cost += _GW_OTHER_REGION_REQUESTS;
-  if (next_cost >= best_cost)
-    return best;
-  *record = next_record;
-  return next;
+  return drawn;
+}
+
+/* The VM with a path that R is forwarded to: the less loaded of two that are
+   drawn at random, so that VMs with the same reports do not all choose the
+   same one.  NULL when there is none, else RECORD is its member.  */
+static _gw_peer *
+_gw_choose_vm (_gw_request *r, mb_record *record)
+{
+  const gw_task *gw = r->gw;
+  mb_record other_record = { 0 };
+  _gw_peer *p = _gw_draw_vm (r, NULL, record);
+  _gw_peer *other = p != NULL ? _gw_draw_vm (r, p, &other_record) : NULL;
+  if (other == NULL
+      || _gw_vm_cost (gw, p, record) <= _gw_vm_cost (gw, other, &other_record))
+    return p;
+  *record = other_record;
+  return other;
 }
 
 /* Returns the head of R's request to another VM.  The caller frees it.  */
