Do not take a frozen VM's silence for that of the upstreams

After a freeze, or while its loop is far behind, a VM had heard nothing for long and found all attempts silent: it took its path for lost and sent requests that may be repeated once more. Updates further apart than 0.6 s start the evidence anew.

Test: decide.Pa.AVmThatWasFrozenStartsAnew.

--- a/packages/decide/pa.c
+++ b/packages/decide/pa.c
@@ -14,6 +14,9 @@
 /* A sound upstream may be silent for a second or so; where there is only one,
    silence counts from here on.  */
 #define _PA_SILENT_LONG_US 2500000
+/* Updates further apart than this mean that the VM was frozen or too slow to
+   read what has arrived.  */
+#define _PA_STALL_US 600000
 /* Weight of the newest response in the time that responses take, as a
    divisor.  */
 #define _PA_WAIT_DIVISOR 8
@@ -88,6 +91,9 @@
 bool
 pa_update (pa_path *p, uint32_t upstream_count, uint64_t now_us)
 {
+  if (p->updated_us != 0 && now_us - p->updated_us > _PA_STALL_US)
+    pa_on_heard (p, now_us);
+  p->updated_us = now_us;
   uint32_t least = upstream_count < _PA_UPSTREAMS_MIN ? upstream_count
                                                       : _PA_UPSTREAMS_MIN;
   bool unheard
--- a/packages/decide/pa.h
+++ b/packages/decide/pa.h
@@ -9,7 +9,8 @@
      pa_on_heard (&path, now_us);             // further bytes of an upstream
      pa_on_failed (&path, upstream, now_us);  // an attempt without any bytes
      pa_on_silent (&path, upstream, since_us, now_us);  // one that waits
-     if (pa_update (&path, upstream_count, now_us)) the state has changed
+     if (pa_update (&path, upstream_count, now_us)) the state has changed;
+                                              // several times a second
 
    The path is lost when several attempts, at more than one upstream where
    there are more, have failed or wait for long, and nothing has been heard for
@@ -37,7 +38,8 @@
   uint32_t silent_long; /* of these, for longer than a sound one is silent */
   uint64_t upstreams[PA_UPSTREAMS_MAX]; /* of both, hashes */
   uint32_t upstream_count;
-  uint64_t probe_us; /* last probe */
+  uint64_t probe_us;   /* last probe */
+  uint64_t updated_us; /* last update */
 } pa_path;
 
 #ifdef __cplusplus
--- a/packages/decide/tests/pa_test.cc
+++ b/packages/decide/tests/pa_test.cc
@@ -69,6 +69,25 @@
     }
 }
 
+// Guards against a VM that was frozen, and takes its own silence for that of
+// the upstreams.
+TEST (Pa, AVmThatWasFrozenStartsAnew)
+{
+  pa_path p = {};
+  pa_on_response (&p, 20 * Ms, Start);
+  pa_update (&p, 9, Start);
+  uint64_t thaw = Start + 5000 * Ms;
+  for (uint64_t upstream = 1; upstream <= 5; upstream++)
+    {
+      pa_on_silent (&p, upstream, Start, thaw);
+      pa_on_failed (&p, upstream, thaw);
+    }
+  EXPECT_FALSE (pa_update (&p, 9, thaw));
+  pa_on_heard (&p, thaw + 50 * Ms);
+  EXPECT_FALSE (pa_update (&p, 9, thaw + 250 * Ms));
+  EXPECT_FALSE (p.lost);
+}
+
 // Guards against taking a slow link for a partition: bytes still come.
 TEST (Pa, ASlowLinkIsNotLost)
 {
