Tell overloaded upstreams from lost ones

A VM with a few requests that all wait for their first bytes took its path for lost, sent them once more and new ones through other regions.

--- a/packages/decide/pa.c
+++ b/packages/decide/pa.c
@@ -7,10 +7,15 @@
 /* Time for which nothing has been heard then, and at least as long as
    responses take to begin.  Upstreams that crash leave others that respond. */
 #define _PA_UNHEARD_US 400000
-/* Wait after which an attempt counts as silent, and at least twice as long as
-   responses take to begin.  An upstream that is sound may be silent for a
-   second, but not several at the same time.  */
-#define _PA_SILENT_US 600000
+/* The same while no attempt has failed, and as a multiple of the time that
+   responses take.  Deployments count a cut from 3 s after it has begun.  */
+#define _PA_UNHEARD_SILENT_US 800000
+#define _PA_UNHEARD_SILENT_WAITS 2
+/* Wait after which an attempt counts as silent, and as a multiple likewise. An
+   upstream that is sound may be silent for a second, but not several at the
+   same time.  */
+#define _PA_SILENT_US 1000000
+#define _PA_SILENT_WAITS 3
 /* A sound upstream may be silent for a second or so; where there is only one,
    silence counts from here on.  */
 #define _PA_SILENT_LONG_US 2500000
@@ -76,7 +81,8 @@
 pa_on_silent (pa_path *p, uint64_t upstream, uint64_t since_us,
               uint64_t now_us)
 {
-  if (now_us - since_us < _pa_max (_PA_SILENT_US, 2 * p->wait_us))
+  if (now_us - since_us
+      < _pa_max (_PA_SILENT_US, _PA_SILENT_WAITS * p->wait_us))
     return;
   if (p->heard_us == 0)
     p->heard_us = since_us;
@@ -96,9 +102,11 @@
   p->updated_us = now_us;
   uint32_t least = upstream_count < _PA_UPSTREAMS_MIN ? upstream_count
                                                       : _PA_UPSTREAMS_MIN;
-  bool unheard
-      = p->heard_us != 0
-        && now_us - p->heard_us >= _pa_max (_PA_UNHEARD_US, p->wait_us);
+  uint64_t unheard_us = p->failed > 0
+                            ? _pa_max (_PA_UNHEARD_US, p->wait_us)
+                            : _pa_max (_PA_UNHEARD_SILENT_US,
+                                       _PA_UNHEARD_SILENT_WAITS * p->wait_us);
+  bool unheard = p->heard_us != 0 && now_us - p->heard_us >= unheard_us;
   uint32_t silent = upstream_count > 1 ? p->silent : p->silent_long;
   bool was_lost = p->lost;
   if (unheard && upstream_count > 0 && p->failed + silent >= _PA_ATTEMPTS_MIN
--- a/packages/decide/pa.h
+++ b/packages/decide/pa.h
@@ -16,8 +16,9 @@
    there are more, have failed or wait for long, and nothing has been heard for
    a while.  One upstream that is silent for a second or crashes is not enough,
    and neither is a slow link: where responses take longer, so does the while.
-   The path is found again with the first bytes, for which pa_probe_due says
-   when to ask an upstream.  */
+   Upstreams that are overloaded are silent too, so that silence alone counts
+   later than failures.  The path is found again with the first bytes, for
+   which pa_probe_due says when to ask an upstream.  */
 #ifndef PA_H
 #define PA_H
 
--- a/packages/gateway/gw_forward.c
+++ b/packages/gateway/gw_forward.c
@@ -18,8 +18,9 @@
 /* Most requests that a VM has open for others at a time: several times what a
    small VM has for its own callers.  */
 #define _GW_FORWARDED_MAX 128
-/* Cost of a VM in another region, in requests that a VM has open.  */
-#define _GW_OTHER_REGION_REQUESTS 2
+/* Cost of a VM in another region, in requests that a VM has open: traffic
+   between regions costs the most.  */
+#define _GW_OTHER_REGION_REQUESTS 8
 /* Retry-After where the other VM did not say.  */
 #define _GW_FORWARD_RETRY_AFTER_US (300 * CK_MS_US)
 #define _GW_FORWARD_RETRY_AFTER_MAX_US (60 * CK_S_US)
--- a/packages/gateway/gw_path.c
+++ b/packages/gateway/gw_path.c
@@ -35,9 +35,10 @@
 }
 
 /* Ends the attempts that wait for a response, of requests that have not been
-   sent yet or may run once more, so that other VMs get them.  */
+   sent yet or, where ANY_FAILED, may run once more, so that other VMs get
+   them.  Without a failure the upstreams may be working on them.  */
 static void
-_gw_move_unheard (gw_task *gw)
+_gw_move_unheard (gw_task *gw, bool any_failed)
 {
   for (uint32_t i = 0; i < gw->used && _gw_is_cut_off (gw); i++)
     {
@@ -46,18 +47,19 @@
           || r->copy_of != NULL || r->copy != NULL)
         continue;
       bool sent = uc_query_sent (r->exchange);
-      if (!sent || (r->retryable && r->runs + 1 < r->route->attempts))
+      if (!sent
+          || (any_failed && r->retryable && r->runs + 1 < r->route->attempts))
         _gw_end_attempt (r, sent, "path_lost");
     }
 }
 
 static void
-_gw_on_path_lost (gw_task *gw)
+_gw_on_path_lost (gw_task *gw, bool any_failed)
 {
   /* Idle connections would hang as well.  */
   uc_close_idle (gw->pool);
   _gw_load_changed (gw);
-  _gw_move_unheard (gw);
+  _gw_move_unheard (gw, any_failed);
   _gw_forward_waiting (gw);
 }
 
@@ -85,7 +87,7 @@
           LO_INT ("failed", before.failed), LO_INT ("silent", before.silent),
           LO_INT ("upstreams", upstreams),
           LO_INT ("vms_with_path", _gw_count_with_path (gw)));
-      _gw_on_path_lost (gw);
+      _gw_on_path_lost (gw, before.failed > 0);
       return;
     }
   LO_EVENT ("path_found", ST_LIT (""),
