Tell the others of a living upstream only where it matters

A VM tells the others only where a request has lost two upstreams or more, this one among them; a single loss blocks nothing and is voided by each VM for itself. Test: decide.QnRequest.ASingleLossIsVoidedWithoutAMessage.

--- a/packages/decide/qn.c
+++ b/packages/decide/qn.c
@@ -504,35 +504,43 @@
   return count;
 }
 
-/* Removes the losses of E at UPSTREAM, which lives.  */
-static void
+/* Removes the losses of E at UPSTREAM, which lives.  True when others may be
+   about to block its subject, or have.  */
+static bool
 _qn_void_losses (qn_table *t, _qn_entry *e, uint64_t upstream, uint64_t now_us)
 {
   uint32_t kept = 0;
+  uint32_t before = e->loss_count;
   for (uint32_t i = 0; i < e->loss_count; i++)
     if (e->losses[i].upstream != upstream)
       e->losses[kept++] = e->losses[i];
-  if (kept == e->loss_count)
-    return;
+  if (kept == before)
+    return false;
   e->loss_count = kept;
   if (kept == 0 || (e->blocked && !_qn_is_bad (t, e)))
     _qn_clear (t, e, now_us);
+  return before + 1 >= _QN_REQUEST_UPSTREAMS_MIN;
 }
 
-static void
+static bool
 _qn_void_upstream (qn_table *t, uint64_t upstream, uint64_t now_us)
 {
+  bool matters = false;
   _qn_lost *l = _qn_find_lost_upstream (t, upstream);
   if (l != NULL)
     *l = (_qn_lost){ 0 };
   for (uint32_t i = 0; i < t->used; i++)
-    if (t->hashes[i] != 0)
-      _qn_void_losses (t, &t->entries[i], upstream, now_us);
+    if (t->hashes[i] != 0
+        && _qn_void_losses (t, &t->entries[i], upstream, now_us))
+      matters = true;
+  return matters;
 }
 
-/* Records a response of UPSTREAM to a request that was sent at SENT_US.  True
-   when it shows that the upstream had not crashed where a loss was recorded;
-   fills ROW for the other VMs then.  */
+/* Records a response of UPSTREAM to a request that was sent at SENT_US, which
+   voids a loss that was recorded before.  True when the other VMs have to
+   know, with ROW filled: all VMs hear of each loss, and many of them get such
+   a response, so that only losses that may lead to a block are worth a message
+   to all.  */
 bool
 qn_on_alive (qn_table *t, uint64_t upstream, uint64_t sent_us, uint64_t now_us,
              qn_row *row)
@@ -541,9 +549,8 @@
   /* Later it may be a process that has started since.  */
   if (l == NULL || sent_us <= l->at_us || now_us - l->at_us >= _QN_BACK_US)
     return false;
-  _qn_void_upstream (t, upstream, now_us);
   *row = (qn_row){ .kind = QN_ALIVE, .upstream = upstream };
-  return true;
+  return _qn_void_upstream (t, upstream, now_us);
 }
 
 /* Records a LOST row.  True when a response here outweighs it.  */
--- a/packages/decide/tests/qn_test.cc
+++ b/packages/decide/tests/qn_test.cc
@@ -523,6 +523,20 @@
   EXPECT_TRUE (request_blocked (t, 1, 5 * Second));
 }
 
+// Guards against a message from each VM to all others for each lost answer.
+TEST (QnRequest, ASingleLossIsVoidedWithoutAMessage)
+{
+  qn_row row;
+  Table t = make ();
+  lose_request (t, 1, 1, Second);
+  EXPECT_FALSE (qn_on_alive (t.get (), 1, Second + Ms, Second + 9 * Ms, &row));
+  lose_request (t, 1, 2, Second + 10 * Ms);
+  lose_request (t, 1, 3, Second + 10 * Ms);
+  EXPECT_FALSE (request_blocked (t, 1, Second + 10 * Ms)) << "voided here";
+  EXPECT_TRUE (
+      qn_on_alive (t.get (), 3, Second + 11 * Ms, Second + 19 * Ms, &row));
+}
+
 // Guards against a sound request that stays blocked, and against trials
 // without end.
 TEST (QnRequest, ABlockedOneIsTriedTwice)
