Bound what a VM tells all others about lost requests

Suspected cause, by count: each lost attempt is told to all VMs of the group, and its response too, where before only parts were that nobody had responded to. When many upstreams of a large deployment crash together these are hundreds of thousands of messages.

A VM sends at most 150 such messages a second, summed over the receivers: 16 lost attempts with 9 other VMs, a sample with 300.

--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -252,6 +252,8 @@
   _gw_peer peer[UT_PEERS_MAX]; /* VMs, other groups, or their sum */
   GHashTable *seen_peers;      /* keys of VMs that started later */
   qn_table *quarantine;
+  double suspect_messages;   /* left for rows of requests */
+  uint64_t suspect_us;       /* when they were counted */
   pa_path path;              /* to the upstreams */
   uc_exchange *path_probe;   /* NULL: none is in progress */
   uint64_t path_probe_us;    /* its start */
--- a/packages/gateway/gw_quarantine.c
+++ b/packages/gateway/gw_quarantine.c
@@ -10,6 +10,9 @@
 /* Events of an attempt after which the upstream has evidently begun to respond
    and still runs.  */
 #define _GW_SERVED_EVENTS 2
+/* Messages a second in which a VM tells the others about requests, summed over
+   the receivers: 16 rows with 9 others, one in two seconds with 300.  */
+#define _GW_SUSPECT_MESSAGES_PER_S 150.0
 
 static void
 _gw_read_subjects (const _gw_request *r, qn_request *request)
@@ -48,6 +51,28 @@
   return st_name_set (&row->subject, s->part);
 }
 
+/* True when ROW may be sent to all other VMs now.  Each lost attempt has a row
+   of its request: where many upstreams of a large deployment crash together,
+   the VMs tell each other of a sample.  */
+static bool
+_gw_may_send_row (gw_task *gw, const qn_row *row)
+{
+  double vms = gw->group.frequent_recipients->len
+               + gw->group.infrequent_recipients->len;
+  if (row->kind == QN_TRIAL || row->kind == QN_ALIVE
+      || !qn_is_request (&row->subject))
+    return true;
+  double passed_s = (double)(gw->now_us - gw->suspect_us) / CK_S_US;
+  gw->suspect_us = gw->now_us;
+  gw->suspect_messages += passed_s * _GW_SUSPECT_MESSAGES_PER_S;
+  if (gw->suspect_messages > _GW_SUSPECT_MESSAGES_PER_S)
+    gw->suspect_messages = _GW_SUSPECT_MESSAGES_PER_S;
+  if (gw->suspect_messages <= 0)
+    return false;
+  gw->suspect_messages -= vms;
+  return true;
+}
+
 static void
 _gw_send_suspects (gw_task *gw, const qn_row *rows, uint32_t count)
 {
@@ -56,8 +81,10 @@
   m.u.suspects.rows = suspects;
   for (uint32_t i = 0; gw->peers != NULL && i < count; i++)
     {
-      suspects[m.u.suspects.count++] = _gw_make_suspect (&rows[i]);
-      if (m.u.suspects.count < MS_SUSPECTS_MAX && i + 1 < count)
+      if (_gw_may_send_row (gw, &rows[i]))
+        suspects[m.u.suspects.count++] = _gw_make_suspect (&rows[i]);
+      if (m.u.suspects.count == 0
+          || (m.u.suspects.count < MS_SUSPECTS_MAX && i + 1 < count))
         continue;
       _gw_send_to_all (gw, gw->group.frequent_recipients, &m);
       _gw_send_to_all (gw, gw->group.infrequent_recipients, &m);
