Let both kinds of attempt share how they are sent

Cause: _gw_forward repeated the exchange that _gw_dispatch opens; the quarantine parsed the parts of a prompt on each dispatch although it looks up the request's identity only; each caller of _gw_record_lost checked for forwarded attempts; some conditions and one include did nothing. Change: _gw_send_attempt serves both; qn_on_sent and qn_query_suspect take the identity; _gw_record_lost ignores forwarded attempts itself; _gw_pause_brittle holds the whole rule. The two adapted calls of the tests pass the identity, their assertions are the same.

--- a/packages/decide/qn.c
+++ b/packages/decide/qn.c
@@ -157,6 +157,17 @@
   st_name_set (&request->subjects[request->count++], st_from_cstr (name));
 }
 
+/* The name of the request IDENTITY as a subject.  */
+static st_name
+_qn_request_name (uint64_t identity)
+{
+  st_name name;
+  char text[ST_NAME_MAX + 1];
+  snprintf (text, sizeof text, "=%016" PRIx64, identity);
+  st_name_set (&name, st_from_cstr (text));
+  return name;
+}
+
 /* Reads the subjects of a request to SERVICE.  Requests that repeat each other
    have the same IDENTITY.  PARTS are those of its prompt, "ID:TOKENS,..." in
    their order; the last one is left out, and so is one whose id is
@@ -165,14 +176,12 @@
 qn_read_request (qn_request *request, uint64_t identity, st_str service,
                  st_str parts)
 {
-  char name[ST_NAME_MAX + 1];
   size_t end;
   size_t colon;
   /* The names beyond COUNT stay as they are: the array is large.  */
   request->count = 1;
   request->prompt = st_hash (parts, 0);
-  snprintf (name, sizeof name, "=%016" PRIx64, identity);
-  st_name_set (&request->subjects[0], st_from_cstr (name));
+  request->subjects[0] = _qn_request_name (identity);
   while (st_find_char (parts, ',', &end))
     {
       st_str part = st_slice (parts, 0, end);
@@ -305,12 +314,13 @@
   return NULL;
 }
 
-/* True when REQUEST itself, not only a part of its prompt, has lost an
-   upstream and was not responded to since.  */
+/* True when the request IDENTITY itself, not only a part of its prompt, has
+   lost an upstream and was not responded to since.  */
 bool
-qn_query_suspect (qn_table *t, const qn_request *request, uint64_t now_us)
+qn_query_suspect (qn_table *t, uint64_t identity, uint64_t now_us)
 {
-  const _qn_entry *e = _qn_find (t, &request->subjects[0], now_us);
+  st_name subject = _qn_request_name (identity);
+  const _qn_entry *e = _qn_find (t, &subject, now_us);
   return e != NULL && (e->blocked || e->loss_count > 0);
 }
 
@@ -322,13 +332,13 @@
   _qn_plan_trial (t, e, now_us);
 }
 
-/* Records that REQUEST is sent to an upstream.  True when this is a trial;
-   fills ROW for the other VMs then.  */
+/* Records that the request IDENTITY is sent to an upstream.  True when this is
+   a trial; fills ROW for the other VMs then.  */
 bool
-qn_on_sent (qn_table *t, const qn_request *request, uint64_t now_us,
-            qn_row *row)
+qn_on_sent (qn_table *t, uint64_t identity, uint64_t now_us, qn_row *row)
 {
-  _qn_entry *e = _qn_find (t, &request->subjects[0], now_us);
+  st_name subject = _qn_request_name (identity);
+  _qn_entry *e = _qn_find (t, &subject, now_us);
   if (e == NULL || !e->blocked)
     return false;
   _qn_count_trial (t, e, now_us);
--- a/packages/decide/qn.h
+++ b/packages/decide/qn.h
@@ -27,7 +27,7 @@
      qn_read_request (&request, identity, ST_LIT ("llm"),
                       ST_LIT ("5c1e:800,91bd:410"));
      if (qn_query_blocked (t, &request, now_us) != NULL) refuse it
-     if (qn_on_sent (t, &request, now_us, &row)) send the row to the others
+     if (qn_on_sent (t, identity, now_us, &row)) send the row to the others
      count = qn_on_lost (t, &request, upstream, now_us, rows);  // send them
      count = qn_on_served (t, &request, now_us, rows);          // send them
      if (qn_on_alive (t, upstream, sent_us, now_us, &row)) send the row
@@ -97,9 +97,8 @@
   bool qn_is_request (const st_name *subject);
   const st_name *qn_query_blocked (qn_table *t, const qn_request *request,
                                    uint64_t now_us);
-  bool qn_query_suspect (qn_table *t, const qn_request *request,
-                         uint64_t now_us);
-  bool qn_on_sent (qn_table *t, const qn_request *request, uint64_t now_us,
+  bool qn_query_suspect (qn_table *t, uint64_t identity, uint64_t now_us);
+  bool qn_on_sent (qn_table *t, uint64_t identity, uint64_t now_us,
                    qn_row *row);
   uint32_t qn_on_lost (qn_table *t, const qn_request *request,
                        uint64_t upstream, uint64_t now_us,
--- a/packages/decide/tests/qn_test.cc
+++ b/packages/decide/tests/qn_test.cc
@@ -556,7 +556,7 @@
     {
       if (request_blocked (t, 1, now))
         continue;
-      ASSERT_TRUE (qn_on_sent (t.get (), &r, now, &row));
+      ASSERT_TRUE (qn_on_sent (t.get (), 1, now, &row));
       qn_on_row (other.get (), &row, now);
       EXPECT_TRUE (request_blocked (t, 1, now)) << "no second one at once";
       EXPECT_TRUE (request_blocked (other, 1, now)) << "none elsewhere";
@@ -731,7 +731,7 @@
         up.push_back (&u);
     if (up.empty ())
       return;
-    if (qn_on_sent (table (vm), &r, now_, &row))
+    if (qn_on_sent (table (vm), identity, now_, &row))
       tell (vm, &row, 1);
     if (identity >= 1 && identity <= bad.size ())
       {
--- a/packages/gateway/gw_dispatch.c
+++ b/packages/gateway/gw_dispatch.c
@@ -130,6 +130,25 @@
   _gw_count_stored (r);
 }
 
+static void _gw_on_exchange (void *user, const uc_event *event);
+
+/* Sends R with HEAD, which is freed, to its upstream or other VM at ADDRESS.
+   R has no exchange then when no connection can be opened.  */
+void
+_gw_send_attempt (_gw_request *r, st_str address, GString *head)
+{
+  r->exchange = uc_send (
+      r->gw->pool, &(uc_request){ .address = address,
+                                  .instance = st_name_str (&r->upstream_id),
+                                  .request_id = st_name_str (&r->id),
+                                  .head = { head->str, head->len },
+                                  .body = r->body,
+                                  .no_body = _gw_is_head_request (r->conn),
+                                  .on_event = _gw_on_exchange,
+                                  .user = r });
+  g_string_free (head, TRUE);
+}
+
 /* Sends R to the upstream TO.  */
 void
 _gw_dispatch (_gw_request *r, ut_id to)
@@ -150,17 +169,8 @@
   uint32_t own_running = up->own_running;
   ut_on_sent (gw->upstreams, to, r->prefill_tokens);
   ut_count_send (gw->upstreams, to, gw->now_us);
-  GString *head = _gw_write_attempt_head (r);
-  r->exchange = uc_send (
-      gw->pool, &(uc_request){ .address = st_name_str (&up->entry.address),
-                               .instance = st_name_str (&r->upstream_id),
-                               .request_id = st_name_str (&r->id),
-                               .head = { head->str, head->len },
-                               .body = r->body,
-                               .no_body = _gw_is_head_request (r->conn),
-                               .on_event = _gw_on_exchange,
-                               .user = r });
-  g_string_free (head, TRUE);
+  _gw_send_attempt (r, st_name_str (&up->entry.address),
+                    _gw_write_attempt_head (r));
   _gw_log_dispatch (r, up, own_running);
   _gw_load_changed (gw);
   if (r->exchange != NULL)
@@ -362,18 +372,20 @@
                        st_name_str (&r->service));
 }
 
-/* Time in microseconds for which an upstream gets nothing from this VM after
-   it rejected a request: a moment, or its part of the rejections where it
-   bears few from all VMs together.  */
-static uint64_t
-_gw_rejected_pause_us (const gw_task *gw, const ut_brittle *brittle)
+/* Sends nothing more to R's upstream, which has rejected R, for a while if it
+   is brittle: for this VM's part of the rejections that it bears from all.  */
+static void
+_gw_pause_brittle (const _gw_request *r)
 {
+  gw_task *gw = r->gw;
+  const ut_brittle *brittle = ut_query_brittle (gw->upstreams, r->upstream);
   if (brittle == NULL)
-    return 0;
+    return;
   double per_s = brittle->per_s > 1 ? brittle->per_s : 1;
   uint32_t vms = gw->group.active_count > 0 ? gw->group.active_count : 1;
   double pause_s = (double)vms / per_s;
-  return (uint64_t)((pause_s > 1 ? pause_s : 1) * CK_S_US);
+  ut_pause (gw->upstreams, r->upstream,
+            gw->now_us + (uint64_t)((pause_s > 1 ? pause_s : 1) * CK_S_US));
 }
 
 /* Adopts what R's upstream states of itself in HEAD: that it leaves, that it
@@ -500,10 +512,7 @@
   if (r->status == 421)
     uc_close_instance (gw->pool, st_name_str (&r->upstream_id));
   else
-    ut_pause (gw->upstreams, r->upstream,
-              gw->now_us
-                  + _gw_rejected_pause_us (
-                      gw, ut_query_brittle (gw->upstreams, r->upstream)));
+    _gw_pause_brittle (r);
   ut_avoid (gw->upstreams, r->upstream, gw->now_us + avoid_us);
   _gw_end_exchange (r, UT_REFUSED);
   _gw_retry (r, true, false,
@@ -582,7 +591,7 @@
   bool connection_lost = event->sent && r->status == 0;
   if (!r->is_forwarded && r->status == 0)
     _gw_on_unheard (r);
-  if (!r->is_forwarded && event->sent && event->connection_lost)
+  if (event->sent && event->connection_lost)
     _gw_record_lost (r);
   if (event->over_limit)
     _gw_on_limit_exceeded (r, event->reason);
@@ -596,8 +605,7 @@
   _gw_retry (r, event->sent, event->sent, event->reason);
 }
 
-/* Handles EVENT of the exchange of a request, USER.  */
-void
+static void
 _gw_on_exchange (void *user, const uc_event *event)
 {
   _gw_request *r = user;
--- a/packages/gateway/gw_forward.c
+++ b/packages/gateway/gw_forward.c
@@ -8,8 +8,6 @@
    not forwarded again.  */
 #include "gw_internal.h"
 
-#include <string.h>
-
 /* Field of a forwarded request; the value is the name of the VM.  */
 #define _GW_FORWARD_FIELD ST_LIT ("Dotterelbend-Forwarded-By")
 /* Time that a forwarded request needs to this VM and back; the other VM has so
@@ -161,7 +159,6 @@
   char instance[ST_NAME_MAX + 1];
   snprintf (instance, sizeof instance, "vm/%.*s",
             (int)MIN (record.name.len, ST_NAME_MAX - 3), record.name.ptr);
-  GString *head = _gw_write_forward_head (r);
   /* The other VM charges the team's quota.  */
   _gw_release_quota (r);
   r->quota_due = r->team != NULL && !r->budget_counted;
@@ -173,16 +170,7 @@
   r->vm_retry_after_us = 0;
   r->forwarded_to[r->forward_count++] = p->key;
   p->forwarded++;
-  r->exchange = uc_send (
-      gw->pool, &(uc_request){ .address = record.callers_address,
-                               .instance = st_from_cstr (instance),
-                               .request_id = st_name_str (&r->id),
-                               .head = { head->str, head->len },
-                               .body = r->body,
-                               .no_body = _gw_is_head_request (r->conn),
-                               .on_event = _gw_on_exchange,
-                               .user = r });
-  g_string_free (head, TRUE);
+  _gw_send_attempt (r, record.callers_address, _gw_write_forward_head (r));
   LO_EVENT (
       "forward", st_name_str (&r->id), LO_STR ("vm", record.name),
       LO_INT ("vm_running", p->running), LO_INT ("forwarded", p->forwarded),
@@ -200,7 +188,7 @@
 void
 _gw_forward_waiting (gw_task *gw)
 {
-  if (!gw->path.lost || !_gw_is_cut_off (gw))
+  if (!_gw_is_cut_off (gw))
     return;
   for (uint32_t i = 0; i < gw->used; i++)
     {
@@ -259,8 +247,7 @@
 _gw_on_forward_refused (_gw_request *r)
 {
   int status = r->status;
-  bool not_run = status == 503 || status == 429 || status == 408
-                 || status == 421 || (status >= 400 && status < 500);
+  bool not_run = status == 503 || (status >= 400 && status < 500);
   LO_EVENT ("forward_refused", st_name_str (&r->id),
             LO_STR ("vm", st_name_str (&r->upstream_id)),
             LO_INT ("status", status),
--- a/packages/gateway/gw_internal.h
+++ b/packages/gateway/gw_internal.h
@@ -365,7 +365,7 @@
 void _gw_start_attempt (_gw_request *r);
 void _gw_write_attempt_fields (const _gw_request *r, GString *head,
                                uint64_t left_us);
-void _gw_on_exchange (void *user, const uc_event *event);
+void _gw_send_attempt (_gw_request *r, st_str address, GString *head);
 void _gw_end_exchange (_gw_request *r, ut_outcome outcome);
 void _gw_end_attempt (_gw_request *r, bool sent, const char *reason);
 void _gw_fail_exchange (_gw_request *r, const char *reason);
--- a/packages/gateway/gw_quarantine.c
+++ b/packages/gateway/gw_quarantine.c
@@ -57,11 +57,11 @@
 static bool
 _gw_may_send_row (gw_task *gw, const qn_row *row)
 {
-  double vms = gw->group.frequent_recipients->len
-               + gw->group.infrequent_recipients->len;
   if (row->kind == QN_TRIAL || row->kind == QN_ALIVE
       || !qn_is_request (&row->subject))
     return true;
+  double vms = gw->group.frequent_recipients->len
+               + gw->group.infrequent_recipients->len;
   double passed_s = (double)(gw->now_us - gw->suspect_us) / CK_S_US;
   gw->suspect_us = gw->now_us;
   gw->suspect_messages += passed_s * _GW_SUSPECT_MESSAGES_PER_S;
@@ -118,9 +118,7 @@
 bool
 _gw_is_suspect (const _gw_request *r)
 {
-  qn_request request;
-  _gw_read_subjects (r, &request);
-  return qn_query_suspect (r->gw->quarantine, &request, r->gw->now_us);
+  return qn_query_suspect (r->gw->quarantine, r->identity, r->gw->now_us);
 }
 
 /* Records that R is sent to an upstream.  */
@@ -128,10 +126,8 @@
 _gw_record_sent (const _gw_request *r)
 {
   gw_task *gw = r->gw;
-  qn_request request;
   qn_row row;
-  _gw_read_subjects (r, &request);
-  if (!qn_on_sent (gw->quarantine, &request, gw->now_us, &row))
+  if (!qn_on_sent (gw->quarantine, r->identity, gw->now_us, &row))
     return;
   LO_EVENT ("quarantine_trial", st_name_str (&r->id),
             LO_STR ("subject", st_name_str (&row.subject)));
@@ -193,12 +189,15 @@
             LO_INT ("after_ms", (r->gw->now_us - r->sent_us) / CK_MS_US));
 }
 
-/* Records that R's attempt lost its upstream.  */
+/* Records that R's attempt lost its upstream.  The loss of another VM says
+   nothing about upstreams.  */
 void
 _gw_record_lost (const _gw_request *r)
 {
   gw_task *gw = r->gw;
   qn_row rows[QN_SUBJECTS_MAX];
+  if (r->is_forwarded)
+    return;
   _gw_log_lost (r);
   if (r->attempt_events >= _GW_SERVED_EVENTS)
     return;
--- a/packages/gateway/gw_relay.c
+++ b/packages/gateway/gw_relay.c
@@ -144,8 +144,7 @@
       || (!r->is_framed && r->last_event_us == 0))
     {
       /* A response without a length that its upstream broke off.  */
-      if (!r->is_forwarded)
-        _gw_record_lost (r);
+      _gw_record_lost (r);
       _gw_fail_exchange (r, "stream_incomplete");
       return;
     }
